--- a/src/dragonflyvane/core/host_lease.cpp
+++ b/src/dragonflyvane/core/host_lease.cpp
@@ -66,7 +66,11 @@
                           const lease_answer &Answer, time_point Now) {
   if (Answer.Holder != Holder || Answer.WrongIncarnation)
     return;
-  answer_state &State = Answers[{Witness, Answer.WitnessIncarnation}];
+  witness_id Id{Witness, Answer.WitnessIncarnation};
+  if (const witness_id *Named = Current.find(Witness);
+      Named && !Rules.RestartedWitnessIsBarred)
+    Id = *Named;
+  answer_state &State = Answers[Id];
   State.Heard = Now;
   State.Lapsed = State.Lapsed || Answer.Lapsed;
   if (Answer.Lapsed)
--- a/src/dragonflyvane/core/host_record.cpp
+++ b/src/dragonflyvane/core/host_record.cpp
@@ -24,6 +24,7 @@
       {"host", Record.Host},
       {"generation", Record.Generation},
       {"incarnation", Record.Incarnation},
+      {"claimant", Record.Claimant},
       {"domain", Record.Domain},
       {"peer", Record.PeerAddress},
       {"datagram", Record.DatagramAddress},
@@ -41,6 +42,7 @@
     Record.Host = Document.at("host");
     Record.Generation = Document.at("generation");
     Record.Incarnation = Document.at("incarnation");
+    Record.Claimant = Document.at("claimant");
     Record.Domain = Document.at("domain");
     Record.PeerAddress = Document.at("peer");
     Record.DatagramAddress = Document.at("datagram");
--- a/src/dragonflyvane/core/host_record.hpp
+++ b/src/dragonflyvane/core/host_record.hpp
@@ -34,7 +34,11 @@
 struct host_record {
   std::string Host;
   uint64_t Generation = 0;
+  /// The run that began this generation.
   incarnation Incarnation = 0;
+  /// The newest run under this name. It claims the name before it does anything
+  /// else, so that an older one, back from a pause, knows that it is replaced.
+  incarnation Claimant = 0;
   std::string Domain;
   /// `IP:PORT` of its peer streams, its datagrams and its entrance.
   std::string PeerAddress;
--- a/src/dragonflyvane/core/lapse_registry.cpp
+++ b/src/dragonflyvane/core/lapse_registry.cpp
@@ -12,6 +12,16 @@
   return true;
 }
 
+bool lapse_registry::counts(const lapse_certificate &Certificate,
+                            const witness_id &Member,
+                            const witness_set &Set) const {
+  bool Applies = Certificate.Witness.Host == Member.Host &&
+                 Certificate.MinSetVersion <= Set.Version;
+  bool SameRun = Certificate.Witness == Member;
+  return Applies && (SameRun || !Rules.CertificateNamesRun ||
+                     Certificate.KnownSetVersion >= Set.Version);
+}
+
 bool lapse_registry::isLapsed(const host_ref &Holder,
                               const cluster_view &View) const {
   if (View.isEnded(Holder))
@@ -26,13 +36,12 @@
   for (const witness_id &Member : Set.Members)
     Votes += std::any_of(Found->second.begin(), Found->second.end(),
                          [&](const lapse_certificate &Certificate) {
-                           return Certificate.Witness == Member.Host &&
-                                  Certificate.MinSetVersion <= Set.Version;
+                           return counts(Certificate, Member, Set);
                          });
   return !Set.Members.empty() && Votes >= Set.majority();
 }
 
-bool lapse_registry::hasCertified(const std::string &Witness,
+bool lapse_registry::hasCertified(const witness_id &Witness,
                                   const host_ref &Holder) const {
   auto Found = Certificates.find(Holder);
   if (Found == Certificates.end())
@@ -52,8 +61,8 @@
   uint64_t Sum = 0;
   for (const auto &[Holder, Known] : Certificates)
     for (const lapse_certificate &Certificate : Known)
-      Sum += rendezvousHash(toString(Holder), Certificate.Witness) +
-             Certificate.MinSetVersion;
+      Sum += rendezvousHash(toString(Holder), Certificate.Witness.Host) +
+             Certificate.Witness.Incarnation + Certificate.MinSetVersion;
   return Sum;
 }
 
--- a/src/dragonflyvane/core/lapse_registry.hpp
+++ b/src/dragonflyvane/core/lapse_registry.hpp
@@ -15,10 +15,12 @@
 /// majority of the witnesses that the holder's row names.
 class lapse_registry {
 public:
+  explicit lapse_registry(const safety_rules &Rules = {}) : Rules(Rules) {}
+
   /// Returns whether the certificate was new.
   bool add(const lapse_certificate &Certificate);
   bool isLapsed(const host_ref &Holder, const cluster_view &View) const;
-  bool hasCertified(const std::string &Witness, const host_ref &Holder) const;
+  bool hasCertified(const witness_id &Witness, const host_ref &Holder) const;
   /// Forgets the certificates of generations that are over.
   void forgetEnded(const cluster_view &View);
   /// Equal for daemons that know the same certificates.
@@ -26,6 +28,10 @@
   std::vector<lapse_certificate> all() const;
 
 private:
+  bool counts(const lapse_certificate &Certificate, const witness_id &Member,
+              const witness_set &Set) const;
+
+  safety_rules Rules;
   std::map<host_ref, std::vector<lapse_certificate>> Certificates;
 };
 
--- a/src/dragonflyvane/core/list_changes.cpp
+++ b/src/dragonflyvane/core/list_changes.cpp
@@ -24,7 +24,7 @@
                              const host_ref &Self) const {
   auto Found = Changes.find(Slice);
   return Rules.StopBeforeGivingUp && Found != Changes.end() &&
-         Found->second.Target.front() != Self;
+         Found->second.TableAnswered && Found->second.Target.front() != Self;
 }
 
 void list_changes::onRelease(const release_answer &Answer) {
@@ -42,6 +42,17 @@
   });
 }
 
+void list_changes::onTableAnswered() {
+  for (auto &[Slice, Change] : Changes)
+    Change.TableAnswered = true;
+}
+
+void list_changes::abandon(const std::string &RowKey) {
+  std::erase_if(Changes, [&](const auto &Entry) {
+    return rowKeyOf(Entry.first) == RowKey && Entry.second.WritesSent == 1;
+  });
+}
+
 bool list_changes::hasDrained(const slice_id &Slice, const change &Change,
                               const change_context &Context) {
   bool KeepsOwner = Change.Target.front() == Context.Self;
@@ -68,7 +79,8 @@
 list_changes::askReleases(const change_context &Context, time_point Now) {
   std::map<std::pair<std::string, std::string>, std::vector<slice_epoch>> Due;
   for (auto &[Slice, Change] : Changes) {
-    bool IsDue = Now - Change.LastAsked >= Timing.RetryPeriod;
+    bool IsDue =
+        Change.TableAnswered && Now - Change.LastAsked >= Timing.RetryPeriod;
     if (!IsDue || !hasDrained(Slice, Change, Context))
       continue;
     for (const host_ref &Ref : missingReleases(Slice, Change, Context))
@@ -91,13 +103,15 @@
   std::map<std::string, succession_row> Contents;
   for (auto &[Slice, Change] : Changes) {
     const succession_list *List = Context.View.list(Slice);
-    bool Ready = List && List->Epoch == Change.Epoch &&
+    bool Ready = List && List->Epoch == Change.Epoch && Change.TableAnswered &&
                  Now - Change.LastWritten >= Timing.RetryPeriod &&
                  hasDrained(Slice, Change, Context) &&
-                 missingReleases(Slice, Change, Context).empty();
+                 missingReleases(Slice, Change, Context).empty() &&
+                 !Context.IsWriting(rowKeyOf(Slice));
     if (!Ready)
       continue;
     Change.LastWritten = Now;
+    ++Change.WritesSent;
     std::string Key = rowKeyOf(Slice);
     auto [Content, IsNew] = Contents.try_emplace(Key);
     if (IsNew)
--- a/src/dragonflyvane/core/list_changes.hpp
+++ b/src/dragonflyvane/core/list_changes.hpp
@@ -23,6 +23,8 @@
   const host_ref &Self;
   /// Requests of a slice that are still running here.
   const std::function<size_t(const slice_id &)> &InFlight;
+  /// A write of the row is under way.
+  const std::function<bool(const std::string &)> &IsWriting;
 };
 
 /// A row with new lists, ready to be written.
@@ -48,6 +50,12 @@
   void onRelease(const release_answer &Answer);
   /// Ends the changes that rows now show as done or overtaken.
   void onView(const cluster_view &View);
+  /// The table answered: changes that wait for it may go on. Until then a slice
+  /// is served as before, so that an outage does not stop it.
+  void onTableAnswered();
+  /// The last write of this row certainly did not happen. Slices of which no
+  /// earlier write may still land are served on.
+  void abandon(const std::string &RowKey);
 
   /// Release requests that are due.
   std::vector<outgoing_message> askReleases(const change_context &Context,
@@ -66,6 +74,9 @@
     std::set<host_ref> Released;
     time_point LastAsked;
     time_point LastWritten;
+    /// The table answered since the change began.
+    bool TableAnswered = false;
+    int WritesSent = 0;
   };
 
   static bool hasDrained(const slice_id &Slice, const change &Change,
--- a/src/dragonflyvane/core/member.cpp
+++ b/src/dragonflyvane/core/member.cpp
@@ -25,8 +25,8 @@
 member::member(member_identity Identity, time_point Start,
                ownership_timing Timing, safety_rules Rules)
     : Identity(std::move(Identity)), Timing(Timing), Rules(Rules),
-      Witness(this->Identity.Host, this->Identity.Incarnation, Start, Timing,
-              Rules),
+      Registry(Rules), Witness(this->Identity.Host, this->Identity.Incarnation,
+                               Start, Timing, Rules),
       Changes(Timing, Rules), LastTableRead(Start), LastRenewal(Start),
       LastRowCheck(Start), LastDigest(Start), LastPlan(Start), LastBeat(Start),
       ValidSince(Start), LastValid(Start), WitnessesAdopted(Start),
@@ -34,24 +34,32 @@
   InFlightOfSlice = [this](const slice_id &Slice) {
     return InFlight ? InFlight->ofSlice(Slice) : 0;
   };
+  IsRowBeingWritten = [this](const std::string &Key) { return isWriting(Key); };
   Actions.ReadTable = true;
 }
 
 // Events.
 
 void member::onMessage(const envelope &Envelope, time_point Now) {
-  std::visit([&](const auto &Body) { on(Envelope.From, Body, Now); },
-             Envelope.Body);
+  if (!Replaced)
+    std::visit([&](const auto &Body) { on(Envelope.From, Body, Now); },
+               Envelope.Body);
 }
 
 void member::onTable(const table_changes &Changes, time_point Now) {
-  for (const std::string &Key : View.apply(Changes))
-    note("malformed row skipped", "", Key);
   HasReadTable = true;
   LastTableRead = Now;
-  for (const table_row &Row : Changes.Rows)
-    if (const host_record *Record = View.hostOfRow(Row.Key))
-      Witness.onHostRow(*Record, Now);
+  this->Changes.onTableAnswered();
+  apply(Changes, Now);
+}
+
+void member::apply(const table_changes &Changes, time_point Now) {
+  for (const std::string &Key : View.apply(Changes))
+    note("malformed row skipped", "", Key);
+  if (HasClaimed)
+    for (const table_row &Row : Changes.Rows)
+      if (const host_record *Record = View.hostOfRow(Row.Key))
+        Witness.onHostRow(*Record, Now);
   this->Changes.onView(View);
   Registry.forgetEnded(View);
   std::erase_if(Released, [&](const auto &Entry) {
@@ -72,6 +80,10 @@
     return;
   pending_write Write = std::move(Found->second);
   Writes.erase(Found);
+  if (Result.Outcome == transaction_outcome::NotSent &&
+      Write.Kind == write_kind::Lists)
+    for (const row_write &Row : Write.Transaction.Writes)
+      Changes.abandon(Row.Key);
   if (Result.Outcome != transaction_outcome::Committed) {
     Actions.ReadTable = true;
     return;
@@ -81,15 +93,15 @@
     Own.Rows.push_back({Row.Key, Result.Revision, Row.Value});
   // The rows are known now; the revision is not, as others may have written.
   Own.Revision = View.revision();
-  time_point LastRead = LastTableRead;
-  onTable(Own, Now);
-  LastTableRead = LastRead;
+  apply(Own, Now);
   if (Write.Kind == write_kind::Lists)
     for (const row_write &Row : Write.Transaction.Writes)
       noteCommittedRow(Row.Key);
 }
 
 void member::tick(time_point Now) {
+  if (Replaced)
+    return;
   certify(Now);
   repeatCertificates(Now);
   renewLease(Now);
@@ -292,8 +304,10 @@
     const succession_list *List = View.list(Slice);
     bool Fits = List && List->Epoch == Proposed.Slice.Epoch &&
                 !Proposed.Entries.empty() && isActingOwner(Slice, *List);
-    if (Fits)
-      Changes.begin(Slice, List->Epoch, Proposed.Entries);
+    if (!Fits)
+      continue;
+    Changes.begin(Slice, List->Epoch, Proposed.Entries);
+    Actions.ReadTable = true;
   }
 }
 
@@ -379,6 +393,7 @@
   Record.Host = Identity.Host;
   Record.Generation = Generation;
   Record.Incarnation = Identity.Incarnation;
+  Record.Claimant = Identity.Incarnation;
   Record.Domain = Identity.Domain;
   Record.PeerAddress = Identity.PeerAddress;
   Record.DatagramAddress = Identity.DatagramAddress;
@@ -415,6 +430,11 @@
         1, chooseWitnesses({Identity.Host, 1}, View, Registry, {}, {})};
     return writeOwnRow(First);
   }
+  if (Old->Claimant != Identity.Incarnation) {
+    host_record Claim = *Old;
+    Claim.Claimant = Identity.Incarnation;
+    return writeOwnRow(Claim);
+  }
   bool EndedBySelf = Old->Incarnation == Identity.Incarnation &&
                      Old->Generation <= EndedGeneration;
   bool Over = EndedBySelf || Old->Witnesses.Members.empty() ||
@@ -443,13 +463,17 @@
   const host_record *Own = View.host(Identity.Host);
   if (!Own)
     return;
-  if (Own->Incarnation != Identity.Incarnation) {
-    bool WasMine = Lease || EndedGeneration > 0;
+  if (Own->Claimant != Identity.Incarnation) {
     if (Lease)
       endGeneration("replaced by another process");
-    Replaced = Replaced || WasMine;
+    Replaced = HasClaimed && Rules.ClaimsName;
     return;
   }
+  if (!std::exchange(HasClaimed, true))
+    for (const auto &[Name, Host] : View.hosts())
+      Witness.onHostRow(Host.Content, Now);
+  if (Own->Incarnation != Identity.Incarnation)
+    return;
   if (Lease && Own->Generation != Lease->holder().Generation)
     return endGeneration("declared gone");
   if (!Lease && !Resigning && Own->Generation > EndedGeneration) {
@@ -507,7 +531,7 @@
 // Lists.
 
 change_context member::changeContext() const {
-  return {View, Registry, Lease->holder(), InFlightOfSlice};
+  return {View, Registry, Lease->holder(), InFlightOfSlice, IsRowBeingWritten};
 }
 
 /// Slices whose owner is gone, and whose old epoch this host has released,
@@ -524,6 +548,7 @@
       if (Ref != Lease->holder() && !Registry.isLapsed(Ref, View))
         Target.push_back(Ref);
     Changes.begin(Slice, Epoch, std::move(Target));
+    Actions.ReadTable = true;
   }
 }
 
@@ -534,8 +559,7 @@
   for (outgoing_message &Message : Changes.askReleases(Context, Now))
     Actions.Messages.push_back(std::move(Message));
   for (row_change &Row : Changes.readyRows(Context, Now))
-    if (!isWriting(Row.RowKey))
-      write(write_kind::Lists, std::move(Row.Transaction));
+    write(write_kind::Lists, std::move(Row.Transaction));
 }
 
 void member::noteCommittedRow(const std::string &RowKey) {
--- a/src/dragonflyvane/core/member.hpp
+++ b/src/dragonflyvane/core/member.hpp
@@ -130,6 +130,9 @@
     int Left = 0;
   };
 
+  /// Takes rows in, from a read or from an own write that was committed.
+  void apply(const table_changes &Changes, time_point Now);
+
   // Messages, by kind.
   void on(const std::string &From, const lease_renewal &Body, time_point Now);
   void on(const std::string &From, const lease_answer &Body, time_point Now);
@@ -193,6 +196,7 @@
   std::optional<host_lease> Lease;
   const in_flight_source *InFlight = nullptr;
   std::function<size_t(const slice_id &)> InFlightOfSlice;
+  std::function<bool(const std::string &)> IsRowBeingWritten;
 
   std::map<std::string, uint32_t> Services;
   /// Generations up to this one were ended by this process itself.
@@ -202,6 +206,8 @@
   bool Leaving = false;
   bool Left = false;
   bool Replaced = false;
+  /// The own row has named this process as its claimant.
+  bool HasClaimed = false;
   bool HasReadTable = false;
   /// Epochs under which this host promised never to take over.
   std::map<slice_id, uint64_t> Released;
--- a/src/dragonflyvane/core/membership.cpp
+++ b/src/dragonflyvane/core/membership.cpp
@@ -37,7 +37,7 @@
   for (const auto &[Name, Row] : View.hosts()) {
     const host_record &Record = Row.Content;
     bool Usable = Name != Holder.Host && !Unwanted.contains(Name) &&
-                  !Registry.hasCertified(Name, Holder) &&
+                  !Registry.hasCertified({Name, Record.Incarnation}, Holder) &&
                   !Registry.isLapsed(Record.ref(), View);
     if (Usable)
       Pool.push_back(&Record);
--- a/src/dragonflyvane/core/messages.cpp
+++ b/src/dragonflyvane/core/messages.cpp
@@ -50,10 +50,11 @@
 }
 
 json encode(const lapse_certificate &M) {
-  return {encode(M.Holder), M.Witness, M.MinSetVersion};
+  return {encode(M.Holder), M.Witness.Host, M.Witness.Incarnation,
+          M.MinSetVersion, M.KnownSetVersion};
 }
 void decode(const json &V, lapse_certificate &M) {
-  M = {decodeRef(V.at(0)), V.at(1), V.at(2)};
+  M = {decodeRef(V.at(0)), {V.at(1), V.at(2)}, V.at(3), V.at(4)};
 }
 
 json encode(const lapse_query &M) { return json::array({encode(M.Holder)}); }
--- a/src/dragonflyvane/core/messages.hpp
+++ b/src/dragonflyvane/core/messages.hpp
@@ -38,13 +38,15 @@
   bool WrongIncarnation = false;
 };
 
-/// Witness to all: this witness never again renews the holder's lease. It
-/// counts under every set that has the witness as a member and at least this
-/// version.
+/// Witness to all: this run of the witness never again renews the holder's
+/// lease. It counts under sets of at least `MinSetVersion` that name this run,
+/// and under those up to `KnownSetVersion` that name an earlier run, since this
+/// one has read them and bars the renewals that they lead to.
 struct lapse_certificate {
   host_ref Holder;
-  std::string Witness;
+  witness_id Witness;
   uint64_t MinSetVersion = 0;
+  uint64_t KnownSetVersion = 0;
 
   bool operator==(const lapse_certificate &) const = default;
 };
--- a/src/dragonflyvane/core/ownership_settings.hpp
+++ b/src/dragonflyvane/core/ownership_settings.hpp
@@ -37,12 +37,14 @@
   bool MajorityRenews = true;
   bool WitnessKeepsItsCertificate = true;
   bool RestartedWitnessIsBarred = true;
-  bool RestartedWitnessWaits = true;
+  bool NewWitnessWaits = true;
   bool ReleaseBeforeWrite = true;
   bool StopBeforeGivingUp = true;
   bool BothWitnessSetsWhileChanging = true;
   bool LeaseCheckedAtDispatch = true;
   bool EndedGenerationIsCertified = true;
+  bool CertificateNamesRun = true;
+  bool ClaimsName = true;
 };
 
 /// The most witnesses of one host; a majority of them renews its lease.
--- a/src/dragonflyvane/core/witness.cpp
+++ b/src/dragonflyvane/core/witness.cpp
@@ -14,8 +14,8 @@
 
 witness::witness(std::string Host, incarnation Incarnation, time_point Start,
                  const ownership_timing &Timing, const safety_rules &Rules)
-    : Host(std::move(Host)), Incarnation(Incarnation), Start(Start),
-      LastTick(Start), Resumed(Start), Timing(Timing), Rules(Rules) {}
+    : Host(std::move(Host)), Incarnation(Incarnation), LastTick(Start),
+      Resumed(Start), Timing(Timing), Rules(Rules) {}
 
 lease_answer witness::onRenewal(const lease_renewal &Renewal, time_point Now) {
   lease_answer Answer;
@@ -31,8 +31,7 @@
     Answer.WrongIncarnation = true;
     return Answer;
   }
-  auto [Place, IsNew] = Watches.try_emplace(Renewal.Holder);
-  watch &Watch = Place->second;
+  watch &Watch = watchOf(Renewal.Holder, Now);
   if (!Watch.KnowsSet || Renewal.SetVersion < Watch.OldestSet)
     Watch.OldestSet = Renewal.SetVersion;
   Watch.KnowsSet = true;
@@ -52,14 +51,20 @@
   auto Known = Certified.find(Holder);
   if (Known != Certified.end())
     return Known->second;
-  auto [Place, IsNew] = Watches.try_emplace(Holder);
-  if (IsNew)
-    Place->second.LastHeard = Now;
-  if (!hasLapsed(Place->second, Now))
+  if (!hasLapsed(watchOf(Holder, Now), Now))
     return std::nullopt;
   return certify(Holder);
 }
 
+/// A holder that is new to this process may have been renewed by the one before
+/// it: the wait begins now.
+witness::watch &witness::watchOf(const host_ref &Holder, time_point Now) {
+  auto [Place, IsNew] = Watches.try_emplace(Holder);
+  if (IsNew && Rules.NewWitnessWaits)
+    Place->second.LastHeard = Now;
+  return Place->second;
+}
+
 bool witness::isOver(const host_ref &Holder) const {
   auto Newest = NewestGeneration.find(Holder.Host);
   return Certified.contains(Holder) || (Newest != NewestGeneration.end() &&
@@ -81,13 +86,11 @@
   }
   if (isOver(Record.ref()))
     return;
-  auto [Place, IsNew] = Watches.try_emplace(Record.ref());
-  watch &Watch = Place->second;
-  if (IsNew)
-    Watch.LastHeard = Now;
+  watch &Watch = watchOf(Record.ref(), Now);
   if (!Watch.KnowsSet)
     Watch.OldestSet = Record.Witnesses.Version;
   Watch.KnowsSet = true;
+  Watch.KnownSet = std::max(Watch.KnownSet, Record.Witnesses.Version);
 }
 
 std::vector<lapse_certificate> witness::tick(time_point Now) {
@@ -106,20 +109,19 @@
 }
 
 bool witness::hasLapsed(const watch &Watch, time_point Now) const {
-  bool StartedLongAgo =
-      !Rules.RestartedWitnessWaits || Now - Start >= Timing.lapseAfter();
   bool RunsAgain = Now - Resumed >= 2 * Timing.RenewPeriod;
-  return Watch.KnowsSet && StartedLongAgo && RunsAgain &&
+  return Watch.KnowsSet && RunsAgain &&
          Now - Watch.LastHeard >= Timing.lapseAfter();
 }
 
 lapse_certificate witness::certify(const host_ref &Holder) {
-  lapse_certificate Certificate{Holder, Host, 0};
+  lapse_certificate Certificate{Holder, {Host, Incarnation}, 0, 0};
   auto Found = Watches.find(Holder);
   if (Found != Watches.end()) {
     const watch &Watch = Found->second;
     Certificate.MinSetVersion =
         std::max(Watch.OldestSet, Watch.SupersededBelow);
+    Certificate.KnownSetVersion = Watch.KnownSet;
     Watches.erase(Found);
   }
   Certified[Holder] = Certificate;
--- a/src/dragonflyvane/core/witness.hpp
+++ b/src/dragonflyvane/core/witness.hpp
@@ -45,18 +45,20 @@
     time_point LastHeard;
     /// The oldest set version that this process knows of.
     uint64_t OldestSet = 0;
+    /// The newest set version that it has read from the table.
+    uint64_t KnownSet = 0;
     uint64_t SupersededBelow = 0;
     /// The set of which this process is a member is known.
     bool KnowsSet = false;
   };
 
   bool isOver(const host_ref &Holder) const;
+  watch &watchOf(const host_ref &Holder, time_point Now);
   bool hasLapsed(const watch &Watch, time_point Now) const;
   lapse_certificate certify(const host_ref &Holder);
 
   std::string Host;
   incarnation Incarnation;
-  time_point Start;
   /// The last tick, and when ticks resumed after a pause of this process.
   time_point LastTick;
   time_point Resumed;
