--- a/src/dragonflyvane/net/event_loop.cpp
+++ b/src/dragonflyvane/net/event_loop.cpp
@@ -44,6 +44,7 @@
 
 void event_loop::run() {
   auto Guard = boost::asio::make_work_guard(Context->Io);
+  Context->Io.restart();
   Context->Io.run();
 }
 
--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -209,10 +209,12 @@
       return;
     std::string Rest = Head.Bytes.substr(End + HeadEnd.size());
     Head.Bytes.resize(End + HeadEnd.size());
-    checkHead(Head.Bytes);
+    bool HasBody = declaresBody(Head.Bytes);
     Head.Complete = true;
     if (feed(Head.Bytes, Peer))
       return finish(Peer, !Rest.empty());
+    if (!HasBody)
+      throw pistache::Http::HttpError(400, "malformed request");
     Head.BodyMissing = declaredLength(Peer);
     if (Head.BodyMissing > Limits.MaxBody)
       throw pistache::Http::HttpError(413, "request body too large");
@@ -232,8 +234,9 @@
       finish(Peer, Chunked || Take < Input.size());
   }
 
-  /// Refuses what proxies disagree about (RFC 9112, 6.1 and 6.3).
-  static void checkHead(std::string_view Head) {
+  /// Whether a body follows. Refuses what proxies disagree about (RFC 9112, 6.1
+  /// and 6.3).
+  static bool declaresBody(std::string_view Head) {
     size_t Lengths = 0;
     size_t Encodings = 0;
     size_t Line = Head.find("\r\n");
@@ -246,6 +249,7 @@
     }
     if (Lengths + Encodings > 1)
       throw pistache::Http::HttpError(400, "more than one message length");
+    return Lengths + Encodings == 1;
   }
 
   static bool feed(std::string_view Input, const peer_pointer &Peer) {
