--- a/src/dragonflyvane/core/member.cpp
+++ b/src/dragonflyvane/core/member.cpp
@@ -27,10 +27,12 @@
     : Identity(std::move(Identity)), Timing(Timing), Rules(Rules),
       Registry(Rules), Witness(this->Identity.Host, this->Identity.Incarnation,
                                Start, Timing, Rules),
-      Changes(Timing, Rules), LastTableRead(Start), LastRenewal(Start),
-      LastRowCheck(Start), LastDigest(Start), LastPlan(Start), LastBeat(Start),
-      ValidSince(Start), LastValid(Start), WitnessesAdopted(Start),
-      StewardChanged(Start), Random(this->Identity.Incarnation) {
+      Changes(Timing, Rules),
+      Tokens(static_cast<uint64_t>(Start.time_since_epoch().count())),
+      LastTableRead(Start), LastRenewal(Start), LastRowCheck(Start),
+      LastDigest(Start), LastPlan(Start), LastBeat(Start), ValidSince(Start),
+      LastValid(Start), WitnessesAdopted(Start), StewardChanged(Start),
+      Random(this->Identity.Incarnation) {
   InFlightOfSlice = [this](const slice_id &Slice) {
     return InFlight ? InFlight->ofSlice(Slice) : 0;
   };
@@ -115,6 +117,7 @@
   }
   changeLists(Now);
   actAsSteward(Now);
+  watchHomes(Now);
 }
 
 // Orders.
@@ -399,6 +402,7 @@
   Record.DatagramAddress = Identity.DatagramAddress;
   Record.EntranceAddress = Identity.EntranceAddress;
   Record.Services = Services;
+  Record.Services[RateService] = 1;
   return Record;
 }
 
@@ -643,6 +647,73 @@
       send(Place.first, Message);
 }
 
+// The rate.
+
+void member::takeToken(const std::string &Workspace, time_point Deadline,
+                       time_point Now, token_cache::callback Callback) {
+  Tokens.take(Workspace, Deadline, Now, std::move(Callback));
+  sendAsks(Now);
+}
+
+void member::tickTokens(time_point Now) {
+  Tokens.tick(Now);
+  sendAsks(Now);
+}
+
+void member::sendAsks(time_point Now) {
+  for (token_ask &Ask : Tokens.takeAsks(Now)) {
+    auto Home = ownerOf(rateSliceOf(Ask.Workspace));
+    if (!Home)
+      continue;
+    if (Home->Host == Identity.Host)
+      on(Identity.Host, Ask, Now);
+    else
+      send(Home->Host, std::move(Ask));
+  }
+}
+
+/// A bucket begins when this host becomes its home, and ends when it is not any
+/// more. A new epoch that only this host can have written changes nothing.
+bool member::isHome(const std::string &Workspace, time_point Now) {
+  auto Token = dispatchToken(rateSliceOf(Workspace), Now);
+  if (!Token) {
+    RateHome.end(Workspace);
+    return false;
+  }
+  uint64_t &Epoch = HomeEpochs[Workspace];
+  if (!RateHome.has(Workspace) || Token->Epoch > Epoch + 1)
+    RateHome.begin(Workspace, Now);
+  Epoch = Token->Epoch;
+  return true;
+}
+
+void member::watchHomes(time_point Now) {
+  const auto &Config = View.configurationRow();
+  if (!Config)
+    return;
+  for (const auto &[Name, Workspace] : Config->Content.Workspaces)
+    isHome(Name, Now);
+}
+
+void member::on(const std::string &From, const token_ask &Body,
+                time_point Now) {
+  const auto &Config = View.configurationRow();
+  if (!Config || !isHome(Body.Workspace, Now))
+    return;
+  auto Workspace = Config->Content.Workspaces.find(Body.Workspace);
+  if (Workspace == Config->Content.Workspaces.end())
+    return;
+  token_grant Grant = RateHome.grant(From, Body, Workspace->second, Now);
+  if (From == Identity.Host)
+    Tokens.onGrant(Grant, Now);
+  else
+    send(From, Grant);
+}
+
+void member::on(const std::string &, const token_grant &Body, time_point Now) {
+  Tokens.onGrant(Body, Now);
+}
+
 // Sending.
 
 void member::send(const std::string &To, message Body) {
--- a/src/dragonflyvane/core/member.hpp
+++ b/src/dragonflyvane/core/member.hpp
@@ -10,7 +10,9 @@
 #include "dragonflyvane/core/list_changes.hpp"
 #include "dragonflyvane/core/messages.hpp"
 #include "dragonflyvane/core/ownership_settings.hpp"
+#include "dragonflyvane/core/rate_home.hpp"
 #include "dragonflyvane/core/steward_plan.hpp"
+#include "dragonflyvane/core/token_cache.hpp"
 #include "dragonflyvane/core/witness.hpp"
 
 #include <functional>
@@ -93,6 +95,11 @@
   /// A host did not answer: ask its witnesses.
   void suspect(const std::string &Host);
   void reportLoad(const slice_loads &Loads, time_point Now);
+  /// Takes a token of a workspace's rate; the callback says whether it was had.
+  void takeToken(const std::string &Workspace, time_point Deadline,
+                 time_point Now, token_cache::callback Callback);
+  /// To be called about every 10 ms: asks for tokens that requests wait for.
+  void tickTokens(time_point Now);
 
   // Questions.
 
@@ -148,6 +155,8 @@
   void on(const std::string &From, const certificate_digest &Body,
           time_point Now);
   void on(const std::string &From, const load_report &Body, time_point Now);
+  void on(const std::string &From, const token_ask &Body, time_point Now);
+  void on(const std::string &From, const token_grant &Body, time_point Now);
 
   // Parts of a tick.
   void renewLease(time_point Now);
@@ -180,6 +189,11 @@
   void writeAssignments(const std::vector<list_assignment> &Assignments);
   void sendProposals(const std::vector<owner_proposal> &Proposals);
 
+  // The rate.
+  void sendAsks(time_point Now);
+  void watchHomes(time_point Now);
+  bool isHome(const std::string &Workspace, time_point Now);
+
   void send(const std::string &To, message Body);
   void sendToAll(const message &Body);
   void write(write_kind Kind, table_transaction Transaction);
@@ -213,6 +227,10 @@
   std::map<slice_id, uint64_t> Released;
   std::vector<repeated_certificate> Repeats;
   slice_loads Loads;
+  rate_home RateHome;
+  /// By workspace, the epoch under which this host is home of its bucket.
+  std::map<std::string, uint64_t> HomeEpochs;
+  token_cache Tokens;
 
   uint64_t LastWrite = 0;
   std::map<uint64_t, pending_write> Writes;
--- a/src/dragonflyvane/core/messages.cpp
+++ b/src/dragonflyvane/core/messages.cpp
@@ -110,6 +110,26 @@
   M.Rates = V.at(1).get<std::vector<std::pair<uint32_t, double>>>();
 }
 
+json encode(const token_ask &M) {
+  json Finished = json::array();
+  for (const finished_chunk &Chunk : M.Finished) {
+    Finished.push_back(Chunk.Chunk);
+    Finished.push_back(Chunk.Unused);
+  }
+  return {M.Workspace, M.Sequence, M.Wanted, Finished};
+}
+void decode(const json &V, token_ask &M) {
+  M = {V.at(0), V.at(1), V.at(2), {}};
+  const json &Finished = V.at(3);
+  for (size_t I = 0; I + 1 < Finished.size(); I += 2)
+    M.Finished.push_back({Finished.at(I), Finished.at(I + 1)});
+}
+
+json encode(const token_grant &M) {
+  return {M.Workspace, M.Sequence, M.Tokens};
+}
+void decode(const json &V, token_grant &M) { M = {V.at(0), V.at(1), V.at(2)}; }
+
 template <size_t Index = 0>
 message decodeKind(size_t Kind, const json &Fields) {
   if constexpr (Index < std::variant_size_v<message>) {
--- a/src/dragonflyvane/core/messages.hpp
+++ b/src/dragonflyvane/core/messages.hpp
@@ -112,10 +112,33 @@
   std::vector<std::pair<uint32_t, double>> Rates;
 };
 
+/// A chunk that is used up or expired, and what was left in it.
+struct finished_chunk {
+  uint64_t Chunk = 0;
+  uint32_t Unused = 0;
+};
+
+/// Entrance to the home of a workspace's bucket: tokens, please. The answer's
+/// chunk is known by the ask's sequence.
+struct token_ask {
+  std::string Workspace;
+  uint64_t Sequence = 0;
+  uint32_t Wanted = 0;
+  std::vector<finished_chunk> Finished;
+};
+
+/// Home to entrance.
+struct token_grant {
+  std::string Workspace;
+  uint64_t Sequence = 0;
+  uint32_t Tokens = 0;
+};
+
 using message =
     std::variant<lease_renewal, lease_answer, lapse_certificate, lapse_query,
                  lease_resignation, release_request, release_answer,
-                 list_proposal, table_news, certificate_digest, load_report>;
+                 list_proposal, table_news, certificate_digest, load_report,
+                 token_ask, token_grant>;
 
 /// A message with the host that sent it.
 struct envelope {
--- a/src/dragonflyvane/core/slice.hpp
+++ b/src/dragonflyvane/core/slice.hpp
@@ -27,6 +27,14 @@
 uint32_t sliceOf(std::string_view Service, std::string_view Key,
                  uint32_t SliceCount);
 
+/// The service whose slices are the homes of workspaces' token buckets. Every
+/// host serves it.
+inline constexpr const char *RateService = "@rate";
+inline constexpr uint32_t RateSliceCount = 64;
+
+/// The slice whose owner is the home of a workspace's bucket.
+slice_id rateSliceOf(std::string_view Workspace);
+
 /// A 64-bit hash of two texts, for rendezvous choices.
 uint64_t rendezvousHash(std::string_view A, std::string_view B);
 
--- a/src/dragonflyvane/core/steward_plan.cpp
+++ b/src/dragonflyvane/core/steward_plan.cpp
@@ -247,7 +247,10 @@
   steward_plan Plan;
   if (!View.configurationRow())
     return Plan;
-  for (const auto &[Name, Settings] : View.configurationRow()->Content.Services)
+  std::map<std::string, service> Services =
+      View.configurationRow()->Content.Services;
+  Services[RateService].SliceCount = RateSliceCount;
+  for (const auto &[Name, Settings] : Services)
     service_planner(View, Registry, Loads, Name, Settings, Plan).plan();
   return Plan;
 }
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod{50};
+constexpr std::chrono::milliseconds TokenTickPeriod{10};
 constexpr std::chrono::milliseconds TablePollPeriod{500};
 constexpr std::chrono::milliseconds LoadReportPeriod{2000};
 /// After the last request, so that callers see their answers.
@@ -45,12 +46,16 @@
       : Settings(Settings), Client(Loop), Table(Client, Settings.Platform),
         Peers(Loop, Settings.MaxBody),
         Member(identityOf(Settings), Clock.now()),
-        Door(Settings.Host, Client, Clock, Member, Metrics,
-             [this](const door_request &Request) {
-               return Entrance.isCallerValid(Request);
-             }),
+        Door(
+            Settings.Host, Client, Clock, Member, Metrics,
+            [this](const door_request &Request) {
+              return Entrance.isCallerValid(Request);
+            },
+            [this](const std::string &Workspace) {
+              return Entrance.weightOf(Workspace);
+            }),
         Entrance({Settings.Host, Loop, Clock, Member, Door, Peers, Metrics,
-                  Settings.RequestTimeout}),
+                  Settings.RequestTimeout, [this] { act(); }}),
         Backends(Loop, Client, Clock, Door,
                  [this](const auto &Services) {
                    Member.setServices(Services);
@@ -81,6 +86,10 @@
                             Admin.serve(Exchange);
                           }));
     Ticks = Loop.every(TickPeriod, [this] { tick(); });
+    TokenTicks = Loop.every(TokenTickPeriod, [this] {
+      Member.tickTokens(Clock.now());
+      act();
+    });
     Polls = Loop.every(TablePollPeriod, [this] { readTable(); });
     LoadReports = Loop.every(LoadReportPeriod, [this] { reportLoad(); });
     Loop.onTermination([this] { beginStop(); });
@@ -245,6 +254,7 @@
   datagram_socket Datagrams;
   peer_server PeerServer;
   timer Ticks;
+  timer TokenTicks;
   timer Polls;
   timer LoadReports;
   bool Reading = false;
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -9,7 +9,7 @@
 
 namespace {
 
-/// Requests that wait for a slot, for each slot.
+/// Requests of one workspace that wait for a slot, for each slot.
 constexpr size_t QueuePerSlot = 32;
 constexpr std::chrono::milliseconds BusyRetryAfter{100};
 
@@ -20,9 +20,11 @@
 } // namespace
 
 door::door(std::string Host, http_client &Client, const clock_source &Clock,
-           const member &Member, metrics &Metrics, caller_check CallerCheck)
+           const member &Member, metrics &Metrics, caller_check CallerCheck,
+           weight_of WeightOf)
     : Host(std::move(Host)), Client(Client), Clock(Clock), Member(Member),
       Metrics(Metrics), CallerCheck(std::move(CallerCheck)),
+      WeightOf(std::move(WeightOf)),
       ServesUntil(std::make_shared<std::atomic<int64_t>>(0)) {}
 
 void door::setBackend(const std::string &Service, const endpoint &Address,
@@ -73,22 +75,23 @@
     finish(Id, toResponse(*Refusal));
     return Id;
   }
-  if (Backend->second.Queue.size() >= QueuePerSlot * Backend->second.Slots) {
+  const std::string &Workspace = Entry.Request.Workspace;
+  if (Backend->second.Queue.sizeOf(Workspace) >=
+      QueuePerSlot * Backend->second.Slots) {
     refuse(Id, 503, "queue-full", run_state::NotRun);
     return Id;
   }
-  Backend->second.Queue.push_back(Id);
+  Backend->second.Queue.push(Workspace, WeightOf(Workspace),
+                             Entry.Request.Class, Id);
   pump(Service);
   return Id;
 }
 
 void door::pump(const std::string &Service) {
   auto Found = Backends.find(Service);
-  while (Found != Backends.end() && !Found->second.Queue.empty() &&
+  while (Found != Backends.end() && Found->second.Queue.size() > 0 &&
          Found->second.Busy < Found->second.Slots) {
-    door_id Id = Found->second.Queue.front();
-    Found->second.Queue.pop_front();
-    auto Entry = Entries.find(Id);
+    auto Entry = Entries.find(*Found->second.Queue.pop());
     if (Entry != Entries.end())
       dispatch(Found->second, Entry->second);
     Found = Backends.find(Service);
--- a/src/dragonflyvane/node/door.hpp
+++ b/src/dragonflyvane/node/door.hpp
@@ -4,13 +4,13 @@
 #define DRAGONFLYVANE_NODE_DOOR_HPP
 
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/fair_queue.hpp"
 #include "dragonflyvane/core/member.hpp"
 #include "dragonflyvane/core/refusal.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
 
 #include <atomic>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -27,6 +27,7 @@
   std::string Workspace;
   /// Hash of the caller key; empty on open routes.
   std::string CallerHash;
+  request_class Class = request_class::Normal;
   time_point Deadline;
   http_request Request;
 };
@@ -41,9 +42,12 @@
   using callback = std::function<void(http_response)>;
   /// Says whether a caller key still stands; asked again after queueing.
   using caller_check = std::function<bool(const door_request &)>;
+  /// A workspace's share of the slots when they are scarce.
+  using weight_of = std::function<double(const std::string &)>;
 
   door(std::string Host, http_client &Client, const clock_source &Clock,
-       const member &Member, metrics &Metrics, caller_check CallerCheck);
+       const member &Member, metrics &Metrics, caller_check CallerCheck,
+       weight_of WeightOf);
 
   /// A backend server announced itself, or announced itself again.
   void setBackend(const std::string &Service, const endpoint &Address,
@@ -79,7 +83,7 @@
     endpoint Address;
     uint32_t Slots = 1;
     uint32_t Busy = 0;
-    std::deque<door_id> Queue;
+    fair_queue<door_id> Queue;
   };
 
   void pump(const std::string &Service);
@@ -99,6 +103,7 @@
   const member &Member;
   metrics &Metrics;
   caller_check CallerCheck;
+  weight_of WeightOf;
   std::map<std::string, backend> Backends;
   std::map<door_id, entry> Entries;
   std::map<slice_id, size_t> InFlight;
--- a/src/dragonflyvane/node/entrance.cpp
+++ b/src/dragonflyvane/node/entrance.cpp
@@ -13,6 +13,10 @@
 constexpr const char *ApiKeyHeader = "x-api-key";
 constexpr const char *AuthorizationHeader = "authorization";
 constexpr const char *CallerTimeoutHeader = "x-request-timeout-ms";
+constexpr const char *CallerClassHeader = "x-request-class";
+/// Share of a request's time that it may wait for a token of the rate.
+constexpr double TokenWaitShare = 0.8;
+constexpr std::chrono::milliseconds RateRetryAfter{1000};
 constexpr std::string_view BearerPrefix = "Bearer ";
 constexpr size_t MaxRequestIdLength = 128;
 /// Pause before an owner is looked up again.
@@ -93,10 +97,31 @@
     watchCaller();
     if (Route.Kind == route_kind::Keyed && !findSlice(*Config))
       return refuse(400, "no-key");
-    forward();
+    if (Route.Open)
+      return forward();
+    takeToken();
   }
 
 private:
+  void takeToken() {
+    auto Wait = std::chrono::duration_cast<duration>((Deadline - Begun) *
+                                                     TokenWaitShare);
+    Owner.Parts.Member.takeToken(
+        Workspace, Begun + Wait, Owner.Parts.Clock.now(),
+        [Self = shared_from_this()](bool Had) {
+          if (Self->Done)
+            return;
+          Had ? Self->forward() : Self->refuseForRate();
+        });
+    Owner.Parts.ActForMember();
+  }
+
+  void refuseForRate() {
+    refusal Refusal = makeRefusal(429, "rate", run_state::NotRun);
+    Refusal.RetryAfter = RateRetryAfter;
+    answer(toResponse(Refusal));
+  }
+
   bool authenticate(const configuration &Config) {
     std::optional<std::string> Key = callerKeyOf(Request.Headers);
     if (!Key) {
@@ -126,6 +151,8 @@
     auto Given = Request.Headers.find(RequestIdHeader);
     RequestId = Given && isGoodRequestId(*Given) ? *Given : newRequestId();
     Request.Headers.set(RequestIdHeader, RequestId);
+    bool Urgent = Request.Headers.find(CallerClassHeader) == "urgent";
+    Class = Urgent ? request_class::Urgent : request_class::Normal;
   }
 
   std::string newRequestId() {
@@ -210,6 +237,7 @@
     Local.Slice = Slice;
     Local.Workspace = Workspace;
     Local.CallerHash = CallerHash;
+    Local.Class = Class;
     Local.Deadline = Deadline;
     Local.Request = Request;
     // The door may answer within the call; its id then means nothing.
@@ -229,6 +257,8 @@
     Out.Headers.set(WorkspaceHeader, Workspace);
     Out.Headers.set(CallerHeader, CallerHash);
     Out.Headers.set(TimeoutHeader, std::to_string(timeLeft().count()));
+    if (Class == request_class::Urgent)
+      Out.Headers.set(ClassHeader, "urgent");
     if (Slice)
       Out.Headers.set(SliceHeader, std::to_string(*Slice));
     PeerCall = Owner.Parts.Peers.send(
@@ -350,6 +380,7 @@
   std::string Workspace;
   std::string CallerHash;
   std::string RequestId;
+  request_class Class = request_class::Normal;
   std::optional<uint32_t> Slice;
   std::string Target;
   std::optional<call_id> PeerCall;
@@ -388,6 +419,13 @@
          !Config->Workspaces.at(Request.Workspace).Suspended;
 }
 
+double entrance::weightOf(const std::string &Workspace) const {
+  const configuration *Config = config();
+  if (!Config || !Config->Workspaces.contains(Workspace))
+    return 1;
+  return Config->Workspaces.at(Workspace).Rate;
+}
+
 void entrance::serveForwarded(const exchange_pointer &Exchange) {
   door_request Local;
   Local.Request = Exchange->request();
@@ -395,6 +433,8 @@
   Local.Service = Headers.find(ServiceHeader).value_or("");
   Local.Workspace = Headers.find(WorkspaceHeader).value_or("");
   Local.CallerHash = Headers.find(CallerHeader).value_or("");
+  if (Headers.find(ClassHeader) == "urgent")
+    Local.Class = request_class::Urgent;
   if (auto Slice = toNumber(Headers.find(SliceHeader)))
     Local.Slice = static_cast<uint32_t>(*Slice);
   int64_t Left = toNumber(Headers.find(TimeoutHeader)).value_or(0);
--- a/src/dragonflyvane/node/entrance.hpp
+++ b/src/dragonflyvane/node/entrance.hpp
@@ -13,6 +13,7 @@
 #include "dragonflyvane/net/peer_link.hpp"
 #include "dragonflyvane/node/door.hpp"
 
+#include <functional>
 #include <memory>
 #include <random>
 #include <string>
@@ -31,6 +32,8 @@
     peer_client &Peers;
     metrics &Metrics;
     std::chrono::milliseconds RequestTimeout;
+    /// Sends what the member wants sent.
+    std::function<void()> ActForMember;
   };
 
   explicit entrance(parts Parts);
@@ -42,6 +45,8 @@
   void serveForwarded(const exchange_pointer &Exchange);
   /// Whether the caller key behind a hash still stands for the workspace.
   bool isCallerValid(const door_request &Request) const;
+  /// A workspace's share of scarce slots: its rate.
+  double weightOf(const std::string &Workspace) const;
   size_t open() const { return Open; }
 
 private:
--- a/src/dragonflyvane/node/internal_headers.hpp
+++ b/src/dragonflyvane/node/internal_headers.hpp
@@ -13,6 +13,8 @@
 inline constexpr const char *CallerHeader = "x-dragonflyvane-caller";
 /// Milliseconds left for the request.
 inline constexpr const char *TimeoutHeader = "x-dragonflyvane-timeout-ms";
+/// `urgent`, or absent.
+inline constexpr const char *ClassHeader = "x-dragonflyvane-class";
 /// The fencing token, `EPOCH.RANK`; to backend servers only.
 inline constexpr const char *TokenHeader = "x-dragonflyvane-token";
 
