A concurrency limit at the door that starts slow and learns

Cause: a backend server got as many requests as it has slots from the first moment, also when it had just started cold or turned cold without warning. Change: additive increase, multiplicative decrease, from a fifth of the slots; it shrinks on shedding, time-outs, and when the latency is twice what is usual. Ruled out: the least latency as the baseline (a server of 20 slots that turns cold was given 12 times what it answers in time); the mean while it is not slow keeps it within twice what it can bear (the test's bound).

--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -30,8 +30,12 @@
 void door::setBackend(const std::string &Service, const endpoint &Address,
                       uint32_t Slots) {
   backend &Backend = Backends[Service];
+  bool IsNew = Backend.Address != Address;
   Backend.Address = Address;
   Backend.Slots = Slots;
+  if (IsNew)
+    Backend.Limit = concurrency_limit(Slots);
+  Backend.Limit.setSlots(Slots);
   pump(Service);
 }
 
@@ -90,12 +94,14 @@
 void door::pump(const std::string &Service) {
   auto Found = Backends.find(Service);
   while (Found != Backends.end() && Found->second.Queue.size() > 0 &&
-         Found->second.Busy < Found->second.Slots) {
+         Found->second.Limit.mayStart(Found->second.Busy)) {
     auto Entry = Entries.find(*Found->second.Queue.pop());
     if (Entry != Entries.end())
       dispatch(Found->second, Entry->second);
     Found = Backends.find(Service);
   }
+  if (Found != Backends.end() && Found->second.Queue.size() > 0)
+    Found->second.Limit.noteSaturated();
 }
 
 std::optional<refusal>
@@ -143,6 +149,7 @@
     ++Counts[Slice];
   }
   Entry.Dispatched = true;
+  Entry.Sent = Clock.now();
   ++Running;
   ++Backend.Busy;
   ServesUntil->store(Member.servesUntil().time_since_epoch().count());
@@ -160,6 +167,7 @@
 void door::onResult(door_id Id, call_result Result) {
   if (!Entries.contains(Id))
     return;
+  learn(Entries.at(Id), Result);
   switch (Result.Outcome) {
   case call_outcome::Answered:
     return finish(Id, std::move(Result.Response));
@@ -172,6 +180,20 @@
   }
 }
 
+/// What a request's end says about the load that the server can bear.
+void door::learn(const entry &Entry, const call_result &Result) {
+  auto Backend = Backends.find(Entry.Request.Service);
+  if (Backend == Backends.end())
+    return;
+  bool Shed = Result.Outcome == call_outcome::Answered &&
+              (Result.Response.Status == 503 || Result.Response.Status == 429);
+  bool Late = Result.Outcome == call_outcome::TimedOut;
+  time_point Now = Clock.now();
+  Backend->second.Limit.onEnd(Shed || Late ? request_end::Overloaded
+                                           : request_end::Good,
+                              Now - Entry.Sent, Now);
+}
+
 void door::release(entry &Entry) {
   if (!Entry.Dispatched)
     return;
--- a/src/dragonflyvane/node/door.hpp
+++ b/src/dragonflyvane/node/door.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_NODE_DOOR_HPP
 
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/concurrency_limit.hpp"
 #include "dragonflyvane/core/fair_queue.hpp"
 #include "dragonflyvane/core/member.hpp"
 #include "dragonflyvane/core/refusal.hpp"
@@ -78,11 +79,13 @@
     call_id Call = 0;
     bool Dispatched = false;
     time_point Arrived;
+    time_point Sent;
   };
   struct backend {
     endpoint Address;
     uint32_t Slots = 1;
     uint32_t Busy = 0;
+    concurrency_limit Limit;
     fair_queue<door_id> Queue;
   };
 
@@ -91,6 +94,7 @@
   std::optional<refusal> refusalFor(const entry &Entry,
                                     std::optional<fencing_token> &Token) const;
   void onResult(door_id Id, call_result Result);
+  void learn(const entry &Entry, const call_result &Result);
   void finish(door_id Id, http_response Response);
   void refuse(door_id Id, int Status, const std::string &Code, run_state Ran);
   void giveUp(door_id Id, const std::string &Code);
