Freshness of the configuration; shorter chunks

Cause: a daemon cut off from the table went on admitting on whatever configuration it knew, so that a withdrawn key would have worked there until the cut ended.

Change: requests that need a caller key are admitted, and leave the queue, only with evidence of the last 3 s: an own read of the table, a peer's read, or the word of every member not proven lapsed that it knows nothing newer. Ages count from the sending of the question.

--- a/src/dragonflyvane/core/member.cpp
+++ b/src/dragonflyvane/core/member.cpp
@@ -19,6 +19,10 @@
 constexpr int CertificateRepeats = 3;
 constexpr std::chrono::milliseconds CertificateRepeatPeriod{200};
 constexpr size_t ProposalsPerMessage = 16;
+/// Members are asked once the last read of the table is older than this.
+constexpr std::chrono::milliseconds QuietReadAge{1200};
+constexpr std::chrono::milliseconds StatusPeriod{500};
+constexpr size_t RememberedQueries = 16;
 
 } // namespace
 
@@ -48,7 +52,9 @@
                Envelope.Body);
 }
 
-void member::onTable(const table_changes &Changes, time_point Now) {
+void member::onTable(const table_changes &Changes, time_point Begun,
+                     time_point Now) {
+  Freshness.onRead(Begun);
   HasReadTable = true;
   LastTableRead = Now;
   this->Changes.onTableAnswered();
@@ -110,6 +116,7 @@
   watchOwnLease(Now);
   finishResignation();
   exchangeDigest(Now);
+  askStatus(Now);
   if (Now - LastRowCheck >= Timing.RetryPeriod) {
     LastRowCheck = Now;
     maintainOwnRow(Now);
@@ -171,6 +178,16 @@
 
 // Questions.
 
+bool member::isConfigurationCurrent(time_point Now) const {
+  const auto &Config = View.configurationRow();
+  auto IsExcused = [this](const std::string &Host) {
+    return Host == Identity.Host ||
+           Registry.isLapsed(View.host(Host)->ref(), View);
+  };
+  return Config &&
+         Freshness.isCurrent(Config->Version, View.hosts(), IsExcused, Now);
+}
+
 std::optional<host_ref> member::self() const {
   return Lease ? std::optional(Lease->holder()) : std::nullopt;
 }
@@ -389,6 +406,40 @@
     send(Place->first, certificate_digest{Registry.digest(), View.revision()});
 }
 
+/// While the table does not answer, other members are asked whether they know a
+/// newer configuration.
+void member::askStatus(time_point Now) {
+  auto Age = Freshness.readAge(Now);
+  bool Needed = !Age || *Age > QuietReadAge;
+  if (!Needed || Now - LastStatusTime < StatusPeriod)
+    return;
+  LastStatusTime = Now;
+  StatusAsked[++LastStatusQuery] = Now;
+  if (StatusAsked.size() > RememberedQueries)
+    StatusAsked.erase(StatusAsked.begin());
+  sendToAll(status_query{LastStatusQuery});
+}
+
+void member::on(const std::string &From, const status_query &Body,
+                time_point Now) {
+  status_reply Reply;
+  Reply.Sequence = Body.Sequence;
+  const auto &Config = View.configurationRow();
+  Reply.ConfigurationVersion = Config ? Config->Version : 0;
+  if (auto Age = Freshness.readAge(Now)) {
+    Reply.HasRead = true;
+    Reply.ReadAgeMs = static_cast<uint32_t>(
+        std::chrono::ceil<std::chrono::milliseconds>(*Age).count());
+  }
+  send(From, Reply);
+}
+
+void member::on(const std::string &From, const status_reply &Body, time_point) {
+  auto Asked = StatusAsked.find(Body.Sequence);
+  if (Asked != StatusAsked.end())
+    Freshness.onReply(From, Body, Asked->second);
+}
+
 // The own row.
 
 host_record member::makeRecord(uint64_t Generation) const {
--- a/src/dragonflyvane/core/member.hpp
+++ b/src/dragonflyvane/core/member.hpp
@@ -5,6 +5,7 @@
 #define DRAGONFLYVANE_CORE_MEMBER_HPP
 
 #include "dragonflyvane/core/cluster_view.hpp"
+#include "dragonflyvane/core/freshness.hpp"
 #include "dragonflyvane/core/host_lease.hpp"
 #include "dragonflyvane/core/lapse_registry.hpp"
 #include "dragonflyvane/core/list_changes.hpp"
@@ -78,7 +79,8 @@
   // Events.
 
   void onMessage(const envelope &Envelope, time_point Now);
-  void onTable(const table_changes &Changes, time_point Now);
+  /// The table was read; the read began at `Begun`.
+  void onTable(const table_changes &Changes, time_point Begun, time_point Now);
   void onTransaction(uint64_t Id, const transaction_result &Result,
                      time_point Now);
   /// To be called about every 50 ms.
@@ -112,6 +114,9 @@
   /// When the present lease ends for the holder, margin taken off.
   time_point servesUntil() const;
   bool isInOffice(time_point Now) const;
+  /// No newer configuration can have been in force for more than
+  /// `MaxConfigurationAge`.
+  bool isConfigurationCurrent(time_point Now) const;
   /// It has left, and its witnesses have been told.
   bool hasLeft() const { return Left; }
   /// Another process has joined under this host's name.
@@ -157,6 +162,8 @@
   void on(const std::string &From, const load_report &Body, time_point Now);
   void on(const std::string &From, const token_ask &Body, time_point Now);
   void on(const std::string &From, const token_grant &Body, time_point Now);
+  void on(const std::string &From, const status_query &Body, time_point Now);
+  void on(const std::string &From, const status_reply &Body, time_point Now);
 
   // Parts of a tick.
   void renewLease(time_point Now);
@@ -164,6 +171,7 @@
   void certify(time_point Now);
   void repeatCertificates(time_point Now);
   void exchangeDigest(time_point Now);
+  void askStatus(time_point Now);
   void maintainOwnRow(time_point Now);
   void promoteReleased(time_point Now);
   void changeLists(time_point Now);
@@ -227,6 +235,11 @@
   std::map<slice_id, uint64_t> Released;
   std::vector<repeated_certificate> Repeats;
   slice_loads Loads;
+  freshness Freshness;
+  /// Status queries by sequence, with the time of their sending.
+  std::map<uint64_t, time_point> StatusAsked;
+  uint64_t LastStatusQuery = 0;
+  time_point LastStatusTime;
   rate_home RateHome;
   /// By workspace, the epoch under which this host is home of its bucket.
   std::map<std::string, uint64_t> HomeEpochs;
--- a/src/dragonflyvane/core/messages.cpp
+++ b/src/dragonflyvane/core/messages.cpp
@@ -130,6 +130,16 @@
 }
 void decode(const json &V, token_grant &M) { M = {V.at(0), V.at(1), V.at(2)}; }
 
+json encode(const status_query &M) { return json::array({M.Sequence}); }
+void decode(const json &V, status_query &M) { M = {V.at(0)}; }
+
+json encode(const status_reply &M) {
+  return {M.Sequence, M.ConfigurationVersion, M.ReadAgeMs, M.HasRead};
+}
+void decode(const json &V, status_reply &M) {
+  M = {V.at(0), V.at(1), V.at(2), V.at(3)};
+}
+
 template <size_t Index = 0>
 message decodeKind(size_t Kind, const json &Fields) {
   if constexpr (Index < std::variant_size_v<message>) {
--- a/src/dragonflyvane/core/messages.hpp
+++ b/src/dragonflyvane/core/messages.hpp
@@ -134,11 +134,24 @@
   uint32_t Tokens = 0;
 };
 
+/// Asks a member which configuration it knows.
+struct status_query {
+  uint64_t Sequence = 0;
+};
+
+/// The answer, with the age of the member's last read of the table.
+struct status_reply {
+  uint64_t Sequence = 0;
+  row_version ConfigurationVersion = 0;
+  uint32_t ReadAgeMs = 0;
+  bool HasRead = false;
+};
+
 using message =
     std::variant<lease_renewal, lease_answer, lapse_certificate, lapse_query,
                  lease_resignation, release_request, release_answer,
                  list_proposal, table_news, certificate_digest, load_report,
-                 token_ask, token_grant>;
+                 token_ask, token_grant, status_query, status_reply>;
 
 /// A message with the host that sent it.
 struct envelope {
--- a/src/dragonflyvane/core/messages_test.cpp
+++ b/src/dragonflyvane/core/messages_test.cpp
@@ -25,7 +25,9 @@
           certificate_digest{1234567890123ULL, 12},
           load_report{"s", {{4, 2.5}}},
           token_ask{"ferry", 9, 3, {{8, 1}}},
-          token_grant{"ferry", 9, 3}};
+          token_grant{"ferry", 9, 3},
+          status_query{4},
+          status_reply{4, 12, 350, true}};
 }
 
 } // namespace
--- a/src/dragonflyvane/core/rate_home.hpp
+++ b/src/dragonflyvane/core/rate_home.hpp
@@ -14,7 +14,7 @@
 namespace dragonflyvane {
 
 /// A chunk's tokens may be used for so long from the sending of the ask.
-inline constexpr std::chrono::milliseconds ChunkLife{500};
+inline constexpr std::chrono::milliseconds ChunkLife{250};
 
 /// How long the home counts a chunk as usable: its life, and what two clocks
 /// may drift apart meanwhile.
--- a/src/dragonflyvane/core/token_cache.cpp
+++ b/src/dragonflyvane/core/token_cache.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /// Requests of one workspace that wait here for a token.
-constexpr size_t MaxWaiting = 256;
+constexpr size_t MaxWaiting = 1024;
 /// An ask without an answer is given up after this time; a late answer's
 /// tokens stay unused.
 constexpr std::chrono::milliseconds AskTimeout{100};
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -175,18 +175,22 @@
     Reading = true;
     ReadAgain = false;
     Table.readChanges(Member.view().revision(),
-                      [this](const std::optional<table_changes> &Changes) {
-                        Reading = false;
-                        Metrics.count("table_reads_total",
-                                      {{"answered", Changes ? "yes" : "no"}});
-                        if (Changes)
-                          Member.onTable(*Changes, Clock.now());
-                        act();
-                        if (ReadAgain && Changes)
-                          readTable();
+                      [this, Begun = Clock.now()](const auto &Changes) {
+                        onTableRead(Changes, Begun);
                       });
   }
 
+  void onTableRead(const std::optional<table_changes> &Changes,
+                   time_point Begun) {
+    Reading = false;
+    Metrics.count("table_reads_total", {{"answered", Changes ? "yes" : "no"}});
+    if (Changes)
+      Member.onTable(*Changes, Begun, Clock.now());
+    act();
+    if (ReadAgain && Changes)
+      readTable();
+  }
+
   void spreadNews(row_version Revision) {
     readTable();
     for (const auto &[Name, Row] : Member.view().hosts())
--- a/src/dragonflyvane/node/entrance.cpp
+++ b/src/dragonflyvane/node/entrance.cpp
@@ -123,6 +123,10 @@
   }
 
   bool authenticate(const configuration &Config) {
+    if (!Owner.Parts.Member.isConfigurationCurrent(Owner.Parts.Clock.now())) {
+      refuse(503, "configuration-not-current");
+      return false;
+    }
     std::optional<std::string> Key = callerKeyOf(Request.Headers);
     if (!Key) {
       refuse(401, "no-caller-key");
@@ -411,7 +415,7 @@
   if (Request.CallerHash.empty())
     return true;
   const configuration *Config = config();
-  if (!Config)
+  if (!Config || !Parts.Member.isConfigurationCurrent(Parts.Clock.now()))
     return false;
   auto Found = Config->KeyHashes.find(Request.CallerHash);
   return Found != Config->KeyHashes.end() &&
--- a/tests/ownership_trial.cpp
+++ b/tests/ownership_trial.cpp
@@ -295,11 +295,12 @@
   row_version After = Process.Member->view().revision();
   if (Now < OutageUntil)
     return;
-  schedule(between(2, 20), [this, Index, After] {
+  time_point ReadBegun = localTime(Process);
+  schedule(between(2, 20), [this, Index, After, ReadBegun] {
     table_changes Changes = Table.changesAfter(After);
-    schedule(between(2, 20), [this, Index, Changes] {
-      deliver(Index, [this, Changes](auto &Reader) {
-        Reader.Member->onTable(Changes, localTime(Reader));
+    schedule(between(2, 20), [this, Index, Changes, ReadBegun] {
+      deliver(Index, [this, Changes, ReadBegun](auto &Reader) {
+        Reader.Member->onTable(Changes, ReadBegun, localTime(Reader));
       });
     });
   });
