Hand-overs stop a slice later and shorter; metrics by kind of datagram

The owner stopped the slice first, then asked for releases, then met conflicts in a row of 256 lists that nine owners wrote, each retried after 200 ms; an outage in that time left the write's outcome unknown. Change: releases are collected while the slice is still served; a conflict is retried as soon as the row is read; a row holds 32 lists. Choosing witnesses, which looks at every member, is done once a second instead of at every tick.

--- a/src/dragonflyvane/core/list_changes.cpp
+++ b/src/dragonflyvane/core/list_changes.cpp
@@ -24,7 +24,7 @@
                              const host_ref &Self) const {
   auto Found = Changes.find(Slice);
   return Rules.StopBeforeGivingUp && Found != Changes.end() &&
-         Found->second.TableAnswered && Found->second.Target.front() != Self;
+         Found->second.Stopped && Found->second.Target.front() != Self;
 }
 
 void list_changes::onRelease(const release_answer &Answer) {
@@ -53,6 +53,12 @@
   });
 }
 
+void list_changes::retry(const std::string &RowKey) {
+  for (auto &[Slice, Change] : Changes)
+    if (rowKeyOf(Slice) == RowKey)
+      Change.LastWritten = {};
+}
+
 bool list_changes::hasDrained(const slice_id &Slice, const change &Change,
                               const change_context &Context) {
   bool KeepsOwner = Change.Target.front() == Context.Self;
@@ -81,7 +87,7 @@
   for (auto &[Slice, Change] : Changes) {
     bool IsDue =
         Change.TableAnswered && Now - Change.LastAsked >= Timing.RetryPeriod;
-    if (!IsDue || !hasDrained(Slice, Change, Context))
+    if (!IsDue)
       continue;
     for (const host_ref &Ref : missingReleases(Slice, Change, Context))
       Due[{Ref.Host, Slice.Service}].push_back({Slice.Index, Change.Epoch});
@@ -97,18 +103,24 @@
   return Out;
 }
 
+bool list_changes::isReady(const slice_id &Slice, change &Change,
+                           const change_context &Context,
+                           time_point Now) const {
+  const succession_list *List = Context.View.list(Slice);
+  bool MayStop = List && List->Epoch == Change.Epoch && Change.TableAnswered &&
+                 missingReleases(Slice, Change, Context).empty();
+  Change.Stopped = Change.Stopped || MayStop;
+  return MayStop && Now - Change.LastWritten >= Timing.RetryPeriod &&
+         hasDrained(Slice, Change, Context) &&
+         !Context.IsWriting(rowKeyOf(Slice));
+}
+
 std::vector<row_change> list_changes::readyRows(const change_context &Context,
                                                 time_point Now) {
   std::map<std::string, row_change> Rows;
   std::map<std::string, succession_row> Contents;
   for (auto &[Slice, Change] : Changes) {
-    const succession_list *List = Context.View.list(Slice);
-    bool Ready = List && List->Epoch == Change.Epoch && Change.TableAnswered &&
-                 Now - Change.LastWritten >= Timing.RetryPeriod &&
-                 hasDrained(Slice, Change, Context) &&
-                 missingReleases(Slice, Change, Context).empty() &&
-                 !Context.IsWriting(rowKeyOf(Slice));
-    if (!Ready)
+    if (!isReady(Slice, Change, Context, Now))
       continue;
     Change.LastWritten = Now;
     ++Change.WritesSent;
--- a/src/dragonflyvane/core/list_changes.hpp
+++ b/src/dragonflyvane/core/list_changes.hpp
@@ -34,8 +34,8 @@
   std::vector<slice_id> Slices;
 };
 
-/// Carries changes through: stop serving if the slice is to be given up, wait
-/// for what runs, have the other entries release the old epoch, then write the
+/// Carries changes through: have the other entries release the old epoch, stop
+/// serving if the slice is to be given up, wait for what runs, then write the
 /// next epoch by compare-and-set. The outcome of a write is learned by reading.
 class list_changes {
 public:
@@ -53,6 +53,8 @@
   /// The table answered: changes that wait for it may go on. Until then a slice
   /// is served as before, so that an outage does not stop it.
   void onTableAnswered();
+  /// Another write of this row came first: try again as soon as it is read.
+  void retry(const std::string &RowKey);
   /// The last write of this row certainly did not happen. Slices of which no
   /// earlier write may still land are served on.
   void abandon(const std::string &RowKey);
@@ -60,7 +62,8 @@
   /// Release requests that are due.
   std::vector<outgoing_message> askReleases(const change_context &Context,
                                             time_point Now);
-  /// Rows that can be written now.
+  /// Stops the slices whose releases are in, and returns the rows that can be
+  /// written now.
   std::vector<row_change> readyRows(const change_context &Context,
                                     time_point Now);
 
@@ -76,9 +79,13 @@
     time_point LastWritten;
     /// The table answered since the change began.
     bool TableAnswered = false;
+    /// All releases are in: a slice that is handed over is not served any more.
+    bool Stopped = false;
     int WritesSent = 0;
   };
 
+  bool isReady(const slice_id &Slice, change &Change,
+               const change_context &Context, time_point Now) const;
   static bool hasDrained(const slice_id &Slice, const change &Change,
                          const change_context &Context);
   std::vector<host_ref> missingReleases(const slice_id &Slice,
--- a/src/dragonflyvane/core/member.cpp
+++ b/src/dragonflyvane/core/member.cpp
@@ -86,6 +86,9 @@
       Write.Kind == write_kind::Lists)
     for (const row_write &Row : Write.Transaction.Writes)
       Changes.abandon(Row.Key);
+  if (Result.Outcome == transaction_outcome::Conflict)
+    for (const row_write &Row : Write.Transaction.Writes)
+      Changes.retry(Row.Key);
   if (Result.Outcome != transaction_outcome::Committed) {
     Actions.ReadTable = true;
     return;
--- a/src/dragonflyvane/core/member.hpp
+++ b/src/dragonflyvane/core/member.hpp
@@ -256,6 +256,7 @@
   time_point ValidSince;
   time_point LastValid;
   time_point WitnessesAdopted;
+  time_point LastWitnessChoice;
   row_version StewardVersion = 0;
   time_point StewardChanged;
   std::mt19937_64 Random;
--- a/src/dragonflyvane/core/member_own_row.cpp
+++ b/src/dragonflyvane/core/member_own_row.cpp
@@ -8,6 +8,13 @@
 
 namespace dragonflyvane {
 
+namespace {
+
+/// Choosing looks at every member, so it is not done at each tick.
+constexpr std::chrono::milliseconds WitnessChoicePeriod{1000};
+
+} // namespace
+
 host_record member::makeRecord(uint64_t Generation) const {
   host_record Record;
   Record.Host = Identity.Host;
@@ -116,6 +123,9 @@
     return Lease->proposed();
   if (Lease->isChanging())
     return std::nullopt;
+  if (Now - LastWitnessChoice < WitnessChoicePeriod)
+    return std::nullopt;
+  LastWitnessChoice = Now;
   std::set<std::string> Unwanted;
   if (Now - WitnessesAdopted >= Timing.WitnessSilence)
     for (std::string &Silent : Lease->silentSince(Now - Timing.WitnessSilence))
--- a/src/dragonflyvane/core/messages.cpp
+++ b/src/dragonflyvane/core/messages.cpp
@@ -155,6 +155,16 @@
 
 } // namespace
 
+const char *kindOf(const message &Body) {
+  static constexpr std::array<const char *, std::variant_size_v<message>>
+      Names = {"lease_renewal",      "lease_answer",      "lapse_certificate",
+               "lapse_query",        "lease_resignation", "release_request",
+               "release_answer",     "list_proposal",     "table_news",
+               "certificate_digest", "load_report",       "token_ask",
+               "token_grant",        "status_query",      "status_reply"};
+  return Names[Body.index()];
+}
+
 std::string encodeMessage(const envelope &Envelope) {
   json Fields =
       std::visit([](const auto &Body) { return encode(Body); }, Envelope.Body);
--- a/src/dragonflyvane/core/messages.hpp
+++ b/src/dragonflyvane/core/messages.hpp
@@ -159,6 +159,9 @@
   message Body;
 };
 
+/// The name of a message's kind, as in metrics.
+const char *kindOf(const message &Body);
+
 /// MessagePack.
 std::string encodeMessage(const envelope &Envelope);
 /// Nothing on malformed bytes.
--- a/src/dragonflyvane/core/slice.hpp
+++ b/src/dragonflyvane/core/slice.hpp
@@ -19,7 +19,7 @@
 };
 
 /// Slices whose succession lists share one row of the table.
-inline constexpr uint32_t SlicesPerRow = 256;
+inline constexpr uint32_t SlicesPerRow = 32;
 
 /// The slice of a key, by XXH3 over service and key.
 ///
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -147,8 +147,9 @@
     if (!Record)
       return;
     std::string Bytes = encodeMessage({Settings.Host, Message.Body});
-    Metrics.count("datagram_bytes_sent_total", {}, Bytes.size());
-    Metrics.count("datagrams_sent_total");
+    metric_labels Labels = {{"kind", kindOf(Message.Body)}};
+    Metrics.count("datagram_bytes_sent_total", Labels, Bytes.size());
+    Metrics.count("datagrams_sent_total", Labels);
     Datagrams.send(parseEndpoint(Record->DatagramAddress), Bytes);
   }
 
