--- a/src/dragonflyvane/core/http_message.cpp
+++ b/src/dragonflyvane/core/http_message.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cctype>
+#include <utility>
 
 namespace dragonflyvane {
 
@@ -40,6 +41,14 @@
 
 } // namespace
 
+http_response jsonResponse(int Status, std::string Body) {
+  http_response Response;
+  Response.Status = Status;
+  Response.Headers.add("Content-Type", "application/json");
+  Response.Body = std::move(Body);
+  return Response;
+}
+
 bool equalNames(std::string_view A, std::string_view B) {
   return std::equal(A.begin(), A.end(), B.begin(), B.end(),
                     [](char X, char Y) { return lower(X) == lower(Y); });
--- a/src/dragonflyvane/core/http_message.hpp
+++ b/src/dragonflyvane/core/http_message.hpp
@@ -46,6 +46,9 @@
   std::string Body;
 };
 
+/// A response with a JSON body.
+http_response jsonResponse(int Status, std::string Body);
+
 /// Whether two header names are equal without regard to case.
 bool equalNames(std::string_view A, std::string_view B);
 
--- a/src/dragonflyvane/core/refusal.cpp
+++ b/src/dragonflyvane/core/refusal.cpp
@@ -15,12 +15,9 @@
       {"step", Refusal.Step},
       {"peer", Refusal.Peer},
       {"retry_after_ms", Refusal.RetryAfter.count()}};
-  http_response Response;
-  Response.Status = Refusal.Status;
-  Response.Headers.add("Content-Type", "application/json");
+  http_response Response = jsonResponse(Refusal.Status, Body.dump() + "\n");
   Response.Headers.add(
       RefusalHeader, Refusal.Ran == run_state::NotRun ? "not-run" : "unknown");
-  Response.Body = Body.dump() + "\n";
   return Response;
 }
 
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -17,11 +17,7 @@
 
 void answerJson(const exchange_pointer &Exchange, int Status,
                 const json &Body) {
-  http_response Response;
-  Response.Status = Status;
-  Response.Headers.add("Content-Type", "application/json");
-  Response.Body = Body.dump(2) + "\n";
-  Exchange->answer(Response);
+  Exchange->answer(jsonResponse(Status, Body.dump(2) + "\n"));
 }
 
 void answerError(const exchange_pointer &Exchange, int Status,
--- a/src/standin/backend_server.cpp
+++ b/src/standin/backend_server.cpp
@@ -251,11 +251,7 @@
 
   static void answer(const exchange_pointer &Exchange, int Status,
                      std::string Body) {
-    http_response Response;
-    Response.Status = Status;
-    Response.Headers.add("Content-Type", "application/json");
-    Response.Body = std::move(Body);
-    Exchange->answer(Response);
+    Exchange->answer(jsonResponse(Status, std::move(Body)));
   }
 
   event_loop &Loop;
--- a/src/standin/platform.cpp
+++ b/src/standin/platform.cpp
@@ -11,6 +11,8 @@
 #include <dragonflyvane/net.hpp>
 #include <dragonflyvane/node.hpp>
 
+#include "standin/memory_table.hpp"
+
 #include <absl/flags/flag.h>
 #include <nlohmann/json.hpp>
 
@@ -32,40 +34,6 @@
   int LoseAnswers = 0;
 };
 
-/// Rows with versions; a deleted row stays as one without a value.
-class table {
-public:
-  table_changes changesAfter(row_version After) const {
-    table_changes Changes;
-    Changes.Revision = Revision;
-    for (const auto &[Key, Row] : Rows)
-      if (Row.Version > After)
-        Changes.Rows.push_back(Row);
-    return Changes;
-  }
-
-  bool commit(const table_transaction &Transaction) {
-    for (const row_condition &Condition : Transaction.Conditions)
-      if (versionOf(Condition.Key) != Condition.Version)
-        return false;
-    ++Revision;
-    for (const row_write &Write : Transaction.Writes)
-      Rows[Write.Key] = {Write.Key, Revision, Write.Value};
-    return true;
-  }
-
-  row_version revision() const { return Revision; }
-
-private:
-  row_version versionOf(const std::string &Key) const {
-    auto Found = Rows.find(Key);
-    return Found == Rows.end() ? 0 : Found->second.Version;
-  }
-
-  row_version Revision = 0;
-  std::map<std::string, table_row> Rows;
-};
-
 class platform {
 public:
   explicit platform(event_loop &Loop) : Loop(Loop) {}
@@ -111,7 +79,8 @@
     if (!Transaction)
       return answer(Exchange, 400, "{}");
     ++Transactions;
-    bool Committed = Table.commit(*Transaction);
+    bool Committed =
+        Table.commit(*Transaction).Outcome == transaction_outcome::Committed;
     if (Faults.LoseAnswers > 0) {
       --Faults.LoseAnswers;
       return;
@@ -153,15 +122,11 @@
 
   static void answer(const exchange_pointer &Exchange, int Status,
                      std::string Body) {
-    http_response Response;
-    Response.Status = Status;
-    Response.Headers.add("Content-Type", "application/json");
-    Response.Body = std::move(Body);
-    Exchange->answer(Response);
+    Exchange->answer(jsonResponse(Status, std::move(Body)));
   }
 
   event_loop &Loop;
-  table Table;
+  memory_table Table;
   faults Faults;
   std::map<std::string, std::string> Objects;
   uint64_t Reads = 0;
--- a/tests/ownership_trial.cpp
+++ b/tests/ownership_trial.cpp
@@ -18,28 +18,6 @@
 
 } // namespace
 
-table_changes fake_table::changesAfter(row_version After) const {
-  table_changes Changes;
-  Changes.Revision = Revision;
-  for (const auto &[Key, Row] : Rows)
-    if (Row.Version > After)
-      Changes.Rows.push_back(Row);
-  return Changes;
-}
-
-transaction_result fake_table::commit(const table_transaction &Transaction) {
-  for (const row_condition &Condition : Transaction.Conditions) {
-    auto Found = Rows.find(Condition.Key);
-    row_version Version = Found == Rows.end() ? 0 : Found->second.Version;
-    if (Version != Condition.Version)
-      return {transaction_outcome::Conflict, 0};
-  }
-  ++Revision;
-  for (const row_write &Write : Transaction.Writes)
-    Rows[Write.Key] = {Write.Key, Revision, Write.Value};
-  return {transaction_outcome::Committed, Revision};
-}
-
 ownership_trial::ownership_trial(const trial_settings &Settings)
     : Settings(Settings), Random(Settings.Seed) {
   setConfiguration(R"({"services":{"s":{"slices":)" +
--- a/tests/ownership_trial.hpp
+++ b/tests/ownership_trial.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_TESTS_OWNERSHIP_TRIAL_HPP
 
 #include "dragonflyvane/core/member.hpp"
+#include "standin/memory_table.hpp"
 
 #include <functional>
 #include <map>
@@ -16,18 +17,6 @@
 
 namespace dragonflyvane {
 
-/// The table, with conditional writes that may be late or lose their answer.
-class fake_table {
-public:
-  table_changes changesAfter(row_version After) const;
-  transaction_result commit(const table_transaction &Transaction);
-  const std::map<std::string, table_row> &rows() const { return Rows; }
-
-private:
-  row_version Revision = 0;
-  std::map<std::string, table_row> Rows;
-};
-
 /// A kind of schedule that plain chance seldom makes.
 enum class trial_aim {
   None,
@@ -96,7 +85,7 @@
   /// One line for each event so far.
   const std::vector<std::string> &log() const { return Log; }
   const trial_result &result() const { return Result; }
-  const fake_table &table() const { return Table; }
+  const memory_table &table() const { return Table; }
 
   static std::string hostName(size_t Host);
 
@@ -155,7 +144,7 @@
   std::map<std::pair<size_t, size_t>, time_point> Cuts;
   time_point OutageUntil;
   double ExtraLoss = 0;
-  fake_table Table;
+  memory_table Table;
   incarnation LastIncarnation = 0;
   std::map<uint32_t, fencing_token> Highest;
   std::map<uint32_t, time_point> LastServed;
