--- a/src/dragonflyvane/core/token_cache.cpp
+++ b/src/dragonflyvane/core/token_cache.cpp
@@ -93,11 +93,11 @@
     return;
   }
   Purse.Asked = 0;
-  Purse.NextAsk = Now + AskPause;
   if (Grant.Tokens > 0)
     Purse.Chunks.push_back(
         {Grant.Sequence, Grant.Tokens, Purse.AskedAt + ChunkLife});
   serveWaiting(Purse, Now);
+  Purse.NextAsk = Purse.Waiting.empty() ? Now : Now + AskPause;
 }
 
 void token_cache::tick(time_point Now) {
