--- a/cmake/dragonflyvane_options.cmake
+++ b/cmake/dragonflyvane_options.cmake
@@ -11,4 +11,4 @@
 target_compile_options(dragonflyvane_options INTERFACE -Wall -Wextra -Werror)
 target_compile_definitions(dragonflyvane_options INTERFACE BOOST_LOG_DYN_LINK)
 target_include_directories(dragonflyvane_options INTERFACE
-  ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src)
+  ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -2,13 +2,24 @@
 #ifndef DRAGONFLYVANE_CORE_HPP
 #define DRAGONFLYVANE_CORE_HPP
 
+#include "dragonflyvane/core/admission/admission_queue.hpp"
+#include "dragonflyvane/core/admission/retry_budget.hpp"
+#include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
-#include "dragonflyvane/core/configuration.hpp"
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/cluster/host_info.hpp"
+#include "dragonflyvane/core/configuration/configuration.hpp"
+#include "dragonflyvane/core/configuration/order_book.hpp"
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/core/http_message.hpp"
-#include "dragonflyvane/core/member.hpp"
+#include "dragonflyvane/core/ownership/assignment.hpp"
+#include "dragonflyvane/core/ownership/grant_book.hpp"
+#include "dragonflyvane/core/ownership/host_lease.hpp"
+#include "dragonflyvane/core/ownership/ownership_map.hpp"
+#include "dragonflyvane/core/rate/token_bucket.hpp"
+#include "dragonflyvane/core/rate/workspace_rates.hpp"
 #include "dragonflyvane/core/refusal.hpp"
-#include "dragonflyvane/core/slice.hpp"
-#include "dragonflyvane/core/table.hpp"
+#include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/core/wire_names.hpp"
 
 #endif // DRAGONFLYVANE_CORE_HPP
--- a/include/dragonflyvane/net.hpp
+++ b/include/dragonflyvane/net.hpp
@@ -1,9 +1,9 @@
-/// The public header of the net library: event loop, HTTP, peer streams,
-/// datagrams, the table's client, logs and metrics.
+/// The public header of the net library: event loop, HTTP, peer streams, logs
+/// and metrics.
 #ifndef DRAGONFLYVANE_NET_HPP
 #define DRAGONFLYVANE_NET_HPP
 
-#include "dragonflyvane/net/datagram_socket.hpp"
+#include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_client.hpp"
@@ -12,7 +12,5 @@
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/net/peer_link.hpp"
-#include "dragonflyvane/net/table_client.hpp"
-#include "dragonflyvane/net/table_codec.hpp"
 
 #endif // DRAGONFLYVANE_NET_HPP
--- a/include/dragonflyvane/node.hpp
+++ b/include/dragonflyvane/node.hpp
@@ -2,9 +2,11 @@
 #ifndef DRAGONFLYVANE_NODE_HPP
 #define DRAGONFLYVANE_NODE_HPP
 
+#include "dragonflyvane/core.hpp"
+#include "dragonflyvane/net.hpp"
 #include "dragonflyvane/node/daemon.hpp"
+#include "dragonflyvane/node/daemon_flags.hpp"
 #include "dragonflyvane/node/flags.hpp"
-#include "dragonflyvane/node/operator_tool.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #endif // DRAGONFLYVANE_NODE_HPP
--- /dev/null
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -0,0 +1,77 @@
+#include "dragonflyvane/core/admission/admission_queue.hpp"
+
+#include <algorithm>
+
+namespace dragonflyvane {
+
+namespace {
+
+/// A request is begun only if this part of its usual work still fits.
+constexpr double LeastPart = 0.5;
+
+} // namespace
+
+bool admission_queue::isTooLate(const waiting_request &Request,
+                                time_point Now) {
+  auto Least = std::chrono::duration_cast<duration>(Request.Work * LeastPart);
+  return Now + Least > Request.Deadline;
+}
+
+bool admission_queue::fits(const waiting_request &Request, uint32_t Slots,
+                           uint32_t Running, time_point Now) const {
+  if (isTooLate(Request, Now))
+    return false;
+  if (Running < Slots && Waiting.empty())
+    return true;
+  duration Ahead{0};
+  for (const auto &[Place, Other] : Waiting) {
+    if (Place.first > Request.Priority)
+      break;
+    Ahead += Other.Work;
+  }
+  // On average the running ones are half done.
+  duration Start = (Ahead + Request.Work / 2) / std::max(1U, Slots);
+  return !isTooLate(Request, Now + Start);
+}
+
+void admission_queue::push(const waiting_request &Request) {
+  Waiting.emplace(place{Request.Priority, Request.Id}, Request);
+  Work += Request.Work;
+}
+
+std::optional<door_id> admission_queue::pop(time_point Now,
+                                            std::vector<door_id> &TooLate) {
+  while (!Waiting.empty()) {
+    waiting_request First = Waiting.begin()->second;
+    Waiting.erase(Waiting.begin());
+    Work -= First.Work;
+    if (!isTooLate(First, Now))
+      return First.Id;
+    TooLate.push_back(First.Id);
+  }
+  return std::nullopt;
+}
+
+void admission_queue::remove(door_id Id) {
+  for (auto It = Waiting.begin(); It != Waiting.end(); ++It) {
+    if (It->first.second != Id)
+      continue;
+    Work -= It->second.Work;
+    Waiting.erase(It);
+    return;
+  }
+}
+
+void admission_queue::expire(time_point Now, std::vector<door_id> &TooLate) {
+  for (auto It = Waiting.begin(); It != Waiting.end();) {
+    if (!isTooLate(It->second, Now)) {
+      ++It;
+      continue;
+    }
+    TooLate.push_back(It->second.Id);
+    Work -= It->second.Work;
+    It = Waiting.erase(It);
+  }
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -0,0 +1,57 @@
+/// Requests that wait for a slot of a backend server: by priority, then by
+/// arrival; what cannot be served in time is refused at once.
+#ifndef DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
+#define DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
+
+#include "dragonflyvane/core/clock.hpp"
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <utility>
+#include <vector>
+
+namespace dragonflyvane {
+
+/// Identifies a request at the door.
+using door_id = uint64_t;
+
+/// A request that waits.
+struct waiting_request {
+  door_id Id = 0;
+  /// 0 is the most urgent.
+  int Priority = 0;
+  time_point Deadline;
+  /// How long a backend server works on its like.
+  duration Work{0};
+};
+
+/// The queue of one backend server.
+class admission_queue {
+public:
+  /// Whether a request that came now would start in time to end before its
+  /// deadline, given slots and the work ahead of it.
+  bool fits(const waiting_request &Request, uint32_t Slots, uint32_t Running,
+            time_point Now) const;
+  void push(const waiting_request &Request);
+  /// The next to run; those that would end too late go to `TooLate`.
+  std::optional<door_id> pop(time_point Now, std::vector<door_id> &TooLate);
+  void remove(door_id Id);
+  /// Takes out what cannot end in time any more.
+  void expire(time_point Now, std::vector<door_id> &TooLate);
+  size_t size() const { return Waiting.size(); }
+  /// The work of all that wait.
+  duration work() const { return Work; }
+
+private:
+  using place = std::pair<int, door_id>;
+  static bool isTooLate(const waiting_request &Request, time_point Now);
+
+  std::map<place, waiting_request> Waiting;
+  duration Work{0};
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
--- /dev/null
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -0,0 +1,78 @@
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+
+#include <algorithm>
+
+namespace dragonflyvane {
+
+namespace {
+
+const std::string HostPrefix = "host/";
+const std::string MapPrefix = "map/";
+const std::string StewardKey = "steward";
+
+bool begins(const std::string &Text, const std::string &Prefix) {
+  return Text.compare(0, Prefix.size(), Prefix) == 0;
+}
+
+template <typename Value>
+bool applyTo(std::map<std::string, versioned<Value>> &Rows,
+             const std::string &Name, const stored_row &Row,
+             Value (*Decode)(const std::string &)) {
+  auto Known = Rows.find(Name);
+  if (Known != Rows.end() && Row.Version <= Known->second.Version)
+    return false;
+  if (!Row.Value)
+    return Rows.erase(Name) > 0;
+  Rows[Name] = {Decode(*Row.Value), Row.Version};
+  return true;
+}
+
+} // namespace
+
+row_id hostRow(const std::string &Host) {
+  return {row_kind::Cluster, HostPrefix + Host};
+}
+
+row_id mapRow(const std::string &Service) {
+  return {row_kind::Cluster, MapPrefix + Service};
+}
+
+row_id stewardRow() { return {row_kind::Cluster, StewardKey}; }
+
+row_id leaseRow(const std::string &Holder) { return {row_kind::Lease, Holder}; }
+
+bool cluster_view::apply(const stored_row &Row) {
+  const std::string &Key = Row.Id.Key;
+  if (begins(Key, HostPrefix))
+    return applyTo(Hosts, Key.substr(HostPrefix.size()), Row, &decodeHost);
+  if (begins(Key, MapPrefix))
+    return applyTo(Maps, Key.substr(MapPrefix.size()), Row, &decodeMap);
+  if (Key != StewardKey || Row.Version <= Steward.Version)
+    return false;
+  Steward = {Row.Value.value_or(""), Row.Value ? Row.Version : 0};
+  return true;
+}
+
+void cluster_view::keepOnly(const row_batch &Batch) {
+  auto Stands = [&](const row_id &Id) {
+    return std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
+                       [&](const stored_row &Row) { return Row.Id == Id; });
+  };
+  std::erase_if(Hosts, [&](const auto &H) { return !Stands(hostRow(H.first)); });
+  std::erase_if(Maps, [&](const auto &M) { return !Stands(mapRow(M.first)); });
+  if (!Stands(stewardRow()))
+    Steward = {};
+}
+
+const versioned<ownership_map> *
+cluster_view::map(const std::string &Service) const {
+  auto Found = Maps.find(Service);
+  return Found == Maps.end() ? nullptr : &Found->second;
+}
+
+const host_info *cluster_view::host(const std::string &Name) const {
+  auto Found = Hosts.find(Name);
+  return Found == Hosts.end() ? nullptr : &Found->second.Content;
+}
+
+} // namespace dragonflyvane
--- a/src/dragonflyvane/core/refusal.cpp
+++ b/src/dragonflyvane/core/refusal.cpp
@@ -1,6 +1,6 @@
 #include "dragonflyvane/core/refusal.hpp"
 
-#include <nlohmann/json.hpp>
+#include <cstdio>
 
 namespace dragonflyvane {
 
@@ -9,15 +9,15 @@
 }
 
 http_response toResponse(const refusal &Refusal) {
-  nlohmann::ordered_json Body = {
-      {"code", Refusal.Code},
-      {"ran", toString(Refusal.Ran)},
-      {"step", Refusal.Step},
-      {"peer", Refusal.Peer},
-      {"retry_after_ms", Refusal.RetryAfter.count()}};
-  http_response Response = jsonResponse(Refusal.Status, Body.dump() + "\n");
-  Response.Headers.add(
-      RefusalHeader, Refusal.Ran == run_state::NotRun ? "not-run" : "unknown");
+  http_response Response = jsonResponse(
+      Refusal.Status, "{\"code\":\"" + Refusal.Code + "\",\"ran\":\"" +
+                          toString(Refusal.Ran) + "\"}\n");
+  if (Refusal.RetryAfter.count() > 0) {
+    char Text[32];
+    snprintf(Text, sizeof(Text), "%.3f",
+             std::chrono::duration<double>(Refusal.RetryAfter).count());
+    Response.Headers.add("Retry-After", Text);
+  }
   return Response;
 }
 
--- a/src/dragonflyvane/core/refusal.hpp
+++ b/src/dragonflyvane/core/refusal.hpp
@@ -18,22 +18,14 @@
   /// Short machine-readable reason, such as `no-owner`.
   std::string Code;
   run_state Ran = run_state::NotRun;
-  /// The step of the path at which it arose, such as `entrance` or `door`.
-  std::string Step;
-  /// The host concerned; empty when there is none.
-  std::string Peer;
-  /// How long the caller should wait before it tries again; zero for never.
+  /// When the caller may come back; zero when it need not be told.
   std::chrono::milliseconds RetryAfter{0};
 };
 
-/// The response a caller sees: a JSON object with `code`, `ran`, `step`,
-/// `peer` and `retry_after_ms`.
+/// The response a caller sees: a JSON object with `code` and `ran`, and a
+/// `Retry-After` in seconds with a fraction.
 http_response toResponse(const refusal &Refusal);
 
-/// Marks a refusal on its way between daemons, so that a backend server's own
-/// 503 is never mistaken for one.
-inline constexpr const char *RefusalHeader = "x-dragonflyvane-refusal";
-
 /// The text of a run state: `not run` or `unknown`.
 std::string toString(run_state Ran);
 
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -1,281 +1,362 @@
 #include "dragonflyvane/net/http_client.hpp"
 
-#include "dragonflyvane/core/error.hpp"
-
-#include <curl/curl.h>
-
-#include <atomic>
+#include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/net/asio_context.hpp"
+#include "dragonflyvane/net/http_wire.hpp"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
 #include <map>
-#include <mutex>
-#include <thread>
+#include <optional>
+#include <unordered_map>
 #include <vector>
 
 namespace dragonflyvane {
 
 namespace {
 
-constexpr long ConnectTimeoutMs = 1000;
-constexpr long MaxConnectionAgeS = 60;
-constexpr long MaxIdleConnections = 256;
-constexpr int PollTimeoutMs = 1000;
-
-struct transfer {
-  call_id Id = 0;
-  CURL *Handle = nullptr;
-  curl_slist *Fields = nullptr;
-  http_request Request;
-  http_client::callback Callback;
-  std::function<bool()> MaySend;
-  call_result Result;
-  bool BytesSent = false;
-
-  transfer() = default;
-  transfer(const transfer &) = delete;
-  transfer &operator=(const transfer &) = delete;
-  ~transfer() {
-    curl_slist_free_all(Fields);
-    if (Handle)
-      curl_easy_cleanup(Handle);
-  }
-};
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+using response_parser = http::response_parser<http::string_body>;
+
+constexpr size_t ReadSize = size_t{16} << 10;
+/// So many answers to earlier requests are skipped on one connection.
+constexpr int MostStrangers = 2;
+constexpr uint32_t MaxHead = 64U << 10;
 
-size_t onBody(char *Data, size_t Size, size_t Count, void *User) {
-  static_cast<transfer *>(User)->Result.Response.Body.append(Data,
-                                                             Size * Count);
-  return Size * Count;
+tcp::endpoint toAsio(const endpoint &Endpoint) {
+  return {boost::asio::ip::make_address(Endpoint.Address), Endpoint.Port};
 }
 
-size_t onHeader(char *Data, size_t Size, size_t Count, void *User) {
-  http_response &Response = static_cast<transfer *>(User)->Result.Response;
-  std::string_view Line(Data, Size * Count);
-  while (!Line.empty() && (Line.back() == '\r' || Line.back() == '\n'))
-    Line.remove_suffix(1);
-  size_t Colon = Line.find(':');
-  if (Line.substr(0, 5) == "HTTP/") {
-    Response = http_response();
-  } else if (Colon != std::string_view::npos) {
-    std::string_view Value = Line.substr(Colon + 1);
-    while (!Value.empty() && (Value.front() == ' ' || Value.front() == '\t'))
-      Value.remove_prefix(1);
-    Response.Headers.add(std::string(Line.substr(0, Colon)),
-                         std::string(Value));
-  }
-  return Size * Count;
+} // namespace
+
+class http_client::implementation
+    : public std::enable_shared_from_this<implementation> {
+public:
+  implementation(event_loop &Loop, size_t MaxBody)
+      : Loop(Loop), MaxBody(MaxBody) {}
+
+  call_id send(const endpoint &Peer, const http_request &Request,
+               call_options Options, callback Callback);
+  void cancel(call_id Id);
+  void dropIdle(const endpoint &Peer);
+  void closeAll();
+
+private:
+  struct connection;
+  using connection_pointer = std::shared_ptr<connection>;
+
+  /// One connection; carries at most one call at a time, and a read is pending
+  /// from the moment it is connected.
+  struct connection {
+    connection(boost::asio::io_context &Io, endpoint Peer)
+        : Socket(Io), Timer(Io), Peer(std::move(Peer)) {}
+
+    tcp::socket Socket;
+    boost::asio::steady_timer Timer;
+    endpoint Peer;
+    call_id Call = 0;
+    call_options Options;
+    callback Callback;
+    bool IsHead = false;
+    bool Connected = false;
+    bool Sent = false;
+    bool Closed = false;
+    int Strangers = 0;
+    time_point IdleSince{};
+    std::string OutHead;
+    std::string OutBody;
+    boost::beast::flat_buffer Buffer;
+    std::optional<response_parser> Parser;
+  };
+
+  connection_pointer takeIdle(const endpoint &Peer, const call_options &Options);
+  void connect(const connection_pointer &C);
+  void onConnected(const connection_pointer &C,
+                   const boost::system::error_code &Error);
+  void write(const connection_pointer &C);
+  void readMore(const connection_pointer &C);
+  void onRead(const connection_pointer &C,
+              const boost::system::error_code &Error, size_t Size);
+  void parse(const connection_pointer &C);
+  void resetParser(connection &C) const;
+  void onResponse(const connection_pointer &C);
+  void onClosed(const connection_pointer &C,
+                const boost::system::error_code &Error);
+  void fail(const connection_pointer &C, call_outcome Outcome,
+            const std::string &Error);
+  void finish(const connection_pointer &C, call_result Result);
+  static void close(connection &C);
+  void forgetIdle(const connection_pointer &C);
+  void setTimer(const connection_pointer &C, duration Delay);
+
+  event_loop &Loop;
+  size_t MaxBody;
+  boot_clock Clock;
+  call_id LastId = 0;
+  std::unordered_map<call_id, connection_pointer> Calls;
+  std::map<endpoint, std::vector<connection_pointer>> Idle;
+};
+
+call_id http_client::implementation::send(const endpoint &Peer,
+                                          const http_request &Request,
+                                          call_options Options,
+                                          callback Callback) {
+  connection_pointer C = takeIdle(Peer, Options);
+  bool IsNew = !C;
+  if (IsNew)
+    C = std::make_shared<connection>(Loop.internals().Io, Peer);
+  C->Call = ++LastId;
+  C->IsHead = Request.Method == "HEAD";
+  C->OutHead = encodeHead(Request);
+  C->OutBody = Request.Body;
+  C->Sent = false;
+  C->Strangers = 0;
+  C->Callback = std::move(Callback);
+  duration First =
+      IsNew ? std::min(Options.ConnectTimeout, Options.Timeout)
+            : Options.Timeout;
+  C->Options = std::move(Options);
+  Calls[C->Call] = C;
+  setTimer(C, First);
+  resetParser(*C);
+  if (IsNew)
+    connect(C);
+  else
+    write(C);
+  return C->Call;
 }
 
-int onDebug(CURL *, curl_infotype Kind, char *, size_t, void *User) {
-  if (Kind == CURLINFO_HEADER_OUT || Kind == CURLINFO_DATA_OUT)
-    static_cast<transfer *>(User)->BytesSent = true;
-  return 0;
+http_client::implementation::connection_pointer
+http_client::implementation::takeIdle(const endpoint &Peer,
+                                      const call_options &Options) {
+  auto Found = Idle.find(Peer);
+  time_point Now = Clock.now();
+  while (Found != Idle.end() && !Found->second.empty()) {
+    connection_pointer C = Found->second.back();
+    Found->second.pop_back();
+    if (!C->Closed && Now - C->IdleSince < Options.MaxIdle)
+      return C;
+    close(*C);
+  }
+  return nullptr;
 }
 
-int onConnected(void *User, char *, char *, int, int) {
-  const auto &MaySend = static_cast<transfer *>(User)->MaySend;
-  return !MaySend || MaySend() ? CURL_PREREQFUNC_OK : CURL_PREREQFUNC_ABORT;
+void http_client::implementation::connect(const connection_pointer &C) {
+  C->Socket.async_connect(
+      toAsio(C->Peer), [Weak = weak_from_this(), C](auto Error) {
+        if (auto Self = Weak.lock())
+          Self->onConnected(C, Error);
+      });
 }
 
-void setBody(const transfer &Transfer) {
-  const http_request &Request = Transfer.Request;
-  CURL *Handle = Transfer.Handle;
-  if (Request.Method == "HEAD") {
-    curl_easy_setopt(Handle, CURLOPT_NOBODY, 1L);
+void http_client::implementation::onConnected(
+    const connection_pointer &C, const boost::system::error_code &Error) {
+  if (C->Closed)
     return;
+  if (Error) {
+    bool Refused = Error == boost::asio::error::connection_refused;
+    return fail(C, Refused ? call_outcome::Refused : call_outcome::NotSent,
+                Error.message());
   }
-  bool SendsBody = !Request.Body.empty() || Request.Method == "POST" ||
-                   Request.Method == "PUT" || Request.Method == "PATCH";
-  if (SendsBody) {
-    curl_easy_setopt(Handle, CURLOPT_POSTFIELDSIZE_LARGE,
-                     static_cast<curl_off_t>(Request.Body.size()));
-    curl_easy_setopt(Handle, CURLOPT_POSTFIELDS, Request.Body.data());
-  }
-  curl_easy_setopt(Handle, CURLOPT_CUSTOMREQUEST, Request.Method.c_str());
+  C->Connected = true;
+  boost::system::error_code Ignored;
+  C->Socket.set_option(tcp::no_delay(true), Ignored);
+  setTimer(C, C->Options.Timeout);
+  write(C);
+  readMore(C);
 }
 
-void setHeaders(transfer &Transfer) {
-  auto Append = [&](const std::string &Line) {
-    Transfer.Fields = curl_slist_append(Transfer.Fields, Line.c_str());
-  };
-  for (const header &H : Transfer.Request.Headers.all()) {
-    if (equalNames(H.Name, "content-length"))
-      continue;
-    Append(H.Value.empty() ? H.Name + ";" : H.Name + ": " + H.Value);
-  }
-  for (const char *Name : {"Accept", "Expect", "Content-Type"})
-    if (!Transfer.Request.Headers.find(Name))
-      Append(std::string(Name) + ":");
-  curl_easy_setopt(Transfer.Handle, CURLOPT_HTTPHEADER, Transfer.Fields);
+void http_client::implementation::write(const connection_pointer &C) {
+  C->Sent = true;
+  std::array<boost::asio::const_buffer, 2> Out = {
+      boost::asio::buffer(C->OutHead), boost::asio::buffer(C->OutBody)};
+  // A failed write shows as a failed read, which may still find an answer.
+  boost::asio::async_write(C->Socket, Out, [C](auto, size_t) {});
 }
 
-std::unique_ptr<transfer> makeTransfer(const endpoint &Peer,
-                                       http_request Request,
-                                       call_options Options,
-                                       http_client::callback Callback) {
-  auto Transfer = std::make_unique<transfer>();
-  Transfer->Request = std::move(Request);
-  Transfer->Callback = std::move(Callback);
-  Transfer->MaySend = std::move(Options.MaySend);
-  Transfer->Handle = curl_easy_init();
-  CURL *Handle = Transfer->Handle;
-  if (!Handle)
-    throw step_error("send request", toString(Peer), "out of memory");
-  std::string Url = "http://" + toString(Peer) + Transfer->Request.Target;
-  bool Fresh = !isIdempotent(Transfer->Request.Method);
-  curl_easy_setopt(Handle, CURLOPT_URL, Url.c_str());
-  curl_easy_setopt(Handle, CURLOPT_PATH_AS_IS, 1L);
-  curl_easy_setopt(Handle, CURLOPT_PROXY, "");
-  curl_easy_setopt(Handle, CURLOPT_NOSIGNAL, 1L);
-  curl_easy_setopt(Handle, CURLOPT_FRESH_CONNECT, Fresh ? 1L : 0L);
-  curl_easy_setopt(Handle, CURLOPT_MAXAGE_CONN, MaxConnectionAgeS);
-  curl_easy_setopt(Handle, CURLOPT_CONNECTTIMEOUT_MS, ConnectTimeoutMs);
-  curl_easy_setopt(Handle, CURLOPT_TIMEOUT_MS,
-                   static_cast<long>(Options.Timeout.count()));
-  curl_easy_setopt(Handle, CURLOPT_HTTP_VERSION, CURL_HTTP_VERSION_1_1);
-  curl_easy_setopt(Handle, CURLOPT_WRITEFUNCTION, onBody);
-  curl_easy_setopt(Handle, CURLOPT_WRITEDATA, Transfer.get());
-  curl_easy_setopt(Handle, CURLOPT_HEADERFUNCTION, onHeader);
-  curl_easy_setopt(Handle, CURLOPT_HEADERDATA, Transfer.get());
-  curl_easy_setopt(Handle, CURLOPT_DEBUGFUNCTION, onDebug);
-  curl_easy_setopt(Handle, CURLOPT_DEBUGDATA, Transfer.get());
-  curl_easy_setopt(Handle, CURLOPT_VERBOSE, 1L);
-  curl_easy_setopt(Handle, CURLOPT_PREREQFUNCTION, onConnected);
-  curl_easy_setopt(Handle, CURLOPT_PREREQDATA, Transfer.get());
-  curl_easy_setopt(Handle, CURLOPT_PRIVATE, Transfer.get());
-  setBody(*Transfer);
-  setHeaders(*Transfer);
-  return Transfer;
+void http_client::implementation::readMore(const connection_pointer &C) {
+  C->Socket.async_read_some(
+      C->Buffer.prepare(ReadSize),
+      [Weak = weak_from_this(), C](auto Error, size_t Size) {
+        auto Self = Weak.lock();
+        if (Self && !C->Closed)
+          Self->onRead(C, Error, Size);
+      });
 }
 
-call_outcome outcomeOf(CURLcode Code, bool BytesSent) {
-  if (Code == CURLE_OK)
-    return call_outcome::Answered;
-  if (!BytesSent)
-    return call_outcome::NotSent;
-  return Code == CURLE_OPERATION_TIMEDOUT ? call_outcome::TimedOut
-                                          : call_outcome::Lost;
+void http_client::implementation::onRead(const connection_pointer &C,
+                                         const boost::system::error_code &Error,
+                                         size_t Size) {
+  if (Error)
+    return onClosed(C, Error);
+  C->Buffer.commit(Size);
+  if (C->Call == 0) {
+    // Bytes that nobody asked for: the connection is of no use any more.
+    close(*C);
+    return forgetIdle(C);
+  }
+  parse(C);
+  if (!C->Closed)
+    readMore(C);
 }
 
-} // namespace
+void http_client::implementation::resetParser(connection &C) const {
+  C.Parser.emplace();
+  C.Parser->eager(true);
+  C.Parser->header_limit(MaxHead);
+  C.Parser->body_limit(MaxBody);
+  C.Parser->skip(C.IsHead);
+}
 
-/// Owns the thread on which libcurl runs.
-class http_client::worker {
-public:
-  explicit worker(event_loop &Loop)
-      : Loop(Loop), Multi(curl_multi_init()), Thread([this] { run(); }) {
-    curl_multi_setopt(Multi, CURLMOPT_MAXCONNECTS, MaxIdleConnections);
+void http_client::implementation::parse(const connection_pointer &C) {
+  while (C->Call != 0 && C->Buffer.size() > 0 && !C->Closed) {
+    boost::system::error_code Error;
+    size_t Used = C->Parser->put(C->Buffer.data(), Error);
+    C->Buffer.consume(Used);
+    if (Error == http::error::need_more)
+      return;
+    if (Error)
+      return fail(C, call_outcome::Lost, "bad answer: " + Error.message());
+    if (C->Parser->is_done())
+      onResponse(C);
   }
+}
 
-  ~worker() {
-    Stopping = true;
-    curl_multi_wakeup(Multi);
-    Thread.join();
-    for (auto &[Id, Transfer] : Active)
-      curl_multi_remove_handle(Multi, Transfer->Handle);
-    Active.clear();
-    curl_multi_cleanup(Multi);
-  }
+void http_client::implementation::onResponse(const connection_pointer &C) {
+  auto &Message = C->Parser->get();
+  call_result Result;
+  Result.Outcome = call_outcome::Answered;
+  Result.Response.Status = static_cast<int>(Message.result_int());
+  Result.Response.Headers = toHeaders(Message);
+  Result.Response.Body = std::move(Message.body());
+  bool Keep = Message.keep_alive();
+  bool IsInterim = Result.Response.Status < 200;
+  bool IsMine = !C->Options.IsMine || C->Options.IsMine(Result.Response);
+  if (IsInterim || (!IsMine && ++C->Strangers <= MostStrangers && Keep))
+    return resetParser(*C);
+  if (!IsMine)
+    return fail(C, call_outcome::Lost, "answer to another request");
+  // Bytes beyond the answer are no part of it, and spoil what would follow.
+  if (!Keep || C->Buffer.size() > 0)
+    close(*C);
+  finish(C, std::move(Result));
+}
 
-  call_id add(std::unique_ptr<transfer> Transfer) {
-    call_id Id = 0;
-    {
-      std::lock_guard Lock(Mutex);
-      Id = ++LastId;
-      Transfer->Id = Id;
-      Added.push_back(std::move(Transfer));
-    }
-    curl_multi_wakeup(Multi);
-    return Id;
+void http_client::implementation::onClosed(
+    const connection_pointer &C, const boost::system::error_code &Error) {
+  if (C->Call == 0) {
+    close(*C);
+    return forgetIdle(C);
   }
-
-  void cancel(call_id Id) {
-    {
-      std::lock_guard Lock(Mutex);
-      Cancelled.push_back(Id);
-    }
-    curl_multi_wakeup(Multi);
+  // An answer without a length ends with its connection.
+  if (Error == boost::asio::error::eof && C->Parser->got_some() &&
+      C->Parser->is_header_done()) {
+    boost::system::error_code ParseError;
+    C->Parser->put_eof(ParseError);
+    if (!ParseError && C->Parser->is_done())
+      return onResponse(C);
   }
+  fail(C, C->Sent ? call_outcome::Lost : call_outcome::NotSent,
+       Error.message());
+}
 
-private:
-  void run() {
-    while (!Stopping) {
-      takeNew();
-      int Running = 0;
-      curl_multi_perform(Multi, &Running);
-      reportDone();
-      curl_multi_poll(Multi, nullptr, 0, PollTimeoutMs, nullptr);
-    }
-  }
+void http_client::implementation::fail(const connection_pointer &C,
+                                       call_outcome Outcome,
+                                       const std::string &Error) {
+  close(*C);
+  finish(C, {Outcome, {}, Error});
+}
 
-  void takeNew() {
-    std::vector<std::unique_ptr<transfer>> New;
-    std::vector<call_id> Ended;
-    {
-      std::lock_guard Lock(Mutex);
-      New.swap(Added);
-      Ended.swap(Cancelled);
-    }
-    for (auto &Transfer : New) {
-      curl_multi_add_handle(Multi, Transfer->Handle);
-      Active[Transfer->Id] = std::move(Transfer);
-    }
-    for (call_id Id : Ended)
-      drop(Id);
+void http_client::implementation::finish(const connection_pointer &C,
+                                         call_result Result) {
+  C->Timer.cancel();
+  Calls.erase(C->Call);
+  C->Call = 0;
+  callback Callback = std::exchange(C->Callback, nullptr);
+  C->OutBody = std::string();
+  if (!C->Closed) {
+    C->IdleSince = Clock.now();
+    Idle[C->Peer].push_back(C);
   }
+  if (Callback)
+    Callback(std::move(Result));
+}
+
+void http_client::implementation::close(connection &C) {
+  C.Closed = true;
+  boost::system::error_code Ignored;
+  C.Socket.close(Ignored);
+  C.Timer.cancel();
+}
+
+void http_client::implementation::forgetIdle(const connection_pointer &C) {
+  auto Found = Idle.find(C->Peer);
+  if (Found != Idle.end())
+    std::erase(Found->second, C);
+}
 
-  void drop(call_id Id) {
-    auto Found = Active.find(Id);
-    if (Found == Active.end())
+void http_client::implementation::setTimer(const connection_pointer &C,
+                                           duration Delay) {
+  C->Timer.expires_after(Delay);
+  C->Timer.async_wait([Weak = weak_from_this(), C, Id = C->Call](auto Error) {
+    auto Self = Weak.lock();
+    if (Error || !Self || C->Call != Id || C->Closed)
       return;
-    curl_multi_remove_handle(Multi, Found->second->Handle);
-    Active.erase(Found);
-  }
+    Self->fail(C, C->Sent ? call_outcome::TimedOut : call_outcome::NotSent,
+               "timed out");
+  });
+}
 
-  void reportDone() {
-    int Left = 0;
-    while (CURLMsg *Message = curl_multi_info_read(Multi, &Left)) {
-      if (Message->msg != CURLMSG_DONE)
-        continue;
-      void *Private = nullptr;
-      curl_easy_getinfo(Message->easy_handle, CURLINFO_PRIVATE, &Private);
-      finish(*static_cast<transfer *>(Private), Message->data.result);
-    }
-  }
+void http_client::implementation::cancel(call_id Id) {
+  auto Found = Calls.find(Id);
+  if (Found == Calls.end())
+    return;
+  connection_pointer C = Found->second;
+  C->Callback = nullptr;
+  fail(C, call_outcome::Lost, "cancelled");
+}
 
-  void finish(transfer &Transfer, CURLcode Code) {
-    long Status = 0;
-    curl_easy_getinfo(Transfer.Handle, CURLINFO_RESPONSE_CODE, &Status);
-    Transfer.Result.Response.Status = static_cast<int>(Status);
-    Transfer.Result.Outcome = outcomeOf(Code, Transfer.BytesSent);
-    if (Code != CURLE_OK)
-      Transfer.Result.Error = curl_easy_strerror(Code);
-    auto Result = std::make_shared<call_result>(std::move(Transfer.Result));
-    Loop.post([Callback = std::move(Transfer.Callback), Result] {
-      Callback(std::move(*Result));
-    });
-    drop(Transfer.Id);
-  }
+void http_client::implementation::dropIdle(const endpoint &Peer) {
+  auto Found = Idle.find(Peer);
+  if (Found == Idle.end())
+    return;
+  for (const connection_pointer &C : Found->second)
+    close(*C);
+  Idle.erase(Found);
+}
 
-  event_loop &Loop;
-  CURLM *Multi;
-  std::atomic<bool> Stopping = false;
-  std::mutex Mutex;
-  std::vector<std::unique_ptr<transfer>> Added;
-  std::vector<call_id> Cancelled;
-  call_id LastId = 0;
-  std::map<call_id, std::unique_ptr<transfer>> Active;
-  std::thread Thread;
-};
+void http_client::implementation::closeAll() {
+  for (auto &[Id, C] : Calls)
+    close(*C);
+  for (auto &[Peer, Connections] : Idle)
+    for (const connection_pointer &C : Connections)
+      close(*C);
+  Calls.clear();
+  Idle.clear();
+}
 
-http_client::http_client(event_loop &Loop)
-    : Worker(std::make_unique<worker>(Loop)) {}
+http_client::http_client(event_loop &Loop, size_t MaxBody)
+    : Implementation(std::make_shared<implementation>(Loop, MaxBody)) {}
 
-http_client::~http_client() = default;
+http_client::~http_client() { Implementation->closeAll(); }
 
-call_id http_client::send(const endpoint &Peer, http_request Request,
+call_id http_client::send(const endpoint &Peer, const http_request &Request,
                           call_options Options, callback Callback) {
-  return Worker->add(makeTransfer(Peer, std::move(Request), std::move(Options),
-                                  std::move(Callback)));
+  return Implementation->send(Peer, Request, std::move(Options),
+                              std::move(Callback));
 }
 
-void http_client::cancel(call_id Id) { Worker->cancel(Id); }
+void http_client::cancel(call_id Id) { Implementation->cancel(Id); }
+
+void http_client::dropIdle(const endpoint &Peer) {
+  Implementation->dropIdle(Peer);
+}
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -1,8 +1,9 @@
-/// An asynchronous HTTP client on libcurl.
+/// An asynchronous HTTP/1.1 client on Boost.Beast's parser and the event loop.
 #ifndef DRAGONFLYVANE_NET_HTTP_CLIENT_HPP
 #define DRAGONFLYVANE_NET_HTTP_CLIENT_HPP
 
 #include "dragonflyvane/core/http_message.hpp"
+#include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 
@@ -13,58 +14,40 @@
 
 namespace dragonflyvane {
 
-/// How a call ended.
-enum class call_outcome {
-  /// The whole response is here.
-  Answered,
-  /// No byte of the request left this process.
-  NotSent,
-  /// The request may have been received; there is no whole response.
-  Lost,
-  /// As `Lost`, since the time ran out.
-  TimedOut,
-};
-
-/// The end of a call.
-struct call_result {
-  call_outcome Outcome = call_outcome::Lost;
-  http_response Response;
-  std::string Error;
-};
-
-/// Identifies a call for `cancel`.
-using call_id = uint64_t;
-
 /// How a request is sent.
 struct call_options {
+  /// From now to the whole response.
   std::chrono::milliseconds Timeout{10'000};
-  /// Asked on the client's thread, once connected, just before the request's
-  /// first byte; false ends the call as `NotSent`.
-  std::function<bool()> MaySend;
+  /// From now to a connection.
+  std::chrono::milliseconds ConnectTimeout{500};
+  /// A kept connection is used only if it was idle for less than this.
+  std::chrono::milliseconds MaxIdle{4000};
+  /// Whether a response belongs to this request; one that does not is skipped,
+  /// as a late answer to an earlier request. None accepts all.
+  std::function<bool(const http_response &)> IsMine;
 };
 
-/// A client with a pool of connections. Calls back on the event loop.
+/// A client with a pool of connections. Never repeats a request by itself.
+/// Calls back on the event loop's thread.
 class http_client {
 public:
-  explicit http_client(event_loop &Loop);
+  explicit http_client(event_loop &Loop, size_t MaxBody = size_t{64} << 20);
   ~http_client();
   http_client(const http_client &) = delete;
   http_client &operator=(const http_client &) = delete;
 
   using callback = std::function<void(call_result)>;
 
-  /// Sends a request. A request that is not idempotent always gets a new
-  /// connection, because libcurl repeats a request whose reused connection
-  /// broke.
-  call_id send(const endpoint &Peer, http_request Request, call_options Options,
-               callback Callback);
-  /// Ends a call by closing its connection. A call that had ended already may
-  /// still be called back.
+  call_id send(const endpoint &Peer, const http_request &Request,
+               call_options Options, callback Callback);
+  /// Ends a call by closing its connection; it is not called back.
   void cancel(call_id Id);
+  /// Ends kept connections to a peer, as when it has restarted.
+  void dropIdle(const endpoint &Peer);
 
 private:
-  class worker;
-  std::unique_ptr<worker> Worker;
+  class implementation;
+  std::shared_ptr<implementation> Implementation;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_exchange.hpp
+++ b/src/dragonflyvane/net/http_exchange.hpp
@@ -15,10 +15,10 @@
   virtual ~http_exchange() = default;
   virtual const http_request &request() const = 0;
   /// Sends the whole answer, unless the caller is gone. Later calls do nothing.
-  /// A field `Connection: close` ends the caller's connection afterwards.
-  virtual void answer(const http_response &Response) = 0;
-  /// Calls back if the caller goes away before it was answered. The call comes
-  /// on a thread of the server.
+  virtual void answer(http_response Response) = 0;
+  /// Ends the connection without an answer.
+  virtual void drop() {}
+  /// Calls back if the caller goes away before it was answered.
   virtual void onGone(std::function<void()> Callback) = 0;
 };
 
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -1,9 +1,10 @@
-/// An HTTP/1.1 server on Pistache that hands over whole requests and may be
-/// answered later, from any thread.
+/// An HTTP/1.1 server on Boost.Beast's parser and the event loop. It hands over
+/// whole requests, which may be answered later.
 #ifndef DRAGONFLYVANE_NET_HTTP_SERVER_HPP
 #define DRAGONFLYVANE_NET_HTTP_SERVER_HPP
 
 #include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 
 #include <chrono>
@@ -15,28 +16,34 @@
 struct http_limits {
   size_t MaxBody = size_t{8} << 20;
   size_t MaxHead = size_t{32} << 10;
-  /// Time to send the whole head, and the whole body.
+  /// Time to send a whole head, and between two pieces of a body.
   std::chrono::milliseconds HeadTimeout{10'000};
-  std::chrono::milliseconds BodyTimeout{30'000};
+  /// How long a connection may wait for its next request.
+  std::chrono::milliseconds IdleTimeout{60'000};
 };
 
-/// A listening server. The handler is called on the server's threads.
+/// A listening server. The handler is called on the event loop's thread.
 ///
-///     http_server Server({"127.0.0.1", 8080}, 2, {}, [](auto Exchange) {
+///     http_server Server(Loop, {"127.0.0.1", 8080}, {}, [](auto Exchange) {
 ///       Exchange->answer({200, {}, "hello\n"});
 ///     });
 class http_server {
 public:
   /// Listens at once. Throws `step_error` when the address is taken.
-  http_server(const endpoint &Listen, int Threads, const http_limits &Limits,
-              http_handler Handler);
+  http_server(event_loop &Loop, const endpoint &Listen,
+              const http_limits &Limits, http_handler Handler);
   ~http_server();
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
+  /// Takes effect for what begins from now on.
+  void setLimits(const http_limits &Limits);
+  /// From now on answers end their connections, and so do idle connections.
+  void startClosing();
+
 private:
-  struct implementation;
-  std::unique_ptr<implementation> Implementation;
+  class implementation;
+  std::shared_ptr<implementation> Implementation;
 };
 
 } // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/net/http_wire.cpp
@@ -0,0 +1,67 @@
+#include "dragonflyvane/net/http_wire.hpp"
+
+#include <boost/beast/http/status.hpp>
+
+namespace dragonflyvane {
+
+namespace {
+
+bool isFraming(const std::string &Name) {
+  return equalNames(Name, "connection") || equalNames(Name, "content-length") ||
+         equalNames(Name, "transfer-encoding") ||
+         equalNames(Name, "keep-alive");
+}
+
+void appendFields(std::string &Head, const header_list &Headers) {
+  for (const header &Field : Headers.all()) {
+    if (isFraming(Field.Name))
+      continue;
+    Head += Field.Name;
+    Head += ": ";
+    Head += Field.Value;
+    Head += "\r\n";
+  }
+}
+
+bool mayLackBody(const http_request &Request) {
+  return Request.Body.empty() &&
+         (Request.Method == "GET" || Request.Method == "HEAD" ||
+          Request.Method == "DELETE" || Request.Method == "OPTIONS");
+}
+
+} // namespace
+
+std::string encodeHead(const http_response &Response, bool KeepAlive,
+                       bool HasBody) {
+  auto Status = static_cast<boost::beast::http::status>(Response.Status);
+  auto Reason = boost::beast::http::obsolete_reason(Status);
+  std::string Head = "HTTP/1.1 " + std::to_string(Response.Status) + " ";
+  Head.append(Reason.data(), Reason.size());
+  Head += "\r\n";
+  appendFields(Head, Response.Headers);
+  if (HasBody)
+    Head += "Content-Length: " + std::to_string(Response.Body.size()) + "\r\n";
+  Head += KeepAlive ? "\r\n" : "Connection: close\r\n\r\n";
+  return Head;
+}
+
+std::string encodeHead(const http_request &Request) {
+  std::string Head = Request.Method + " " + Request.Target + " HTTP/1.1\r\n";
+  appendFields(Head, Request.Headers);
+  if (!mayLackBody(Request))
+    Head += "Content-Length: " + std::to_string(Request.Body.size()) + "\r\n";
+  Head += "\r\n";
+  return Head;
+}
+
+header_list toHeaders(const boost::beast::http::fields &Fields) {
+  header_list Headers;
+  for (const auto &Field : Fields) {
+    auto Name = Field.name_string();
+    auto Value = Field.value();
+    Headers.add({Name.data(), Name.size()}, {Value.data(), Value.size()});
+  }
+  return Headers;
+}
+
+} // namespace dragonflyvane
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -49,7 +49,7 @@
 
   const http_request &request() const override { return Request; }
 
-  void answer(const http_response &Response) override {
+  void answer(http_response Response) override {
     if (Done)
       return;
     Done = true;
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -5,7 +5,7 @@
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
-#include "dragonflyvane/net/http_client.hpp"
+#include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
--- a/src/dragonflyvane/net/peer_link.hpp
+++ b/src/dragonflyvane/net/peer_link.hpp
@@ -5,7 +5,7 @@
 
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
-#include "dragonflyvane/net/http_client.hpp"
+#include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 
 #include <memory>
--- a/src/dragonflyvane/node/admin.hpp
+++ b/src/dragonflyvane/node/admin.hpp
@@ -1,58 +1,45 @@
-/// The administration API, health and metrics. Never reachable with a caller
-/// key: orders need the operator token.
+/// The administration API and the metrics of a daemon.
 #ifndef DRAGONFLYVANE_NODE_ADMIN_HPP
 #define DRAGONFLYVANE_NODE_ADMIN_HPP
 
-#include "dragonflyvane/core/member.hpp"
-#include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/metrics.hpp"
-#include "dragonflyvane/net/peer_link.hpp"
-#include "dragonflyvane/net/table_client.hpp"
-#include "dragonflyvane/node/backend_watch.hpp"
-
-#include <functional>
-#include <string>
+#include "dragonflyvane/node/cluster_sync.hpp"
+#include "dragonflyvane/node/door.hpp"
+#include "dragonflyvane/node/local_server.hpp"
+#include "dragonflyvane/node/settings.hpp"
+#include "dragonflyvane/node/steward.hpp"
 
 namespace dragonflyvane {
 
-/// Serves the administration port. Used on the event loop's thread.
+/// Answers operators and scrapers; changes nothing.
 ///
-///     GET    /healthz, /readyz, /metrics
-///     POST   /v1/announcements            a backend server of this host
-///     DELETE /v1/announcements/SERVICE
-///     GET    /v1/configuration            operator token from here on
-///     PUT    /v1/configuration            {"if_version": N, "document": {}}
-///     GET    /v1/status
-///     GET    /v1/slices/SERVICE
+///     GET /metrics
+///     GET /v1/status
+///     GET /v1/hosts
+///     GET /v1/owners/SERVICE
 class admin {
 public:
   struct parts {
-    std::string Host;
-    std::string Address;
-    std::string OperatorToken;
+    const settings &Settings;
     const clock_source &Clock;
-    member &Member;
-    table_client &Table;
-    backend_watch &Backends;
+    const order_book &Orders;
+    const cluster_sync &Sync;
+    const local_server &Server;
+    const door &Door;
+    const steward &Steward;
     metrics &Metrics;
-    std::function<bool()> IsReady;
-    /// Reads the table now, and tells other daemons to.
-    std::function<void(row_version)> SpreadNews;
   };
 
-  explicit admin(parts Parts) : Parts(std::move(Parts)) {}
+  explicit admin(parts Parts) : Parts(Parts) {}
 
   void serve(const exchange_pointer &Exchange);
 
 private:
-  bool isOperator(const http_request &Request) const;
-  void announce(const exchange_pointer &Exchange);
-  void withdraw(const exchange_pointer &Exchange);
-  void showConfiguration(const exchange_pointer &Exchange) const;
-  void putConfiguration(const exchange_pointer &Exchange);
-  void showStatus(const exchange_pointer &Exchange) const;
-  void showSlices(const exchange_pointer &Exchange) const;
+  http_response showMetrics();
+  http_response showStatus() const;
+  http_response showHosts() const;
+  http_response showOwners(const std::string &Service) const;
 
   parts Parts;
 };
--- /dev/null
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -0,0 +1,303 @@
+#include "dragonflyvane/node/cluster_sync.hpp"
+
+#include "dragonflyvane/core/error.hpp"
+#include "dragonflyvane/net/log.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <random>
+
+namespace dragonflyvane {
+
+namespace {
+
+/// How long one watch waits for a change.
+constexpr std::chrono::milliseconds WatchWait{20'000};
+constexpr std::chrono::milliseconds ReadRetry{250};
+constexpr std::chrono::milliseconds RenewalRetry{250};
+constexpr std::chrono::milliseconds HostRowRetry{400};
+/// After so many conflicts in a row a change is left to the next occasion.
+constexpr int MostConflicts = 5;
+
+std::string randomRun() {
+  std::random_device Device;
+  uint64_t Number = (uint64_t{Device()} << 32) | Device();
+  return std::to_string(Number);
+}
+
+} // namespace
+
+cluster_sync::cluster_sync(parts P) : Parts(std::move(P)), Run(randomRun()) {}
+
+void cluster_sync::start() {
+  readAll(OrderFeed);
+  readAll(ClusterFeed);
+  renew();
+}
+
+time_point cluster_sync::grantsUntil() const {
+  return MapIsFresh ? Lease.until() : time_point{};
+}
+
+// Reading and watching.
+
+void cluster_sync::readAll(feed &Feed) {
+  Feed.IsRead = false;
+  time_point SentAt = Parts.Clock.now();
+  Parts.Store.read(Feed.Kind, [this, &Feed, SentAt](const read_result &Result) {
+    onReadAll(Feed, SentAt, Result);
+  });
+}
+
+void cluster_sync::onReadAll(feed &Feed, time_point SentAt,
+                             const read_result &Result) {
+  if (Result.Outcome != read_outcome::Answered)
+    return retryRead(Feed, Result.Error);
+  noteAnswer(Feed);
+  Feed.Revision = Result.Batch.Revision;
+  Feed.IsRead = true;
+  if (Feed.Kind == row_kind::Order) {
+    Parts.Orders.applyAll(Result.Batch);
+    if (Parts.Orders.config())
+      Parts.Orders.confirm(SentAt);
+  } else {
+    View.keepOnly(Result.Batch);
+    for (const stored_row &Row : Result.Batch.Rows)
+      applyRow(Row);
+  }
+  Parts.OnChange();
+  writeHostRow();
+  watch(Feed);
+}
+
+void cluster_sync::watch(feed &Feed) {
+  Parts.Store.watch(Feed.Kind, Feed.Revision, WatchWait,
+                    [this, &Feed](const read_result &Result) {
+                      onWatched(Feed, Result);
+                    });
+}
+
+void cluster_sync::onWatched(feed &Feed, const read_result &Result) {
+  if (Result.Outcome == read_outcome::HistoryGone) {
+    writeLog(log_level::Info, "history is gone, reading all rows",
+             {{"step", "watch"}, {"revision", Feed.Revision}});
+    return readAll(Feed);
+  }
+  if (Result.Outcome != read_outcome::Answered)
+    return retryRead(Feed, Result.Error);
+  noteAnswer(Feed);
+  Feed.Revision = std::max(Feed.Revision, Result.Batch.Revision);
+  applyRows(Result.Batch.Rows);
+  watch(Feed);
+}
+
+void cluster_sync::retryRead(feed &Feed, const std::string &Why) {
+  if (!Feed.WasLost)
+    writeLog(log_level::Warning, "store lost",
+             {{"step", Feed.Kind == row_kind::Order ? "orders" : "cluster"},
+              {"peer", "store"},
+              {"reason", Why}});
+  Feed.WasLost = true;
+  bool Known = Feed.IsRead;
+  Feed.Next = Parts.Loop.after(ReadRetry, [this, &Feed, Known] {
+    if (Known)
+      watch(Feed);
+    else
+      readAll(Feed);
+  });
+}
+
+void cluster_sync::noteAnswer(feed &Feed) {
+  if (Feed.WasLost)
+    writeLog(log_level::Info, "store regained",
+             {{"step", Feed.Kind == row_kind::Order ? "orders" : "cluster"},
+              {"peer", "store"}});
+  Feed.WasLost = false;
+}
+
+bool cluster_sync::applyRow(const stored_row &Row) {
+  if (Row.Id.Kind == row_kind::Order)
+    return Parts.Orders.apply(Row);
+  if (Row.Id.Kind != row_kind::Cluster)
+    return false;
+  try {
+    return View.apply(Row);
+  } catch (const step_error &Error) {
+    writeLog(log_level::Warning, "row ignored",
+             {{"step", Error.step()},
+              {"row", Row.Id.Key},
+              {"reason", Error.what()}});
+    return false;
+  }
+}
+
+void cluster_sync::applyRows(const std::vector<stored_row> &Rows) {
+  bool Changed = false;
+  for (const stored_row &Row : Rows)
+    Changed |= applyRow(Row);
+  if (!Changed)
+    return;
+  Parts.OnChange();
+  writeHostRow();
+}
+
+// The lease.
+
+std::string cluster_sync::leaseValue() const {
+  return nlohmann::json{{"run", Run}, {"count", RenewalCount}}.dump();
+}
+
+void cluster_sync::renew() {
+  ++RenewalCount;
+  store_transaction Transaction;
+  Transaction.Conditions = Parts.Orders.conditions();
+  Transaction.Conditions.push_back({leaseRow(Parts.Host), LeaseVersion});
+  Transaction.Writes.push_back({leaseRow(Parts.Host), leaseValue()});
+  time_point SentAt = Parts.Clock.now();
+  Parts.Store.transact(Transaction,
+                       [this, SentAt](const transaction_result &Result) {
+                         onRenewed(SentAt, Result);
+                       });
+}
+
+void cluster_sync::onRenewed(time_point SentAt,
+                             const transaction_result &Result) {
+  if (Result.Outcome == transaction_outcome::Conflict) {
+    onLeaseConflict(Result);
+    // At once, since one round of conflicts brings everything up to date.
+    Renewal = Parts.Loop.after(duration{0}, [this] { renew(); });
+    return;
+  }
+  if (Result.Outcome != transaction_outcome::Committed) {
+    Renewal = Parts.Loop.after(RenewalRetry, [this] { renew(); });
+    return;
+  }
+  LeaseVersion = Result.Revision;
+  Lease.renewed(SentAt);
+  Parts.Orders.confirm(SentAt);
+  if (!IsClaimed) {
+    IsClaimed = true;
+    writeLog(log_level::Info, "lease claimed",
+             {{"step", "lease"}, {"version", LeaseVersion}});
+    readMapAfterClaim(LeaseVersion);
+  }
+  Renewal = Parts.Loop.after(LeaseRenewalPeriod, [this] { renew(); });
+}
+
+void cluster_sync::onLeaseConflict(const transaction_result &Result) {
+  for (const stored_row &Row : Result.Current) {
+    if (Row.Id != leaseRow(Parts.Host) || Row.Version == LeaseVersion)
+      continue;
+    std::string Holder;
+    auto Json = nlohmann::json::parse(Row.Value.value_or(""), nullptr, false);
+    if (Json.is_object())
+      Holder = Json.value("run", "");
+    LeaseVersion = Row.Version;
+    // An own renewal whose answer was lost changes nothing.
+    if (Holder == Run)
+      continue;
+    if (IsClaimed)
+      writeLog(log_level::Warning, "lease lost",
+               {{"step", "lease"}, {"holder", Holder}});
+    IsClaimed = false;
+    MapIsFresh = false;
+    Lease.lost();
+    Parts.OnChange();
+  }
+  applyRows(Result.Current);
+}
+
+void cluster_sync::readMapAfterClaim(row_version ClaimedAt) {
+  Parts.Store.read(row_kind::Cluster, [this, ClaimedAt](
+                                          const read_result &Result) {
+    if (!IsClaimed)
+      return;
+    if (Result.Outcome != read_outcome::Answered ||
+        Result.Batch.Revision < ClaimedAt) {
+      HostRetry = Parts.Loop.after(
+          ReadRetry, [this, ClaimedAt] { readMapAfterClaim(ClaimedAt); });
+      return;
+    }
+    for (const stored_row &Row : Result.Batch.Rows)
+      applyRow(Row);
+    MapIsFresh = true;
+    Parts.OnChange();
+    writeHostRow();
+  });
+}
+
+void cluster_sync::readLeases(store::read_callback Callback) {
+  Parts.Store.read(row_kind::Lease, std::move(Callback));
+}
+
+// Writing.
+
+void cluster_sync::announce(const host_info &Info) {
+  Wanted = Info;
+  writeHostRow();
+}
+
+void cluster_sync::writeHostRow() {
+  if (!Wanted || WritingHost || !ClusterFeed.IsRead)
+    return;
+  auto Known = View.hosts().find(Parts.Host);
+  bool Stands = Known != View.hosts().end();
+  if (Stands && Known->second.Content == *Wanted)
+    return;
+  WritingHost = true;
+  store_transaction Transaction;
+  Transaction.Conditions.push_back(
+      {hostRow(Parts.Host), Stands ? Known->second.Version : 0});
+  Transaction.Writes.push_back({hostRow(Parts.Host), encodeHost(*Wanted)});
+  transact(Transaction, [this](const transaction_result &Result) {
+    WritingHost = false;
+    if (Result.Outcome == transaction_outcome::Committed ||
+        Result.Outcome == transaction_outcome::Conflict)
+      return writeHostRow();
+    HostRetry = Parts.Loop.after(HostRowRetry, [this] { writeHostRow(); });
+  });
+}
+
+void cluster_sync::transact(const store_transaction &Transaction,
+                            store::transaction_callback Done) {
+  Parts.Store.transact(Transaction, [this, Transaction,
+                                     Done = std::move(Done)](
+                                        const transaction_result &Result) {
+    if (Result.Outcome == transaction_outcome::Committed) {
+      std::vector<stored_row> Written;
+      for (const row_write &Write : Transaction.Writes)
+        Written.push_back({Write.Id, Result.Revision, Write.Value});
+      applyRows(Written);
+    } else if (Result.Outcome == transaction_outcome::Conflict) {
+      applyRows(Result.Current);
+    }
+    Done(Result);
+  });
+}
+
+void cluster_sync::change(map_change Change) {
+  if (Changing[Change.Service] || !ClusterFeed.IsRead)
+    return;
+  runChange(Change, 0);
+}
+
+void cluster_sync::runChange(const map_change &Change, int Tries) {
+  const versioned<ownership_map> *Known = View.map(Change.Service);
+  versioned<ownership_map> Map =
+      Known ? *Known : versioned<ownership_map>{};
+  if (!Change.Edit(Map.Content, nextToken(Map.Version)))
+    return;
+  Changing[Change.Service] = true;
+  store_transaction Transaction = Change.Also;
+  Transaction.Conditions.push_back({mapRow(Change.Service), Map.Version});
+  Transaction.Writes.push_back(
+      {mapRow(Change.Service), encodeMap(Map.Content)});
+  transact(Transaction, [this, Change, Tries](const transaction_result &Result) {
+    Changing[Change.Service] = false;
+    if (Result.Outcome == transaction_outcome::Conflict &&
+        Tries < MostConflicts)
+      runChange(Change, Tries + 1);
+  });
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -0,0 +1,113 @@
+/// Keeps a daemon in step with the store: reads and watches rows, holds the
+/// host's lease, and writes the host's row and the ownership maps.
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_SYNC_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_SYNC_HPP
+
+#include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/configuration/order_book.hpp"
+#include "dragonflyvane/core/ownership/host_lease.hpp"
+#include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/net/event_loop.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace dragonflyvane {
+
+/// A change to an ownership map. `Edit` gets a copy and the token of the
+/// change, and says whether there is anything to write; it is called again
+/// after a conflict.
+struct map_change {
+  std::string Service;
+  std::function<bool(ownership_map &, uint64_t Token)> Edit;
+  /// Further conditions and writes of the same transaction.
+  store_transaction Also;
+};
+
+/// Used on the event loop's thread.
+class cluster_sync {
+public:
+  struct parts {
+    std::string Host;
+    event_loop &Loop;
+    const clock_source &Clock;
+    store &Store;
+    order_book &Orders;
+    /// Orders, hosts or maps have changed, or the lease was won or lost.
+    std::function<void()> OnChange;
+  };
+
+  explicit cluster_sync(parts Parts);
+
+  /// Begins to read, watch and renew.
+  void start();
+
+  const cluster_view &view() const { return View; }
+  /// Until when the local backend server may be granted anything: the end of
+  /// the lease, if the map was read since it was claimed.
+  time_point grantsUntil() const;
+  bool holdsLease() const { return grantsUntil() > Parts.Clock.now(); }
+
+  /// Wants the host's row to say this; written until it does.
+  void announce(const host_info &Info);
+  /// Begins a change, unless one of the same map is under way; whoever needs it
+  /// looks again after the next change or tick.
+  void change(map_change Change);
+  /// Writes anything else; `Done` gets the result after the view has learned.
+  void transact(const store_transaction &Transaction,
+                store::transaction_callback Done);
+  void readLeases(store::read_callback Callback);
+
+private:
+  /// Reading and watching the rows of one kind.
+  struct feed {
+    row_kind Kind;
+    row_version Revision = 0;
+    bool IsRead = false;
+    bool WasLost = false;
+    timer Next;
+  };
+
+  void readAll(feed &Feed);
+  void onReadAll(feed &Feed, time_point SentAt, const read_result &Result);
+  void watch(feed &Feed);
+  void onWatched(feed &Feed, const read_result &Result);
+  void retryRead(feed &Feed, const std::string &Why);
+  void noteAnswer(feed &Feed);
+
+  void renew();
+  void onRenewed(time_point SentAt, const transaction_result &Result);
+  void onLeaseConflict(const transaction_result &Result);
+  void readMapAfterClaim(row_version ClaimedAt);
+  std::string leaseValue() const;
+
+  void runChange(const map_change &Change, int Tries);
+  void writeHostRow();
+  bool applyRow(const stored_row &Row);
+  void applyRows(const std::vector<stored_row> &Rows);
+
+  parts Parts;
+  cluster_view View;
+  feed OrderFeed{row_kind::Order, 0, false, false, {}};
+  feed ClusterFeed{row_kind::Cluster, 0, false, false, {}};
+  host_lease Lease;
+  std::string Run;
+  uint64_t RenewalCount = 0;
+  row_version LeaseVersion = 0;
+  bool IsClaimed = false;
+  bool MapIsFresh = false;
+  timer Renewal;
+  std::map<std::string, bool> Changing;
+  std::optional<host_info> Wanted;
+  bool WritingHost = false;
+  timer HostRetry;
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_NODE_CLUSTER_SYNC_HPP
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -1,285 +1,320 @@
 #include "dragonflyvane/node/daemon.hpp"
 
-#include "dragonflyvane/core/member.hpp"
-#include "dragonflyvane/net/datagram_socket.hpp"
-#include "dragonflyvane/net/event_loop.hpp"
-#include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/http_server.hpp"
-#include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/net/peer_link.hpp"
-#include "dragonflyvane/net/table_client.hpp"
 #include "dragonflyvane/node/admin.hpp"
-#include "dragonflyvane/node/backend_watch.hpp"
+#include "dragonflyvane/node/cluster_sync.hpp"
 #include "dragonflyvane/node/door.hpp"
 #include "dragonflyvane/node/entrance.hpp"
-
-#include <random>
+#include "dragonflyvane/node/peer_messages.hpp"
+#include "dragonflyvane/node/steward.hpp"
 
 namespace dragonflyvane {
 
 namespace {
 
-constexpr std::chrono::milliseconds TickPeriod{50};
-constexpr std::chrono::milliseconds TokenTickPeriod{10};
-constexpr std::chrono::milliseconds TablePollPeriod{500};
-constexpr std::chrono::milliseconds LoadReportPeriod{2000};
-/// Callers have so long to move to other entrances, connection by connection,
-/// before a stopping one refuses them.
-constexpr std::chrono::milliseconds ClosingTime{3000};
-/// After the last request, so that callers see their answers.
-constexpr std::chrono::milliseconds StopGrace{300};
-constexpr int AdminThreads = 1;
-
-member_identity identityOf(const settings &Settings) {
-  member_identity Identity;
-  Identity.Host = Settings.Host;
-  Identity.Domain = Settings.Domain;
-  Identity.PeerAddress = toString(Settings.Peer);
-  Identity.DatagramAddress = toString(Settings.Peer);
-  Identity.EntranceAddress = toString(Settings.Entrance);
-  Identity.Incarnation = std::random_device()() + 1ULL;
-  return Identity;
-}
+constexpr size_t MaxPeerBody = size_t{65} << 20;
+constexpr std::chrono::milliseconds ServerTick{200};
+constexpr std::chrono::milliseconds ReportPeriod{1000};
+constexpr std::chrono::milliseconds ReportTimeout{1000};
+constexpr std::chrono::milliseconds TokenTimeout{150};
+constexpr std::chrono::milliseconds StopCheckPeriod{50};
+/// After a stop began, callers need so long to turn elsewhere.
+constexpr std::chrono::milliseconds StopDelay{2200};
 
 } // namespace
 
 class daemon::implementation {
 public:
-  explicit implementation(const settings &Settings)
-      : Settings(Settings), Client(Loop), Table(Client, Settings.Platform),
-        Peers(Loop, Settings.MaxBody),
-        Member(identityOf(Settings), Clock.now()),
-        Door(
-            Settings.Host, Client, Clock, Member, Metrics,
-            [this](const door_request &Request) {
-              return Entrance.isCallerValid(Request);
-            },
-            [this](const std::string &Workspace) {
-              return Entrance.weightOf(Workspace);
-            }),
-        Entrance({Settings.Host, Loop, Clock, Member, Door, Peers, Metrics,
-                  Settings.RequestTimeout, [this] { act(); }}),
-        Backends(Loop, Client, Clock, Door,
-                 [this](const auto &Services) {
-                   Member.setServices(Services);
-                   act();
-                 }),
-        Admin({Settings.Host, Settings.Admin.Address, Settings.OperatorToken,
-               Clock, Member, Table, Backends, Metrics,
-               [this] { return isReady(); },
-               [this](row_version Revision) { spreadNews(Revision); }}),
-        Datagrams(Loop, Settings.Peer,
-                  [this](std::string_view Bytes) { onDatagram(Bytes); }),
-        PeerServer(Loop, Settings.Peer, Settings.MaxBody,
-                   [this](const exchange_pointer &Exchange) {
-                     Entrance.serveForwarded(Exchange);
-                   }) {
-    Member.setInFlight(&Door);
-  }
+  implementation(event_loop &Loop, const settings &Settings,
+                 platform_access Platform, http_client &Client,
+                 metrics &Metrics)
+      : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
+        Metrics(Metrics),
+        Orders(this->Platform.OrderRows, this->Platform.DecodeOrder),
+        Sync({Settings.Host, Loop, Clock, this->Platform.Store, Orders,
+              [this] { onClusterChange(); }}),
+        Server(Settings, Clock),
+        Door({Loop, Clock, Client, Server, Orders, this->Platform.Names,
+              Metrics, Settings.FailureDomain,
+              [this](const std::string &Service, key_point Point) {
+                return isOwner(Service, Point);
+              },
+              [this] { onServerDead(); }}),
+        Peers(Loop, MaxPeerBody),
+        Rates(Clock,
+              [this](const std::string &Workspace, double Amount,
+                     rate_gate::pool_callback Callback) {
+                askPool(Workspace, Amount, std::move(Callback));
+              }),
+        Entrance({this->Settings, Loop, Clock, Orders, Sync.view(), Door, Peers,
+                  Rates, this->Platform.Names, Metrics}),
+        Steward({Settings.Host, Loop, Clock, Sync, Orders}),
+        Admin({this->Settings, Clock, Orders, Sync, Server, Door, Steward,
+               Metrics}),
+        PeerServer(Loop, Settings.Peer, MaxPeerBody,
+                   [this](const exchange_pointer &E) { servePeer(E); }),
+        AdminServer(Loop, Settings.Admin, {},
+                    [this](const exchange_pointer &E) { Admin.serve(E); }),
+        EntranceServer(Loop, Settings.Entrance, {},
+                       [this](const exchange_pointer &E) {
+                         Entrance.serve(E);
+                       }) {}
 
-  int run() {
-    http_limits Limits;
-    Limits.MaxBody = Settings.MaxBody;
-    http_server Callers(Settings.Entrance, Settings.EntranceThreads, Limits,
-                        onLoop([this](const exchange_pointer &Exchange) {
-                          Entrance.serve(Exchange);
-                        }));
-    http_server Operators(Settings.Admin, AdminThreads, Limits,
-                          onLoop([this](const exchange_pointer &Exchange) {
-                            Admin.serve(Exchange);
-                          }));
-    Ticks = Loop.every(TickPeriod, [this] { tick(); });
-    TokenTicks = Loop.every(TokenTickPeriod, [this] {
-      Member.tickTokens(Clock.now());
-      act();
-    });
-    Polls = Loop.every(TablePollPeriod, [this] { readTable(); });
-    LoadReports = Loop.every(LoadReportPeriod, [this] { reportLoad(); });
-    Loop.onTermination([this] { beginStop(); });
+  void start() {
     writeLog(log_level::Info, "started",
              {{"step", "start"},
-              {"domain", Settings.Domain},
-              {"entrance", toString(Settings.Entrance)}});
-    act();
-    Loop.run();
-    writeLog(log_level::Info, "stopped", {{"step", "stop"}});
-    return 0;
+              {"domain", Settings.FailureDomain},
+              {"entrance", toString(Settings.Entrance)},
+              {"peer", toString(Settings.Peer)}});
+    Loop.onTermination([this] { beginStop(); });
+    announce();
+    Sync.start();
+    ServerTimer = Loop.every(ServerTick, [this] { tick(); });
+    ReportTimer = Loop.every(ReportPeriod, [this] { report(); });
+  }
+
+  std::optional<grant> onHeartbeat(const heartbeat &Heartbeat) {
+    auto Grant = Server.onHeartbeat(Heartbeat, termsOf(Heartbeat.Service));
+    announce();
+    freeRanges();
+    Door.pump();
+    return Grant;
+  }
+
+  void onLeave(const server_life &Life) {
+    Server.onLeave(Life);
+    announce();
+  }
+
+  bool isReady() const {
+    return Orders.config() && !IsStopping &&
+           Orders.evidenceAge(Clock.now()) < Settings.EvidenceLimit;
   }
 
 private:
-  http_handler onLoop(std::function<void(const exchange_pointer &)> Serve) {
-    return [this, Serve = std::move(Serve)](exchange_pointer Exchange) {
-      Loop.post([Serve, Exchange = std::move(Exchange)] { Serve(Exchange); });
-    };
+  grant_terms termsOf(const std::string &Service) const {
+    const versioned<ownership_map> *Map = Sync.view().map(Service);
+    return {Map ? &Map->Content : nullptr,
+            Orders.isEvacuated(Settings.FailureDomain), Sync.grantsUntil()};
   }
 
-  void tick() {
-    Member.tick(Clock.now());
-    Door.tick();
-    act();
-    if (Stopping)
-      continueStop();
+  bool isOwner(const std::string &Service, key_point Point) const {
+    const versioned<ownership_map> *Map = Sync.view().map(Service);
+    if (!Map)
+      return false;
+    const owned_range &Range = Map->Content.find(Point);
+    return Range.Owner == Settings.Host && Range.Life == Server.life();
   }
 
-  /// Does what the member wants done.
-  void act() {
-    member_actions Actions = Member.takeActions();
-    for (const outgoing_message &Message : Actions.Messages)
-      sendDatagram(Message);
-    for (const outgoing_write &Write : Actions.Writes)
-      writeTable(Write);
-    if (Actions.ReadTable)
-      readTable();
-    for (const member_event &Event : Member.takeEvents())
-      writeLog(log_level::Info, Event.What,
-               {{"step", "ownership"},
-                {"peer", Event.Peer},
-                {"detail", Event.Detail}});
-    if (Member.isReplaced()) {
-      writeLog(log_level::Error, "another process runs under this host's name",
-               {{"step", "ownership"}});
-      Loop.stop();
+  void onClusterChange() {
+    auto Config = Orders.config();
+    if (Config && Config != Applied) {
+      Applied = Config;
+      writeLog(log_level::Info, "configuration in force",
+               {{"step", "configuration"}, {"version", Config->Version}});
+      EntranceServer.setLimits({Config->Limits.BodyBytes,
+                                Config->Limits.HeadBytes,
+                                Config->Limits.HeadTimeout,
+                                Config->Limits.IdleTimeout});
     }
+    if (Config)
+      Rates.configure(Config->Workspaces,
+                      std::max<size_t>(1, Sync.view().hosts().size()));
+    freeRanges();
+    Entrance.onClusterChange();
+    Door.pump();
+    Steward.onClusterChange();
+  }
+
+  void onServerDead() {
+    Server.onRefusedConnection();
+    announce();
+    freeRanges();
+  }
+
+  void tick() {
+    Server.tick();
+    announce();
+    freeRanges();
   }
 
-  void sendDatagram(const outgoing_message &Message) {
-    const host_record *Record = Member.view().host(Message.To);
-    if (!Record)
+  void announce() {
+    host_info Info;
+    Info.PeerAddress = toString(Settings.Peer);
+    Info.FailureDomain = Settings.FailureDomain;
+    Info.Service = Settings.LocalService;
+    Server.describe(Info);
+    if (Info == Announced)
       return;
-    std::string Bytes = encodeMessage({Settings.Host, Message.Body});
-    metric_labels Labels = {{"kind", kindOf(Message.Body)}};
-    Metrics.count("datagram_bytes_sent_total", Labels, Bytes.size());
-    Metrics.count("datagrams_sent_total", Labels);
-    Datagrams.send(parseEndpoint(Record->DatagramAddress), Bytes);
+    Announced = Info;
+    writeLog(log_level::Info, "server standing",
+             {{"step", "server"},
+              {"instance", Info.Life.Instance},
+              {"standing", static_cast<int>(Info.Standing)}});
+    Sync.announce(Info);
   }
 
-  void onDatagram(std::string_view Bytes) {
-    auto Envelope = decodeMessage(Bytes);
-    if (!Envelope) {
-      Metrics.count("datagrams_malformed_total");
+  /// Gives up, in the map, what the server certainly does not hold any more.
+  void freeRanges() {
+    grant_terms Terms = termsOf(Server.service());
+    if (!Sync.holdsLease() || Server.freeRanges(Terms).empty())
       return;
-    }
-    Member.onMessage(*Envelope, Clock.now());
-    act();
+    Sync.change({Server.service(),
+                 [this](ownership_map &Map, uint64_t) {
+                   return freeIn(Map);
+                 },
+                 {}});
   }
 
-  void writeTable(const outgoing_write &Write) {
-    Table.transact(Write.Transaction,
-                   [this, Id = Write.Id](const transaction_result &Result) {
-                     Member.onTransaction(Id, Result, Clock.now());
-                     act();
-                   });
+  bool freeIn(ownership_map &Map) {
+    grant_terms Terms = termsOf(Server.service());
+    Terms.Map = &Map;
+    std::vector<free_range> Free = Server.freeRanges(Terms);
+    for (const free_range &Gone : Free) {
+      Server.relinquish(Gone.Range);
+      for (owned_range &Range : Map.Ranges) {
+        if (Range.First != Gone.Range.First)
+          continue;
+        Range.Owner.clear();
+        Range.Life = {};
+        Range.Handover = Gone.Handover;
+      }
+    }
+    return !Free.empty();
   }
 
-  void readTable() {
-    if (Reading) {
-      ReadAgain = true;
-      return;
+  void servePeer(const exchange_pointer &Exchange) {
+    if (auto Report = decodeReport(Exchange->request())) {
+      Steward.onReport(Report->Host, Report->Load);
+      return Exchange->answer({Steward.isActive() ? 200 : 404, {}, ""});
     }
-    Reading = true;
-    ReadAgain = false;
-    Table.readChanges(Member.view().revision(),
-                      [this, Begun = Clock.now()](const auto &Changes) {
-                        onTableRead(Changes, Begun);
-                      });
+    if (auto Ask = decodeAsk(Exchange->request())) {
+      duration AskAfter{0};
+      token_answer Answer;
+      Answer.Tokens =
+          Steward.takeTokens(Ask->Workspace, Ask->Amount, AskAfter);
+      Answer.AskAfter =
+          std::chrono::duration_cast<std::chrono::milliseconds>(AskAfter);
+      return Exchange->answer(encodeAnswer(Answer));
+    }
+    serveForwarded(Exchange);
   }
 
-  void onTableRead(const std::optional<table_changes> &Changes,
-                   time_point Begun) {
-    Reading = false;
-    Metrics.count("table_reads_total", {{"answered", Changes ? "yes" : "no"}});
-    if (Changes)
-      Member.onTable(*Changes, Begun, Clock.now());
-    act();
-    if (ReadAgain && Changes)
-      readTable();
+  void serveForwarded(const exchange_pointer &Exchange) {
+    http_request Request = Exchange->request();
+    auto Order = takeOrder(Request.Headers);
+    if (!Order)
+      return Exchange->answer({400, {}, ""});
+    auto Id = std::make_shared<door_id>(0);
+    Exchange->onGone([this, Id] { Door.cancel(*Id); });
+    *Id = Door.submit(*Order, std::move(Request),
+                      [Exchange](forward_result Result) {
+                        Exchange->answer(encodeResult(std::move(Result)));
+                      });
   }
 
-  void spreadNews(row_version Revision) {
-    readTable();
-    for (const auto &[Name, Row] : Member.view().hosts())
-      if (Name != Settings.Host)
-        sendDatagram({Name, table_news{Revision}});
+  /// The endpoint of the steward's host, unless it is this one.
+  std::optional<endpoint> stewardPeer() const {
+    const std::string &Name = Sync.view().steward().Content;
+    const host_info *Info = Sync.view().host(Name);
+    if (!Info || Name == Settings.Host)
+      return std::nullopt;
+    return parseEndpoint(Info->PeerAddress);
   }
 
-  void reportLoad() {
-    slice_loads Rates;
-    double Seconds = std::chrono::duration<double>(LoadReportPeriod).count();
-    for (const auto &[Slice, Count] : Door.takeCounts())
-      Rates[Slice] = static_cast<double>(Count) / Seconds;
-    Member.reportLoad(Rates, Clock.now());
-    Metrics.set("in_office", {}, Member.isInOffice(Clock.now()) ? 1 : 0);
-    act();
+  void report() {
+    load_report Load = Door.takeReport();
+    auto Peer = stewardPeer();
+    if (!Peer)
+      return Steward.onReport(Settings.Host, Load);
+    Peers.send(*Peer, encodeReport({Settings.Host, Load}), ReportTimeout,
+               [this](const call_result &Result) {
+                 if (Result.Outcome == call_outcome::Answered &&
+                     Result.Response.Status == 200)
+                   Steward.onStewardHeard();
+               });
   }
 
-  bool isReady() const {
-    return !Stopping && Member.view().configurationRow().has_value();
+  void askPool(const std::string &Workspace, double Amount,
+               rate_gate::pool_callback Callback) {
+    auto Peer = stewardPeer();
+    if (!Peer) {
+      duration AskAfter{0};
+      double Tokens = Steward.takeTokens(Workspace, Amount, AskAfter);
+      return Callback(Tokens, AskAfter);
+    }
+    Peers.send(*Peer, encodeAsk({Workspace, Amount}), TokenTimeout,
+               [Callback = std::move(Callback)](const call_result &Result) {
+                 token_answer Answer{0, std::chrono::milliseconds(100)};
+                 if (Result.Outcome == call_outcome::Answered)
+                   Answer = decodeAnswer(Result.Response).value_or(Answer);
+                 Callback(Answer.Tokens, Answer.AskAfter);
+               });
   }
 
   void beginStop() {
-    Stopping = true;
-    StopBegun = Clock.now();
-    Entrance.setPhase(entrance::stop_phase::Closing);
+    if (IsStopping)
+      return;
+    IsStopping = true;
+    StopBegan = Clock.now();
     writeLog(log_level::Info, "stopping",
-             {{"step", "stop"},
-              {"running", Door.total()},
-              {"callers", Entrance.open()}});
-    Member.leave();
-    act();
+             {{"step", "stop"}, {"open", Entrance.open() + Door.open()}});
+    EntranceServer.startClosing();
+    StopTimer = Loop.every(StopCheckPeriod, [this] { checkStop(); });
   }
 
-  void continueStop() {
-    time_point Now = Clock.now();
-    bool Quiet = Member.hasLeft() && Door.total() == 0 && Entrance.open() == 0;
-    bool Late = Now >= StopBegun + Settings.DrainTimeout;
-    if (Member.hasLeft() && Now >= StopBegun + ClosingTime)
-      Entrance.setPhase(entrance::stop_phase::Refusing);
-    if (!Quiet && !Late) {
-      QuietSince.reset();
+  void checkStop() {
+    duration Passed = Clock.now() - StopBegan;
+    bool IsIdle = Entrance.open() + Door.open() == 0;
+    if (Passed < StopDelay || (!IsIdle && Passed < Settings.StopTimeout))
       return;
-    }
-    if (!QuietSince)
-      QuietSince = Now;
-    if (!Late && Now - *QuietSince < StopGrace)
-      return;
-    if (Late && !Quiet)
-      writeLog(log_level::Warning, "stopped before all requests had ended",
-               {{"step", "stop"},
-                {"running", Door.total()},
-                {"callers", Entrance.open()}});
+    writeLog(log_level::Info, "stopped",
+             {{"step", "stop"}, {"open", Entrance.open() + Door.open()}});
     Loop.stop();
   }
 
+  event_loop &Loop;
   settings Settings;
+  platform_access Platform;
+  metrics &Metrics;
   boot_clock Clock;
-  metrics Metrics;
-  event_loop Loop;
-  http_client Client;
-  table_client Table;
-  peer_client Peers;
-  member Member;
+  order_book Orders;
+  cluster_sync Sync;
+  local_server Server;
   door Door;
+  peer_client Peers;
+  rate_gate Rates;
   entrance Entrance;
-  backend_watch Backends;
+  steward Steward;
   admin Admin;
-  datagram_socket Datagrams;
   peer_server PeerServer;
-  timer Ticks;
-  timer TokenTicks;
-  timer Polls;
-  timer LoadReports;
-  bool Reading = false;
-  bool ReadAgain = false;
-  bool Stopping = false;
-  time_point StopBegun;
-  std::optional<time_point> QuietSince;
+  http_server AdminServer;
+  http_server EntranceServer;
+  std::shared_ptr<const configuration> Applied;
+  std::optional<host_info> Announced;
+  bool IsStopping = false;
+  time_point StopBegan{};
+  timer ServerTimer;
+  timer ReportTimer;
+  timer StopTimer;
 };
 
-daemon::daemon(const settings &Settings)
-    : Implementation(std::make_unique<implementation>(Settings)) {}
+daemon::daemon(event_loop &Loop, const settings &Settings,
+               platform_access Platform, http_client &Client, metrics &Metrics)
+    : Implementation(std::make_unique<implementation>(
+          Loop, Settings, std::move(Platform), Client, Metrics)) {}
 
 daemon::~daemon() = default;
 
-int daemon::run() { return Implementation->run(); }
+void daemon::start() { Implementation->start(); }
+
+std::optional<grant> daemon::onHeartbeat(const heartbeat &Heartbeat) {
+  return Implementation->onHeartbeat(Heartbeat);
+}
+
+void daemon::onLeave(const server_life &Life) { Implementation->onLeave(Life); }
+
+bool daemon::isReady() const { return Implementation->isReady(); }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/daemon.hpp
+++ b/src/dragonflyvane/node/daemon.hpp
@@ -2,23 +2,47 @@
 #ifndef DRAGONFLYVANE_NODE_DAEMON_HPP
 #define DRAGONFLYVANE_NODE_DAEMON_HPP
 
+#include "dragonflyvane/core/backend_server.hpp"
+#include "dragonflyvane/core/configuration/order_book.hpp"
+#include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/core/wire_names.hpp"
+#include "dragonflyvane/net/event_loop.hpp"
+#include "dragonflyvane/net/http_client.hpp"
+#include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #include <memory>
+#include <optional>
 
 namespace dragonflyvane {
 
-/// One daemon. `run` returns after a graceful stop.
+/// What a platform provides.
+struct platform_access {
+  store &Store;
+  order_decoder DecodeOrder;
+  /// The rows that decide what is in force.
+  std::vector<row_id> OrderRows;
+  wire_names Names;
+};
+
+/// One daemon. Used on the event loop's thread.
 class daemon {
 public:
   /// Throws `step_error` when an address cannot be listened on.
-  explicit daemon(const settings &Settings);
+  daemon(event_loop &Loop, const settings &Settings, platform_access Platform,
+         http_client &Client, metrics &Metrics);
   ~daemon();
   daemon(const daemon &) = delete;
   daemon &operator=(const daemon &) = delete;
 
-  /// Runs until SIGTERM or SIGINT. Returns the exit code.
-  int run();
+  /// Begins to serve; SIGTERM and SIGINT end the event loop gracefully.
+  void start();
+  /// The local backend server's heartbeat, and the grant to answer with.
+  std::optional<grant> onHeartbeat(const heartbeat &Heartbeat);
+  /// The local backend server leaves.
+  void onLeave(const server_life &Life);
+  /// Whether this daemon takes callers.
+  bool isReady() const;
 
 private:
   class implementation;
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -1,287 +1,340 @@
 #include "dragonflyvane/node/door.hpp"
 
-#include "dragonflyvane/node/internal_headers.hpp"
+#include "dragonflyvane/net/log.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace dragonflyvane {
 
 namespace {
 
-/// Requests of one workspace that wait for a slot, for each slot.
-constexpr size_t QueuePerSlot = 32;
-constexpr std::chrono::milliseconds BusyRetryAfter{100};
+constexpr std::chrono::milliseconds TickPeriod{25};
+/// What a request is taken to need before its like was seen.
+constexpr std::chrono::milliseconds FirstWork{50};
+/// Weight of the newest observation.
+constexpr double WorkWeight = 0.05;
+constexpr size_t MostRecentPoints = 256;
+constexpr size_t SampleSize = 48;
+/// Requests that a cold server may get in a row.
+constexpr double ColdBurst = 2;
+/// The part of its time that a request may wait for the grant of its key.
+constexpr int GrantWaitPercent = 50;
+constexpr std::chrono::milliseconds ServerConnectTimeout{250};
+/// Backend servers end idle connections after some seconds.
+constexpr std::chrono::milliseconds ServerMaxIdle{4000};
 
-std::chrono::milliseconds toMilliseconds(duration Span) {
-  return std::chrono::ceil<std::chrono::milliseconds>(Span);
+forward_result notRun(std::string Code) {
+  forward_result Result;
+  Result.Outcome = forward_outcome::NotRun;
+  Result.Code = std::move(Code);
+  return Result;
+}
+
+forward_result unknown(std::string Code) {
+  forward_result Result;
+  Result.Outcome = forward_outcome::Unknown;
+  Result.Code = std::move(Code);
+  Result.Reached = true;
+  return Result;
 }
 
 } // namespace
 
-door::door(std::string Host, http_client &Client, const clock_source &Clock,
-           const member &Member, metrics &Metrics, caller_check CallerCheck,
-           weight_of WeightOf)
-    : Host(std::move(Host)), Client(Client), Clock(Clock), Member(Member),
-      Metrics(Metrics), CallerCheck(std::move(CallerCheck)),
-      WeightOf(std::move(WeightOf)),
-      ServesUntil(std::make_shared<std::atomic<int64_t>>(0)) {}
+door::door(parts P)
+    : Parts(std::move(P)), MeanWork(FirstWork), ReportedAt(Parts.Clock.now()) {
+  Tick = Parts.Loop.every(TickPeriod, [this] { tick(); });
+}
 
-void door::setBackend(const std::string &Service, const endpoint &Address,
-                      uint32_t Slots) {
-  backend &Backend = Backends[Service];
-  bool IsNew = Backend.Address != Address;
-  Backend.Address = Address;
-  Backend.Slots = Slots;
-  if (IsNew)
-    Backend.Limit = concurrency_limit(Slots);
-  Backend.Limit.setSlots(Slots);
-  pump(Service);
+std::string door::whyNot(const forward_order &Order) const {
+  const local_server &Server = Parts.Server;
+  if (Server.service() != Order.Service)
+    return "no-server";
+  if (!Server.takesRequests(Parts.Clock.now()))
+    return "server-leaving-or-down";
+  if (Parts.Orders.isEvacuated(Parts.FailureDomain))
+    return "evacuated";
+  if (Order.Point && !Parts.IsOwner(Order.Service, *Order.Point))
+    return "not-owner";
+  return "";
 }
 
-void door::removeBackend(const std::string &Service) {
-  auto Found = Backends.find(Service);
-  if (Found == Backends.end())
-    return;
-  Backends.erase(Found);
-  std::vector<door_id> Ids;
-  for (const auto &[Id, Entry] : Entries)
-    if (Entry.Request.Service == Service)
-      Ids.push_back(Id);
-  for (door_id Id : Ids)
-    giveUp(Id, "backend-lost");
+bool door::mustWaitForGrant(const forward_order &Order) const {
+  return Order.Point && !Parts.Server.holds(*Order.Point, Parts.Clock.now());
 }
 
-/// Refuses a request, and cancels it at the backend server if it runs there.
-void door::giveUp(door_id Id, const std::string &Code) {
-  auto Found = Entries.find(Id);
-  if (Found == Entries.end())
-    return;
-  bool Ran = Found->second.Dispatched;
-  if (Ran)
-    Client.cancel(Found->second.Call);
-  refuse(Id, 503, Code, Ran ? run_state::Unknown : run_state::NotRun);
+duration door::workOf(const std::string &Route) const {
+  auto Found = Work.find(Route);
+  return Found == Work.end() ? MeanWork : Found->second;
 }
 
-door_id door::submit(door_request Request, callback Callback) {
+waiting_request door::waitingOf(door_id Id, const entry &Entry) const {
+  return {Id, Entry.Order.Priority, Entry.Deadline, workOf(Entry.Order.Route)};
+}
+
+uint32_t door::room() const { return Parts.Server.slots(); }
+
+door_id door::submit(forward_order Order, http_request Request,
+                     callback Callback) {
   door_id Id = ++LastId;
+  time_point Now = Parts.Clock.now();
+  ++Arrivals;
+  if (Order.Point) {
+    RecentPoints.push_back(*Order.Point);
+    if (RecentPoints.size() > MostRecentPoints)
+      RecentPoints.pop_front();
+  }
   entry &Entry = Entries[Id];
-  Entry.Id = Id;
+  Entry.Deadline = Now + Order.TimeLeft;
+  Entry.Order = std::move(Order);
   Entry.Request = std::move(Request);
   Entry.Callback = std::move(Callback);
-  Entry.Arrived = Clock.now();
-  const std::string Service = Entry.Request.Service;
-  auto Backend = Backends.find(Service);
-  if (Backend == Backends.end()) {
-    refuse(Id, 503, "no-backend", run_state::NotRun);
-    return Id;
+  std::string Why = whyNot(Entry.Order);
+  if (!Why.empty()) {
+    refuse(Id, Why);
+    return 0;
   }
-  std::optional<fencing_token> Token;
-  if (auto Refusal = refusalFor(Entry, Token)) {
-    finish(Id, toResponse(*Refusal));
+  if (mustWaitForGrant(Entry.Order)) {
+    AwaitingGrant.push_back(Id);
     return Id;
   }
-  const std::string &Workspace = Entry.Request.Workspace;
-  if (Backend->second.Queue.sizeOf(Workspace) >=
-      QueuePerSlot * Backend->second.Slots) {
-    refuse(Id, 503, "queue-full", run_state::NotRun);
-    return Id;
+  waiting_request Waiting = waitingOf(Id, Entry);
+  if (!Queue.fits(Waiting, room(), Running, Now)) {
+    refuse(Id, "queue-full");
+    return 0;
   }
-  Backend->second.Queue.push(Workspace, WeightOf(Workspace),
-                             Entry.Request.Class, Id);
-  pump(Service);
+  Queue.push(Waiting);
+  pump();
   return Id;
 }
 
-void door::pump(const std::string &Service) {
-  auto Found = Backends.find(Service);
-  while (Found != Backends.end() && Found->second.Queue.size() > 0 &&
-         Found->second.Limit.mayStart(Found->second.Busy)) {
-    auto Entry = Entries.find(*Found->second.Queue.pop());
-    if (Entry != Entries.end())
-      dispatch(Found->second, Entry->second);
-    Found = Backends.find(Service);
+void door::cancel(door_id Id) {
+  auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return;
+  Queue.remove(Id);
+  std::erase(AwaitingGrant, Id);
+  if (Found->second.IsRunning) {
+    --Running;
+    Parts.Client.cancel(Found->second.Call);
   }
-  if (Found != Backends.end() && Found->second.Queue.size() > 0)
-    Found->second.Limit.noteSaturated();
+  Entries.erase(Found);
+  pump();
 }
 
-std::optional<refusal>
-door::refusalFor(const entry &Entry,
-                 std::optional<fencing_token> &Token) const {
-  refusal Refusal;
-  Refusal.Step = "door";
-  Refusal.Peer = Host;
-  Refusal.RetryAfter = BusyRetryAfter;
-  time_point Now = Clock.now();
-  const door_request &Request = Entry.Request;
-  if (Now >= Request.Deadline) {
-    Refusal.Status = 504;
-    Refusal.Code = "deadline";
-    return Refusal;
-  }
-  if (!CallerCheck(Request)) {
-    Refusal.Status = 403;
-    Refusal.Code = "key-withdrawn";
-    return Refusal;
+bool door::mayDispatchCold() {
+  time_point Now = Parts.Clock.now();
+  if (!Parts.Server.isCold(Now))
+    return true;
+  auto Config = Parts.Orders.config();
+  auto Service = Config ? Config->Services.find(Parts.Server.service())
+                        : decltype(Config->Services.begin()){};
+  if (!Config || Service == Config->Services.end())
+    return false;
+  double Rate = Service->second.ColdRate;
+  if (Rate <= 0)
+    return true;
+  Cold.resize(Rate, ColdBurst, Now);
+  return Cold.take(1, Now);
+}
+
+void door::pump() {
+  std::deque<door_id> StillWaiting;
+  for (door_id Id : std::exchange(AwaitingGrant, {})) {
+    entry &Entry = Entries.at(Id);
+    std::string Why = whyNot(Entry.Order);
+    if (!Why.empty())
+      refuse(Id, Why);
+    else if (mustWaitForGrant(Entry.Order))
+      StillWaiting.push_back(Id);
+    else
+      Queue.push(waitingOf(Id, Entry));
   }
-  if (!Request.Slice) {
-    Refusal.Code = "not-in-office";
-    return Member.isInOffice(Now) ? std::nullopt : std::optional(Refusal);
+  AwaitingGrant.insert(AwaitingGrant.begin(), StillWaiting.begin(),
+                       StillWaiting.end());
+  std::vector<door_id> TooLate;
+  while (Running < room() && Queue.size() > 0 && mayDispatchCold()) {
+    auto Id = Queue.pop(Parts.Clock.now(), TooLate);
+    if (!Id)
+      break;
+    std::string Why = whyNot(Entries.at(*Id).Order);
+    if (!Why.empty())
+      refuse(*Id, Why);
+    else if (mustWaitForGrant(Entries.at(*Id).Order))
+      AwaitingGrant.push_back(*Id);
+    else
+      dispatch(*Id);
   }
-  Token = Member.dispatchToken({Request.Service, *Request.Slice}, Now);
-  Refusal.Code = "not-owner";
-  return Token ? std::nullopt : std::optional(Refusal);
+  for (door_id Id : TooLate)
+    refuse(Id, "waited-too-long");
 }
 
-void door::dispatch(backend &Backend, entry &Entry) {
-  std::optional<fencing_token> Token;
-  if (auto Refusal = refusalFor(Entry, Token))
-    return finish(Entry.Id, toResponse(*Refusal));
-  door_request &Request = Entry.Request;
-  auto Left = toMilliseconds(Request.Deadline - Clock.now());
-  http_request Out = std::move(Request.Request);
-  Out.Headers.set(WorkspaceHeader, Request.Workspace);
-  Out.Headers.set(TimeoutHeader, std::to_string(Left.count()));
-  if (Request.Slice) {
-    slice_id Slice{Request.Service, *Request.Slice};
-    Out.Headers.set(SliceHeader, std::to_string(Slice.Index));
-    Out.Headers.set(TokenHeader, toString(*Token));
-    ++InFlight[Slice];
-    ++Counts[Slice];
-  }
-  Entry.Dispatched = true;
-  Entry.Sent = Clock.now();
+http_request door::toServer(const entry &Entry) const {
+  const wire_names &Names = Parts.Names;
+  http_request Request = Entry.Request;
+  header_list &Headers = Request.Headers;
+  auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Entry.Deadline - Parts.Clock.now());
+  Headers.set(Names.TimeLeft, std::to_string(std::max<int64_t>(1, Left.count())));
+  Headers.set(Names.OriginService, Entry.Order.OriginService);
+  Headers.set(Names.ExpectedInstance, Parts.Server.life().Instance);
+  Headers.remove(Names.Workspace);
+  if (!Entry.Order.Workspace.empty())
+    Headers.add(Names.Workspace, Entry.Order.Workspace);
+  return Request;
+}
+
+void door::dispatch(door_id Id) {
+  entry &Entry = Entries.at(Id);
+  Entry.IsRunning = true;
+  Entry.SentAt = Parts.Clock.now();
+  Entry.Life = Parts.Server.life();
   ++Running;
-  ++Backend.Busy;
-  ServesUntil->store(Member.servesUntil().time_since_epoch().count());
   call_options Options;
-  Options.Timeout = Left;
-  Options.MaySend = [Until = ServesUntil, Clock = &Clock] {
-    return Clock->now().time_since_epoch().count() < Until->load();
-  };
-  Entry.Call = Client.send(Backend.Address, std::move(Out), std::move(Options),
-                           [this, Id = Entry.Id](call_result Result) {
-                             onResult(Id, std::move(Result));
-                           });
+  Options.Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
+      Entry.Deadline - Entry.SentAt);
+  Options.ConnectTimeout = ServerConnectTimeout;
+  Options.MaxIdle = ServerMaxIdle;
+  if (auto RequestId = Entry.Request.Headers.find(Parts.Names.RequestId))
+    Options.IsMine = [Name = Parts.Names.RequestId,
+                      RequestId = *RequestId](const http_response &Response) {
+      auto Echo = Response.Headers.find(Name);
+      return !Echo || *Echo == RequestId;
+    };
+  Entry.Call = Parts.Client.send(
+      Parts.Server.address(), toServer(Entry), std::move(Options),
+      [this, Id](call_result Result) { onResult(Id, std::move(Result)); });
 }
 
 void door::onResult(door_id Id, call_result Result) {
-  if (!Entries.contains(Id))
+  auto Found = Entries.find(Id);
+  if (Found == Entries.end())
     return;
-  learn(Entries.at(Id), Result);
-  switch (Result.Outcome) {
-  case call_outcome::Answered:
-    return finish(Id, std::move(Result.Response));
-  case call_outcome::NotSent:
-    return refuse(Id, 503, "backend-unreachable", run_state::NotRun);
-  case call_outcome::TimedOut:
-    return refuse(Id, 504, "deadline", run_state::Unknown);
-  case call_outcome::Lost:
-    return refuse(Id, 503, "backend-lost", run_state::Unknown);
+  entry &Entry = Found->second;
+  --Running;
+  Entry.IsRunning = false;
+  duration Took = Parts.Clock.now() - Entry.SentAt;
+  BusyTime += Took;
+  if (Result.Outcome == call_outcome::Answered && Result.Response.Status < 400) {
+    auto [Known, IsNew] = Work.try_emplace(Entry.Order.Route, Took);
+    auto Blend = [&](duration Old) {
+      return std::chrono::duration_cast<duration>(Old * (1 - WorkWeight) +
+                                                  Took * WorkWeight);
+    };
+    Known->second = Blend(Known->second);
+    MeanWork = Blend(MeanWork);
   }
+  bool Refused = Result.Outcome == call_outcome::Refused;
+  bool SameLife = Entry.Life == Parts.Server.life();
+  finish(Id, judge(Entry, std::move(Result)));
+  if (Refused && SameLife)
+    Parts.OnServerDead();
+  pump();
 }
 
-/// What a request's end says about the load that the server can bear.
-void door::learn(const entry &Entry, const call_result &Result) {
-  auto Backend = Backends.find(Entry.Request.Service);
-  if (Backend == Backends.end())
-    return;
-  bool Shed = Result.Outcome == call_outcome::Answered &&
-              (Result.Response.Status == 503 || Result.Response.Status == 429);
-  bool Late = Result.Outcome == call_outcome::TimedOut;
-  time_point Now = Clock.now();
-  Backend->second.Limit.onEnd(Shed || Late ? request_end::Overloaded
-                                           : request_end::Good,
-                              Now - Entry.Sent, Now);
+bool door::isFromServer(const http_response &Response) const {
+  return Response.Headers.find(Parts.Names.Signature) &&
+         !Response.Headers.find("content-encoding");
 }
 
-void door::release(entry &Entry) {
-  if (!Entry.Dispatched)
-    return;
-  Entry.Dispatched = false;
-  --Running;
-  auto Backend = Backends.find(Entry.Request.Service);
-  if (Backend != Backends.end() && Backend->second.Busy > 0)
-    --Backend->second.Busy;
-  if (!Entry.Request.Slice)
-    return;
-  auto Count = InFlight.find({Entry.Request.Service, *Entry.Request.Slice});
-  if (Count != InFlight.end() && --Count->second == 0)
-    InFlight.erase(Count);
+forward_result door::judge(const entry &Entry, call_result Result) const {
+  switch (Result.Outcome) {
+  case call_outcome::Refused:
+    return notRun("server-refused-connection");
+  case call_outcome::NotSent:
+    return notRun("server-unreachable");
+  case call_outcome::Lost:
+    return unknown("connection-lost");
+  case call_outcome::TimedOut:
+    return unknown("server-timeout");
+  case call_outcome::Answered:
+    break;
+  }
+  http_response &Response = Result.Response;
+  if (Response.Headers.find(Parts.Names.NotRun) || Response.Status == 421) {
+    forward_result Refusal =
+        notRun("server-refused-" + std::to_string(Response.Status));
+    Refusal.Reached = true;
+    return Refusal;
+  }
+  auto Echo = Response.Headers.find(Parts.Names.RequestId);
+  if (!Echo || *Echo !=
+                   Entry.Request.Headers.find(Parts.Names.RequestId)
+                       .value_or("") ||
+      !isFromServer(Response))
+    return unknown("bad-answer");
+  forward_result End;
+  End.Outcome = forward_outcome::Answered;
+  End.Reached = true;
+  End.Response = std::move(Response);
+  removeHopByHop(End.Response.Headers);
+  End.Response.Headers.remove(Parts.Names.Load);
+  return End;
 }
 
-void door::finish(door_id Id, http_response Response) {
-  auto Found = Entries.find(Id);
-  if (Found == Entries.end())
-    return;
-  entry Entry = std::move(Found->second);
-  Entries.erase(Found);
-  std::string Service = Entry.Request.Service;
-  Metrics.observe("door_seconds", {{"workspace", Entry.Request.Workspace}},
-                  Clock.now() - Entry.Arrived);
-  release(Entry);
-  Entry.Callback(std::move(Response));
-  pump(Service);
+door_load door::load() const {
+  return {Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
+          Parts.Server.slots(),
+          std::chrono::duration_cast<std::chrono::milliseconds>(MeanWork)};
 }
 
-void door::refuse(door_id Id, int Status, const std::string &Code,
-                  run_state Ran) {
-  refusal Refusal;
-  Refusal.Status = Status;
-  Refusal.Code = Code;
-  Refusal.Ran = Ran;
-  Refusal.Step = "door";
-  Refusal.Peer = Host;
-  Refusal.RetryAfter = BusyRetryAfter;
-  finish(Id, toResponse(Refusal));
+std::chrono::milliseconds door::retryAfter() const {
+  duration Drain = Queue.work() / std::max(1U, room());
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+      std::max<duration>(Drain, std::chrono::milliseconds(50)));
 }
 
-void door::cancel(door_id Id) {
+void door::finish(door_id Id, forward_result Result) {
   auto Found = Entries.find(Id);
-  if (Found == Entries.end())
-    return;
-  if (Found->second.Dispatched)
-    Client.cancel(Found->second.Call);
-  std::string Service = Found->second.Request.Service;
-  release(Found->second);
+  callback Callback = std::move(Found->second.Callback);
   Entries.erase(Found);
-  pump(Service);
+  Result.Load = load();
+  Callback(std::move(Result));
 }
 
-void door::tick() {
-  time_point Now = Clock.now();
-  time_point Until = Member.servesUntil();
-  ServesUntil->store(Until.time_since_epoch().count());
-  std::vector<door_id> Late;
-  for (const auto &[Id, Entry] : Entries)
-    if (!Entry.Dispatched && Now >= Entry.Request.Deadline)
-      Late.push_back(Id);
-  for (door_id Id : Late)
-    refuse(Id, 504, "deadline", run_state::NotRun);
-  if (Running > 0 && Now >= Until)
-    cancelRunning();
-}
-
-/// The lease has ended: another host may serve these slices soon.
-void door::cancelRunning() {
-  std::vector<door_id> Ids;
-  for (const auto &[Id, Entry] : Entries)
-    if (Entry.Dispatched && Entry.Request.Slice)
-      Ids.push_back(Id);
-  for (door_id Id : Ids)
-    giveUp(Id, "lease-ended");
+void door::refuse(door_id Id, const std::string &Code) {
+  forward_result Result = notRun(Code);
+  Result.RetryAfter = retryAfter();
+  finish(Id, std::move(Result));
 }
 
-size_t door::ofSlice(const slice_id &Slice) const {
-  auto Found = InFlight.find(Slice);
-  return Found == InFlight.end() ? 0 : Found->second;
+void door::tick() {
+  time_point Now = Parts.Clock.now();
+  std::vector<door_id> TooLate;
+  Queue.expire(Now, TooLate);
+  for (door_id Id : TooLate)
+    refuse(Id, "waited-too-long");
+  std::vector<door_id> Ungranted;
+  for (door_id Id : AwaitingGrant) {
+    const entry &Entry = Entries.at(Id);
+    duration Left = Entry.Order.TimeLeft * GrantWaitPercent / 100;
+    if (Now > Entry.Deadline - Left)
+      Ungranted.push_back(Id);
+  }
+  for (door_id Id : Ungranted) {
+    std::erase(AwaitingGrant, Id);
+    refuse(Id, "key-not-granted");
+  }
+  if (Queue.size() > 0 || !AwaitingGrant.empty())
+    pump();
 }
 
-size_t door::queued() const { return Entries.size() - Running; }
-
-std::map<slice_id, uint64_t> door::takeCounts() {
-  return std::exchange(Counts, {});
+load_report door::takeReport() {
+  load_report Report;
+  time_point Now = Parts.Clock.now();
+  double Seconds =
+      std::chrono::duration<double>(Now - ReportedAt).count();
+  if (Seconds <= 0)
+    return Report;
+  Report.Rate = static_cast<double>(Arrivals) / Seconds;
+  Report.Utilization = std::chrono::duration<double>(BusyTime).count() /
+                       Seconds / std::max(1U, Parts.Server.slots());
+  size_t Step = std::max<size_t>(1, RecentPoints.size() / SampleSize);
+  for (size_t I = 0; I < RecentPoints.size(); I += Step)
+    Report.Sample.push_back(RecentPoints[I]);
+  ReportedAt = Now;
+  Arrivals = 0;
+  BusyTime = duration{0};
+  return Report;
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/entrance.hpp
+++ b/src/dragonflyvane/node/entrance.hpp
@@ -1,22 +1,25 @@
-/// Where callers come in: authenticates, finds the owner, forwards, and brings
-/// the whole answer back.
+/// Where requests come in: finds route, workspace and owner, forwards, tries
+/// again where that is allowed, and answers.
 #ifndef DRAGONFLYVANE_NODE_ENTRANCE_HPP
 #define DRAGONFLYVANE_NODE_ENTRANCE_HPP
 
+#include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/clock.hpp"
-#include "dragonflyvane/core/configuration.hpp"
-#include "dragonflyvane/core/member.hpp"
-#include "dragonflyvane/core/refusal.hpp"
+#include "dragonflyvane/core/wire_names.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/net/peer_link.hpp"
 #include "dragonflyvane/node/door.hpp"
+#include "dragonflyvane/node/peer_directory.hpp"
+#include "dragonflyvane/node/rate_gate.hpp"
+#include "dragonflyvane/node/settings.hpp"
 
-#include <functional>
+#include <map>
 #include <memory>
 #include <random>
 #include <string>
+#include <vector>
 
 namespace dragonflyvane {
 
@@ -24,16 +27,16 @@
 class entrance {
 public:
   struct parts {
-    std::string Host;
+    const settings &Settings;
     event_loop &Loop;
     const clock_source &Clock;
-    member &Member;
+    const order_book &Orders;
+    const cluster_view &View;
     door &Door;
     peer_client &Peers;
+    rate_gate &Rates;
+    const wire_names &Names;
     metrics &Metrics;
-    std::chrono::milliseconds RequestTimeout;
-    /// Sends what the member wants sent.
-    std::function<void()> ActForMember;
   };
 
   explicit entrance(parts Parts);
@@ -41,34 +44,23 @@
 
   /// A request of a caller.
   void serve(const exchange_pointer &Exchange);
-  /// A request that another daemon's entrance forwarded to this host's door.
-  void serveForwarded(const exchange_pointer &Exchange);
-  /// Whether the caller key behind a hash still stands for the workspace.
-  bool isCallerValid(const door_request &Request) const;
-  /// A workspace's share of scarce slots: its rate.
-  double weightOf(const std::string &Workspace) const;
+  /// Owners or hosts have changed: requests that wait for one look again.
+  void onClusterChange();
+  /// Requests that are not answered yet.
   size_t open() const { return Open; }
 
-  /// What a stopping entrance does with callers.
-  enum class stop_phase {
-    Running,
-    /// Serves, and closes each connection after its answer.
-    Closing,
-    /// Refuses new requests, "not run", and ends what it has.
-    Refusing,
-  };
-  void setPhase(stop_phase Next) { Phase = Next; }
-
 private:
   class journey;
   friend class journey;
 
-  const configuration *config() const;
+  retry_budget &budgetOf(const std::string &Service);
 
   parts Parts;
+  peer_directory Directory;
+  std::map<std::string, retry_budget> Budgets;
+  std::vector<std::weak_ptr<journey>> Waiting;
   std::mt19937_64 Random;
   size_t Open = 0;
-  stop_phase Phase = stop_phase::Running;
 };
 
 } // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/node/forwarding.cpp
@@ -0,0 +1,115 @@
+#include "dragonflyvane/node/forwarding.hpp"
+
+#include <charconv>
+#include <cstdio>
+
+namespace dragonflyvane {
+
+namespace {
+
+constexpr const char *ServiceField = "x-dragonflyvane-service";
+constexpr const char *PointField = "x-dragonflyvane-point";
+constexpr const char *WorkspaceField = "x-dragonflyvane-workspace";
+constexpr const char *OriginField = "x-dragonflyvane-origin";
+constexpr const char *RouteField = "x-dragonflyvane-route";
+constexpr const char *PriorityField = "x-dragonflyvane-priority";
+constexpr const char *TimeField = "x-dragonflyvane-time-left";
+/// `not-run` or `unknown`; absent when the backend server answered.
+constexpr const char *OutcomeField = "x-dragonflyvane-outcome";
+constexpr const char *CodeField = "x-dragonflyvane-code";
+constexpr const char *ReachedField = "x-dragonflyvane-reached";
+constexpr const char *RetryField = "x-dragonflyvane-retry-ms";
+/// `BUSY,SLOTS,WORK_MS`.
+constexpr const char *LoadField = "x-dragonflyvane-load";
+
+template <typename Number>
+Number toNumber(const std::optional<std::string> &Text, Number Default) {
+  if (!Text)
+    return Default;
+  Number Value = Default;
+  std::from_chars(Text->data(), Text->data() + Text->size(), Value);
+  return Value;
+}
+
+std::string encodeLoad(const door_load &Load) {
+  return std::to_string(Load.Busy) + "," + std::to_string(Load.Slots) + "," +
+         std::to_string(Load.Work.count());
+}
+
+door_load decodeLoad(const std::optional<std::string> &Text) {
+  door_load Load;
+  unsigned Busy = 0;
+  unsigned Slots = 0;
+  long Work = 0;
+  if (!Text || sscanf(Text->c_str(), "%u,%u,%ld", &Busy, &Slots, &Work) != 3)
+    return Load;
+  return {Busy, Slots, std::chrono::milliseconds(Work)};
+}
+
+} // namespace
+
+void writeOrder(const forward_order &Order, header_list &Headers) {
+  Headers.add(ServiceField, Order.Service);
+  if (Order.Point)
+    Headers.add(PointField, std::to_string(*Order.Point));
+  if (!Order.Workspace.empty())
+    Headers.add(WorkspaceField, Order.Workspace);
+  Headers.add(OriginField, Order.OriginService);
+  Headers.add(RouteField, Order.Route);
+  Headers.add(PriorityField, std::to_string(Order.Priority));
+  Headers.add(TimeField, std::to_string(Order.TimeLeft.count()));
+}
+
+std::optional<forward_order> takeOrder(header_list &Headers) {
+  auto Service = Headers.find(ServiceField);
+  auto TimeLeft = Headers.find(TimeField);
+  if (!Service || !TimeLeft)
+    return std::nullopt;
+  forward_order Order;
+  Order.Service = *Service;
+  if (auto Point = Headers.find(PointField))
+    Order.Point = toNumber<key_point>(Point, 0);
+  Order.Workspace = Headers.find(WorkspaceField).value_or("");
+  Order.OriginService = Headers.find(OriginField).value_or("");
+  Order.Route = Headers.find(RouteField).value_or("");
+  Order.Priority = toNumber<int>(Headers.find(PriorityField), 0);
+  Order.TimeLeft = std::chrono::milliseconds(toNumber<int64_t>(TimeLeft, 0));
+  removeInternal(Headers);
+  return Order;
+}
+
+http_response encodeResult(forward_result Result) {
+  http_response Response = std::move(Result.Response);
+  if (Result.Outcome != forward_outcome::Answered) {
+    bool NotRun = Result.Outcome == forward_outcome::NotRun;
+    Response.Status = NotRun ? 503 : 502;
+    Response.Headers.add(OutcomeField, NotRun ? "not-run" : "unknown");
+    Response.Headers.add(CodeField, Result.Code);
+  }
+  if (Result.Reached)
+    Response.Headers.add(ReachedField, "1");
+  if (Result.RetryAfter.count() > 0)
+    Response.Headers.add(RetryField, std::to_string(Result.RetryAfter.count()));
+  Response.Headers.add(LoadField, encodeLoad(Result.Load));
+  return Response;
+}
+
+forward_result decodeResult(http_response Response) {
+  forward_result Result;
+  auto Outcome = Response.Headers.find(OutcomeField);
+  if (!Outcome)
+    Result.Outcome = forward_outcome::Answered;
+  else
+    Result.Outcome = *Outcome == "not-run" ? forward_outcome::NotRun
+                                           : forward_outcome::Unknown;
+  Result.Code = Response.Headers.find(CodeField).value_or("");
+  Result.Reached = Response.Headers.find(ReachedField).has_value();
+  Result.RetryAfter = std::chrono::milliseconds(
+      toNumber<int64_t>(Response.Headers.find(RetryField), 0));
+  Result.Load = decodeLoad(Response.Headers.find(LoadField));
+  removeInternal(Response.Headers);
+  Result.Response = std::move(Response);
+  return Result;
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -0,0 +1,82 @@
+/// The backend server beside this daemon: what it says of itself, and what it
+/// is granted.
+#ifndef DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
+#define DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
+
+#include "dragonflyvane/core/backend_server.hpp"
+#include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/cluster/host_info.hpp"
+#include "dragonflyvane/core/ownership/grant_book.hpp"
+#include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/node/settings.hpp"
+
+#include <optional>
+
+namespace dragonflyvane {
+
+/// The ownership that the local backend server's grants follow.
+struct grant_terms {
+  /// The map of its service; null while unknown.
+  const ownership_map *Map = nullptr;
+  /// Its failure domain is evacuated.
+  bool Evacuated = false;
+  time_point Until{};
+};
+
+/// One backend server over all its lives.
+class local_server {
+public:
+  local_server(const settings &Settings, const clock_source &Clock);
+
+  /// Takes a heartbeat in; the grant to answer with, if any. Late heartbeats
+  /// of earlier lives change nothing.
+  std::optional<grant> onHeartbeat(const heartbeat &Heartbeat,
+                                   const grant_terms &Terms);
+  /// The server says that it leaves.
+  void onLeave(const server_life &Life);
+  /// Nothing listens at its address: this life has ended.
+  void onRefusedConnection();
+  /// Notices silence.
+  void tick();
+
+  server_standing standing() const { return Standing; }
+  const std::string &service() const { return Service; }
+  const server_life &life() const { return Life; }
+  const endpoint &address() const { return Address; }
+  uint32_t slots() const { return Slots; }
+  bool isCold(time_point Now) const { return Now < ColdUntil; }
+  /// Whether requests may still be sent to it: it is ready, or has not been
+  /// leaving for long.
+  bool takesRequests(time_point Now) const;
+  bool holds(key_point Point, time_point Now) const {
+    return Book.holds(Point, Now);
+  }
+  /// Its ranges are to go elsewhere.
+  bool givesUp(const grant_terms &Terms) const {
+    return Standing != server_standing::Ready || Terms.Evacuated;
+  }
+  std::vector<free_range> freeRanges(const grant_terms &Terms) const;
+  void relinquish(const owned_range &Range) { Book.relinquish(Range); }
+  /// How the host's row is to tell of it.
+  void describe(host_info &Info) const;
+
+private:
+  void startLife(const heartbeat &Heartbeat);
+
+  const clock_source &Clock;
+  std::chrono::milliseconds DrainTimeout;
+  grant_book Book;
+  server_standing Standing = server_standing::None;
+  server_life Life;
+  std::string Service;
+  endpoint Address;
+  uint32_t Slots = 0;
+  uint64_t Sequence = 0;
+  time_point LastHeard{};
+  time_point LeavingSince{};
+  time_point ColdUntil{};
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
--- /dev/null
+++ b/src/dragonflyvane/node/peer_directory.hpp
@@ -0,0 +1,60 @@
+/// Which hosts can take a request, judged by what they said and how calls to
+/// them ended.
+#ifndef DRAGONFLYVANE_NODE_PEER_DIRECTORY_HPP
+#define DRAGONFLYVANE_NODE_PEER_DIRECTORY_HPP
+
+#include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/configuration/order_book.hpp"
+#include "dragonflyvane/node/forwarding.hpp"
+
+#include <map>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+
+namespace dragonflyvane {
+
+/// Loads and failures of hosts, as one entrance sees them.
+class peer_directory {
+public:
+  peer_directory(const cluster_view &View, const order_book &Orders,
+                 const clock_source &Clock, std::string FailureDomain)
+      : View(View), Orders(Orders), Clock(Clock),
+        FailureDomain(std::move(FailureDomain)), Random(std::random_device{}()) {
+  }
+
+  /// The better of two random hosts of a service by expected time; hosts of
+  /// `Tried` only if there is no other.
+  std::optional<std::string> pick(const std::string &Service,
+                                  const std::set<std::string> &Tried);
+
+  void onSent(const std::string &Host) { ++Hosts[Host].Outstanding; }
+  void onEnded(const std::string &Host, const door_load &Load);
+  /// The host could not be reached.
+  void onUnreachable(const std::string &Host);
+  /// Whether the host could not be reached just now.
+  bool isSuspect(const std::string &Host) const;
+
+private:
+  struct state {
+    uint32_t Outstanding = 0;
+    door_load Load;
+    time_point LoadAt{};
+    time_point SuspectUntil{};
+  };
+
+  double expectedTime(const std::string &Host) const;
+
+  const cluster_view &View;
+  const order_book &Orders;
+  const clock_source &Clock;
+  std::string FailureDomain;
+  std::map<std::string, state> Hosts;
+  std::mt19937_64 Random;
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_NODE_PEER_DIRECTORY_HPP
--- /dev/null
+++ b/src/dragonflyvane/node/peer_messages.hpp
@@ -0,0 +1,42 @@
+/// Messages between daemons beside forwarded requests: load reports to the
+/// steward, and asks for tokens of the rate pool.
+#ifndef DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
+#define DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
+
+#include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/http_message.hpp"
+#include "dragonflyvane/core/ownership/assignment.hpp"
+
+#include <optional>
+#include <string>
+
+namespace dragonflyvane {
+
+/// What a host tells the steward.
+struct report_message {
+  std::string Host;
+  load_report Load;
+};
+
+/// An ask for tokens of a workspace.
+struct token_ask {
+  std::string Workspace;
+  double Amount = 0;
+};
+
+/// The answer: tokens, or none and when to ask again.
+struct token_answer {
+  double Tokens = 0;
+  std::chrono::milliseconds AskAfter{0};
+};
+
+http_request encodeReport(const report_message &Message);
+std::optional<report_message> decodeReport(const http_request &Request);
+http_request encodeAsk(const token_ask &Ask);
+std::optional<token_ask> decodeAsk(const http_request &Request);
+http_response encodeAnswer(const token_answer &Answer);
+std::optional<token_answer> decodeAnswer(const http_response &Response);
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
--- /dev/null
+++ b/src/dragonflyvane/node/rate_gate.hpp
@@ -0,0 +1,50 @@
+/// Admits requests within the rates of their workspaces; asks the pool of
+/// another host when the own part is used up.
+#ifndef DRAGONFLYVANE_NODE_RATE_GATE_HPP
+#define DRAGONFLYVANE_NODE_RATE_GATE_HPP
+
+#include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/rate/workspace_rates.hpp"
+
+#include <functional>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace dragonflyvane {
+
+/// Used on the event loop's thread.
+class rate_gate {
+public:
+  /// `RetryAfter` counts when the request is not admitted.
+  using callback = std::function<void(bool Admitted, duration RetryAfter)>;
+  /// The pool's answer: tokens, or none and when to ask again.
+  using pool_callback = std::function<void(double Tokens, duration AskAfter)>;
+  /// Asks the pool for tokens.
+  using pool_asker = std::function<void(const std::string &Workspace,
+                                        double Amount, pool_callback)>;
+
+  rate_gate(const clock_source &Clock, pool_asker Ask)
+      : Clock(Clock), Ask(std::move(Ask)) {}
+
+  void configure(const std::map<std::string, workspace> &Workspaces,
+                 size_t Hosts) {
+    Rates.configure(Workspaces, Hosts, Clock.now());
+  }
+  void admit(const std::string &Workspace, callback Callback);
+
+private:
+  void askPool(const std::string &Workspace);
+  void onChunk(const std::string &Workspace, double Tokens, duration AskAfter);
+
+  const clock_source &Clock;
+  pool_asker Ask;
+  host_rates Rates;
+  /// Requests that wait for the pool's answer; an ask is under way for each
+  /// workspace here.
+  std::map<std::string, std::vector<callback>> Waiting;
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_NODE_RATE_GATE_HPP
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -2,35 +2,50 @@
 #ifndef DRAGONFLYVANE_NODE_SETTINGS_HPP
 #define DRAGONFLYVANE_NODE_SETTINGS_HPP
 
+#include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <chrono>
 #include <string>
+#include <vector>
 
 namespace dragonflyvane {
 
-/// What a daemon learns from its flags and variables.
+/// What a daemon is told at its start.
 struct settings {
+  /// Unique name of this host.
   std::string Host;
-  std::string Domain;
+  std::string FailureDomain;
+  std::vector<std::string> FailureDomains;
+  /// The service of the backend server beside this daemon.
+  std::string LocalService;
+  /// Where callers and the local backend server send requests.
   endpoint Entrance;
-  /// TCP for peer streams and UDP for datagrams.
+  /// Where other daemons open streams.
   endpoint Peer;
+  /// Where operators and scrapers ask.
   endpoint Admin;
-  endpoint Platform;
-  std::string OperatorToken;
-  size_t MaxBody = size_t{8} << 20;
-  std::chrono::milliseconds RequestTimeout{10'000};
-  std::chrono::milliseconds DrainTimeout{15'000};
-  int EntranceThreads = 2;
+  /// Where the local backend server sends heartbeats.
+  endpoint Control;
+  /// Where the platform asks whether this daemon takes callers.
+  endpoint Readiness;
+  endpoint Store;
+  /// Requests with a caller key are served only on evidence younger than this
+  /// that the key still stands.
+  std::chrono::milliseconds EvidenceLimit{4700};
+  /// The longest hold that a backend server may be given.
+  std::chrono::milliseconds LongestHold{10'000};
+  /// After a planned stop began, the process must have ended by then.
+  std::chrono::milliseconds StopTimeout{5000};
+  /// A leaving backend server gets nothing new after this.
+  std::chrono::milliseconds DrainTimeout{2000};
+  retry_terms RetryTerms;
+  /// The part by which a cold backend server may get more than its rate.
+  double ColdTolerance = 1.0;
   log_level LogLevel = log_level::Info;
 };
 
-/// Reads and checks the flags and variables; exits with code 2 when one is
-/// wrong.
-settings readSettings(int Count, char **Arguments);
-
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_NODE_SETTINGS_HPP
--- /dev/null
+++ b/src/dragonflyvane/node/steward.cpp
@@ -0,0 +1,245 @@
+#include "dragonflyvane/node/steward.hpp"
+
+#include "dragonflyvane/net/log.hpp"
+
+namespace dragonflyvane {
+
+namespace {
+
+constexpr std::chrono::milliseconds TickPeriod{250};
+constexpr std::chrono::milliseconds LeaseReadPeriod{1000};
+/// Changes that come together are planned together.
+constexpr std::chrono::milliseconds PlanDelay{10};
+/// A steward that has not been heard of for so long is replaced; each further
+/// host in the order of names waits a little longer.
+constexpr std::chrono::milliseconds OfficeTimeout{2500};
+constexpr std::chrono::milliseconds OfficeStep{400};
+/// Before the first map of a service, the number of its backend servers must
+/// have stood for so long.
+constexpr std::chrono::milliseconds SettleTime{1200};
+constexpr std::chrono::milliseconds BalancePeriod{1500};
+
+} // namespace
+
+steward::steward(parts P) : Parts(P), LastHeard(P.Clock.now()) {
+  Tick = Parts.Loop.every(TickPeriod, [this] { tick(); });
+  LeaseTick = Parts.Loop.every(LeaseReadPeriod, [this] { readLeases(); });
+}
+
+bool steward::isActive() const {
+  return Parts.Sync.view().steward().Content == Parts.Host &&
+         Parts.Sync.holdsLease();
+}
+
+void steward::onClusterChange() {
+  if (PlanIsDue)
+    return;
+  PlanIsDue = true;
+  Soon = Parts.Loop.after(PlanDelay, [this] {
+    PlanIsDue = false;
+    plan();
+  });
+}
+
+void steward::onReport(const std::string &Host, const load_report &Report) {
+  Loads[Host] = Report;
+}
+
+void steward::tick() {
+  considerOffice();
+  plan();
+}
+
+void steward::considerOffice() {
+  const std::string &Holder = Parts.Sync.view().steward().Content;
+  time_point Now = Parts.Clock.now();
+  if (Holder == Parts.Host) {
+    LastHeard = Now;
+    return;
+  }
+  if (!Parts.Sync.holdsLease() || TakingOffice)
+    return;
+  int Rank = 0;
+  for (const auto &[Name, Host] : Parts.Sync.view().hosts()) {
+    if (Name == Parts.Host)
+      break;
+    Rank += Name != Holder;
+  }
+  bool IsVacant = Holder.empty();
+  duration Patience = (IsVacant ? duration{0} : duration{OfficeTimeout}) +
+                      OfficeStep * Rank;
+  if (Now - LastHeard >= Patience)
+    takeOffice();
+}
+
+void steward::takeOffice() {
+  TakingOffice = true;
+  const versioned<std::string> &Row = Parts.Sync.view().steward();
+  std::string Before = Row.Content;
+  store_transaction Transaction;
+  Transaction.Conditions.push_back({stewardRow(), Row.Version});
+  Transaction.Writes.push_back({stewardRow(), Parts.Host});
+  Parts.Sync.transact(
+      Transaction, [this, Before](const transaction_result &Result) {
+        TakingOffice = false;
+        LastHeard = Parts.Clock.now();
+        if (Result.Outcome != transaction_outcome::Committed)
+          return;
+        writeLog(log_level::Info, "steward from now on",
+                 {{"step", "steward"}, {"before", Before}});
+        // The pool of the one before ends with its lease at the latest.
+        PoolOpens = Parts.Clock.now() +
+                    (Before.empty() ? duration{0}
+                                    : duration{LeaseLength + LeaseMargin});
+        Pool.clear();
+        Leases.clear();
+      });
+}
+
+double steward::takeTokens(const std::string &Workspace, double Amount,
+                           duration &AskAfter) {
+  time_point Now = Parts.Clock.now();
+  AskAfter = std::chrono::milliseconds(100);
+  auto Config = Parts.Orders.config();
+  if (!isActive() || !Config)
+    return 0;
+  Pool.configure(Config->Workspaces, Now);
+  return Now < PoolOpens ? 0 : Pool.take(Workspace, Amount, AskAfter, Now);
+}
+
+void steward::readLeases() {
+  if (!isActive() || ReadingLeases)
+    return;
+  ReadingLeases = true;
+  Parts.Sync.readLeases([this](const read_result &Result) {
+    ReadingLeases = false;
+    if (Result.Outcome != read_outcome::Answered || !isActive())
+      return;
+    Leases.observe(Result.Batch);
+    takeOverLapsed();
+  });
+}
+
+std::vector<candidate>
+steward::candidatesOf(const std::string &Service) const {
+  std::vector<candidate> Candidates;
+  for (const auto &[Name, Row] : Parts.Sync.view().hosts()) {
+    const host_info &Info = Row.Content;
+    bool Usable = Info.Service == Service &&
+                  Info.Standing == server_standing::Ready &&
+                  !Parts.Orders.isEvacuated(Info.FailureDomain);
+    if (Usable)
+      Candidates.push_back(
+          {Name, Info.Life, static_cast<double>(std::max(1U, Info.Slots))});
+  }
+  return Candidates;
+}
+
+bool steward::isSettled(const std::string &Service,
+                        const std::vector<candidate> &Candidates) {
+  time_point Now = Parts.Clock.now();
+  settling &State = Settling[Service];
+  if (State.Candidates != Candidates.size())
+    State = {Candidates.size(), Now};
+  return Now - State.Since >= SettleTime;
+}
+
+void steward::plan() {
+  auto Config = Parts.Orders.config();
+  if (!isActive() || !Config) {
+    WasActive = false;
+    return;
+  }
+  if (!WasActive)
+    Pool.configure(Config->Workspaces, Parts.Clock.now());
+  WasActive = true;
+  for (const auto &[Name, Service] : Config->Services)
+    if (Service.Keyed)
+      planService(Name);
+}
+
+void steward::planService(const std::string &Service) {
+  std::vector<candidate> Candidates = candidatesOf(Service);
+  if (Candidates.empty())
+    return;
+  bool IsFirst = !Parts.Sync.view().map(Service);
+  if (IsFirst && !isSettled(Service, Candidates))
+    return;
+  time_point Now = Parts.Clock.now();
+  bool MayBalance = Now - LastBalance[Service] >= BalancePeriod;
+  Parts.Sync.change(
+      {Service,
+       [this, Candidates, MayBalance, Service](ownership_map &Map,
+                                               uint64_t Token) {
+         plan_options Options;
+         Options.Token = Token;
+         bool Changed = assignFree(Map, Candidates, Options);
+         Changed |= orderMoves(Map, Candidates);
+         if (!MayBalance || Changed)
+           return Changed;
+         LastBalance[Service] = Parts.Clock.now();
+         return orderBalance(Map, Candidates, Loads, Options);
+       },
+       {}});
+}
+
+bool steward::ownsAnything(const std::string &Host) const {
+  for (const auto &[Service, Map] : Parts.Sync.view().maps())
+    for (const owned_range &Range : Map.Content.Ranges)
+      if (Range.Owner == Host)
+        return true;
+  return false;
+}
+
+void steward::takeOverLapsed() {
+  std::set<std::string> Lapsed = Leases.lapsed();
+  Lapsed.erase(Parts.Host);
+  if (Lapsed.empty())
+    return;
+  for (const auto &[Service, Map] : Parts.Sync.view().maps())
+    planTakeOver(Service, Lapsed);
+  removeHosts(Lapsed);
+}
+
+void steward::planTakeOver(const std::string &Service,
+                           const std::set<std::string> &Lapsed) {
+  store_transaction Also;
+  std::set<std::string> Owners;
+  for (const owned_range &Range :
+       Parts.Sync.view().map(Service)->Content.Ranges)
+    if (Lapsed.contains(Range.Owner))
+      Owners.insert(Range.Owner);
+  if (Owners.empty())
+    return;
+  for (const std::string &Owner : Owners) {
+    writeLog(log_level::Warning, "taking over from a lapsed host",
+             {{"step", "steward"},
+              {"peer", Owner},
+              {"service", Service},
+              {"lease_version", Leases.versionOf(Owner)}});
+    // The row changes, so that a late renewal of the lapsed host fails.
+    Also.Conditions.push_back({leaseRow(Owner), Leases.versionOf(Owner)});
+    Also.Writes.push_back({leaseRow(Owner), "{}"});
+  }
+  Parts.Sync.change({Service,
+                     [Owners](ownership_map &Map, uint64_t) {
+                       return takeOver(Map, Owners);
+                     },
+                     Also});
+}
+
+void steward::removeHosts(const std::set<std::string> &Lapsed) {
+  for (const std::string &Host : Lapsed) {
+    auto Row = Parts.Sync.view().hosts().find(Host);
+    if (Row == Parts.Sync.view().hosts().end() || ownsAnything(Host))
+      continue;
+    store_transaction Transaction;
+    Transaction.Conditions = {{hostRow(Host), Row->second.Version},
+                              {leaseRow(Host), Leases.versionOf(Host)}};
+    Transaction.Writes = {{hostRow(Host), std::nullopt},
+                          {leaseRow(Host), "{}"}};
+    Parts.Sync.transact(Transaction, [](const transaction_result &) {});
+  }
+}
+
+} // namespace dragonflyvane
--- a/src/programs/dragonflyvanectl.cpp
+++ /dev/null
@@ -1,6 +0,0 @@
-/// The operators' tool.
-#include <dragonflyvane/node.hpp>
-
-int main(int Count, char **Arguments) {
-  return dragonflyvane::runOperatorTool(Count, Arguments);
-}
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -1,21 +1,40 @@
-/// The daemon program.
-#include <dragonflyvane/core.hpp>
+/// The daemon program, on the users' platform.
 #include <dragonflyvane/node.hpp>
+#include <platform/platform.hpp>
 
 #include <exception>
 
+namespace {
+
+using namespace dragonflyvane;
+
+int run(const settings &Settings) {
+  event_loop Loop;
+  metrics Metrics;
+  http_client Client(Loop);
+  platform::store_client Store(Client, Settings.Store, Metrics);
+  dragonflyvane::daemon Daemon(Loop, Settings, platform::access(Store, Settings), Client,
+                Metrics);
+  platform::control_api Control(Loop, Settings, Daemon);
+  Daemon.start();
+  Loop.run();
+  return 0;
+}
+
+} // namespace
+
 int main(int Count, char **Arguments) {
-  dragonflyvane::settings Settings =
-      dragonflyvane::readSettings(Count, Arguments);
-  dragonflyvane::setUpLog(Settings.Host, Settings.LogLevel);
+  daemon_flags Flags = readDaemonFlags(Count, Arguments);
   try {
-    return dragonflyvane::daemon(Settings).run();
-  } catch (const dragonflyvane::step_error &Error) {
-    dragonflyvane::writeLog(dragonflyvane::log_level::Error, Error.what(),
-                            {{"step", Error.step()}, {"peer", Error.peer()}});
+    settings Settings = platform::readSettingsFile(Flags.ConfigPath);
+    setUpLog(Settings.Host, Flags.LogLevel);
+    return run(Settings);
+  } catch (const step_error &Error) {
+    writeLog(log_level::Error, Error.what(),
+             {{"step", Error.step()}, {"peer", Error.peer()}});
+    return Error.step() == "settings" ? UsageExitCode : 1;
   } catch (const std::exception &Error) {
-    dragonflyvane::writeLog(dragonflyvane::log_level::Error, Error.what(),
-                            {{"step", "run"}});
+    writeLog(log_level::Error, Error.what(), {{"step", "run"}});
   }
   return 1;
 }
