--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -217,7 +217,7 @@
       return;
     if (Result.Outcome != read_outcome::Answered ||
         Result.Batch.Revision < ClaimedAt) {
-      HostRetry = Parts.Loop.after(
+      MapRetry = Parts.Loop.after(
           ReadRetry, [this, ClaimedAt] { readMapAfterClaim(ClaimedAt); });
       return;
     }
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -106,6 +106,7 @@
   std::optional<host_info> Wanted;
   bool WritingHost = false;
   timer HostRetry;
+  timer MapRetry;
 };
 
 } // namespace dragonflyvane
