Store calls through peers while the own way is broken

Ruled out: longer leases, since a withdrawn key must stop within 5 s. Change: after a failed call the next ones go through a peer for 2 s; evidence is as old as the asker's call. A host that stops refuses new requests after 2.2 s.

--- /dev/null
+++ b/src/dragonflyvane/net/store_codec.cpp
@@ -0,0 +1,162 @@
+#include "dragonflyvane/net/store_codec.hpp"
+
+#include <nlohmann/json.hpp>
+
+namespace dragonflyvane {
+
+namespace {
+
+using json = nlohmann::json;
+
+/// Only daemons send this field; entrances remove it from callers.
+constexpr const char *KindField = "x-dragonflyvane-store";
+
+json toJson(const row_id &Id) {
+  return {static_cast<int>(Id.Kind), Id.Key};
+}
+
+row_id toId(const json &Json) {
+  return {static_cast<row_kind>(Json.at(0).get<int>()),
+          Json.at(1).get<std::string>()};
+}
+
+json toJson(const std::optional<std::string> &Value) {
+  return Value ? json(*Value) : json();
+}
+
+std::optional<std::string> toValue(const json &Json) {
+  if (Json.is_null())
+    return std::nullopt;
+  return Json.get<std::string>();
+}
+
+json toJson(const std::vector<stored_row> &Rows) {
+  json List = json::array();
+  for (const stored_row &Row : Rows)
+    List.push_back({toJson(Row.Id), Row.Version, toJson(Row.Value)});
+  return List;
+}
+
+std::vector<stored_row> toRows(const json &List) {
+  std::vector<stored_row> Rows;
+  for (const json &Row : List)
+    Rows.push_back({toId(Row.at(0)), Row.at(1).get<row_version>(),
+                    toValue(Row.at(2))});
+  return Rows;
+}
+
+json toJson(const store_transaction &Transaction) {
+  json Conditions = json::array();
+  for (const row_condition &Condition : Transaction.Conditions)
+    Conditions.push_back({toJson(Condition.Id), Condition.Version});
+  json Writes = json::array();
+  for (const row_write &Write : Transaction.Writes)
+    Writes.push_back({toJson(Write.Id), toJson(Write.Value)});
+  return {{"conditions", Conditions}, {"writes", Writes}};
+}
+
+store_transaction toTransaction(const json &Json) {
+  store_transaction Transaction;
+  for (const json &Row : Json.at("conditions"))
+    Transaction.Conditions.push_back(
+        {toId(Row.at(0)), Row.at(1).get<row_version>()});
+  for (const json &Row : Json.at("writes"))
+    Transaction.Writes.push_back({toId(Row.at(0)), toValue(Row.at(1))});
+  return Transaction;
+}
+
+http_response respond(const json &Body) {
+  return jsonResponse(
+      200, Body.dump(-1, ' ', false, json::error_handler_t::replace));
+}
+
+http_request request(const char *Kind, const json &Body) {
+  http_request Request;
+  Request.Method = "POST";
+  Request.Headers.add(KindField, Kind);
+  Request.Body = Body.dump(-1, ' ', false, json::error_handler_t::replace);
+  return Request;
+}
+
+store_call toCall(const std::string &Kind, const json &Body) {
+  if (Kind == "transact")
+    return toTransaction(Body);
+  auto RowKind = static_cast<row_kind>(Body.at("kind").get<int>());
+  if (Kind == "read")
+    return store_read{RowKind};
+  return store_watch{RowKind, Body.at("after").get<row_version>(),
+                     std::chrono::milliseconds(Body.at("wait").get<int>())};
+}
+
+} // namespace
+
+http_request encodeCall(const store_call &Call) {
+  if (const auto *Read = std::get_if<store_read>(&Call))
+    return request("read", {{"kind", static_cast<int>(Read->Kind)}});
+  if (const auto *Watch = std::get_if<store_watch>(&Call))
+    return request("watch", {{"kind", static_cast<int>(Watch->Kind)},
+                             {"after", Watch->After},
+                             {"wait", Watch->Wait.count()}});
+  return request("transact", toJson(std::get<store_transaction>(Call)));
+}
+
+std::optional<store_call> decodeCall(const http_request &Request) {
+  auto Kind = Request.Headers.find(KindField);
+  if (!Kind)
+    return std::nullopt;
+  try {
+    return toCall(*Kind, json::parse(Request.Body));
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
+}
+
+http_response encodeEnd(const read_result &Result) {
+  return respond({{"outcome", static_cast<int>(Result.Outcome)},
+                  {"revision", Result.Batch.Revision},
+                  {"time", Result.Batch.StoreTime.count()},
+                  {"rows", toJson(Result.Batch.Rows)},
+                  {"error", Result.Error}});
+}
+
+http_response encodeEnd(const transaction_result &Result) {
+  return respond({{"outcome", static_cast<int>(Result.Outcome)},
+                  {"revision", Result.Revision},
+                  {"rows", toJson(Result.Current)},
+                  {"error", Result.Error}});
+}
+
+read_result decodeReadEnd(const http_response &Response) {
+  read_result Result;
+  try {
+    json Body = json::parse(Response.Body);
+    Result.Batch.Revision = Body.at("revision").get<row_version>();
+    Result.Batch.StoreTime =
+        std::chrono::milliseconds(Body.at("time").get<int64_t>());
+    Result.Batch.Rows = toRows(Body.at("rows"));
+    Result.Error = Body.at("error").get<std::string>();
+    Result.Outcome = static_cast<read_outcome>(Body.at("outcome").get<int>());
+  } catch (const json::exception &Error) {
+    Result.Outcome = read_outcome::Failed;
+    Result.Error = Error.what();
+  }
+  return Result;
+}
+
+transaction_result decodeTransactionEnd(const http_response &Response) {
+  transaction_result Result;
+  try {
+    json Body = json::parse(Response.Body);
+    Result.Revision = Body.at("revision").get<row_version>();
+    Result.Current = toRows(Body.at("rows"));
+    Result.Error = Body.at("error").get<std::string>();
+    Result.Outcome =
+        static_cast<transaction_outcome>(Body.at("outcome").get<int>());
+  } catch (const json::exception &Error) {
+    Result.Outcome = transaction_outcome::Unknown;
+    Result.Error = Error.what();
+  }
+  return Result;
+}
+
+} // namespace dragonflyvane
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/node/entrance.hpp"
 #include "dragonflyvane/node/ownership_keeper.hpp"
 #include "dragonflyvane/node/peer_messages.hpp"
+#include "dragonflyvane/node/relayed_store.hpp"
 
 #include <cmath>
 
@@ -42,7 +43,10 @@
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
         Metrics(Metrics),
         Orders(this->Platform.OrderRows, this->Platform.DecodeOrder),
-        Keeper({this->Settings, Loop, Clock, this->Platform.Store, Orders,
+        Peers(Loop, MaxPeerBody),
+        Store({Settings.Host, this->Platform.Store, Peers, Clock,
+               [this] { return &Keeper.view(); }}),
+        Keeper({this->Settings, Loop, Clock, Store, Orders,
                 [this] { onClusterChange(); }}),
         Door({Loop, Clock, Client, Keeper.server(), Orders,
               this->Platform.Names, Metrics,
@@ -50,7 +54,6 @@
                 return Keeper.isOwner(Service, Point);
               },
               [this] { Keeper.onServerDead(); }}),
-        Peers(Loop, MaxPeerBody),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_gate::pool_callback Callback) {
@@ -131,7 +134,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(AskAfter);
       return Exchange->answer(encodeAnswer(Answer));
     }
-    serveForwarded(Exchange);
+    if (!Store.serve(Exchange))
+      serveForwarded(Exchange);
   }
 
   void serveForwarded(const exchange_pointer &Exchange) {
@@ -202,6 +206,7 @@
     if (Passed < StopDelay)
       return;
     Door.startClosing();
+    Entrance.startClosing();
     bool IsIdle = Entrance.open() + Door.open() == 0;
     if (!IsIdle && Passed < Settings.StopTimeout)
       return;
@@ -216,9 +221,10 @@
   metrics &Metrics;
   boot_clock Clock;
   order_book Orders;
+  peer_client Peers;
+  relayed_store Store;
   ownership_keeper Keeper;
   door Door;
-  peer_client Peers;
   rate_gate Rates;
   entrance Entrance;
   admin Admin;
--- a/src/dragonflyvane/node/entrance.hpp
+++ b/src/dragonflyvane/node/entrance.hpp
@@ -46,6 +46,8 @@
   void serve(const exchange_pointer &Exchange);
   /// Owners or hosts have changed: requests that wait for one look again.
   void onClusterChange();
+  /// From now on new requests are refused, "not run"; what is here ends.
+  void startClosing() { IsClosing = true; }
   /// Requests that are not answered yet.
   size_t open() const { return Open; }
 
@@ -61,6 +63,7 @@
   std::vector<std::weak_ptr<journey>> Waiting;
   std::mt19937_64 Random;
   size_t Open = 0;
+  bool IsClosing = false;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/journey.cpp
+++ b/src/dragonflyvane/node/journey.cpp
@@ -22,6 +22,8 @@
 /// When a key's owner is being replaced or is out of reach, it takes about this
 /// long until it is served again.
 constexpr std::chrono::milliseconds OwnerRetryAfter{500};
+/// A daemon that stops is usually back after this.
+constexpr std::chrono::milliseconds RestartRetryAfter{900};
 /// A host that cannot be reached is looked at again after this.
 constexpr std::chrono::milliseconds LookAgainPause{60};
 
@@ -67,6 +69,8 @@
       Self->cancel();
   });
   Deadline = StartedAt + DefaultTime;
+  if (E.IsClosing)
+    return refuse(503, "stopping", run_state::NotRun, RestartRetryAfter);
   if (!Config)
     return refuse(503, "no-configuration", run_state::NotRun,
                   spread(std::chrono::milliseconds(300)));
--- a/src/dragonflyvane/node/steward.cpp
+++ b/src/dragonflyvane/node/steward.cpp
@@ -17,7 +17,7 @@
 /// Before the first map of a service, the number of its backend servers must
 /// have stood for so long.
 constexpr std::chrono::milliseconds SettleTime{1200};
-constexpr std::chrono::milliseconds BalancePeriod{1500};
+constexpr std::chrono::milliseconds BalancePeriod{1000};
 
 } // namespace
 
@@ -32,6 +32,9 @@
 }
 
 void steward::onClusterChange() {
+  row_version Office = Parts.Sync.view().steward().Version;
+  if (std::exchange(KnownOffice, Office) != Office)
+    LastHeard = Parts.Clock.now();
   if (PlanIsDue)
     return;
   PlanIsDue = true;
--- a/src/dragonflyvane/node/steward.hpp
+++ b/src/dragonflyvane/node/steward.hpp
@@ -66,6 +66,7 @@
   bool ReadingLeases = false;
   bool TakingOffice = false;
   time_point LastHeard;
+  row_version KnownOffice = 0;
   time_point PoolOpens{};
   bool WasActive = false;
   rate_pool Pool;
