Keys move by load: whole excess at once, speeds from measured work

One pair of hosts was evened out at a time, by a use that cannot exceed what the slots hold. Tokens of refused requests were lost to their workspace. Ruled out: stuck doors; a line of each refusing door showed full slots. Change: load_balance takes what each host is asked for, speeds from the work of a request, and orders the runs of points that carry the excess, up to eight at once. Tokens of requests that have not run are given back.

--- a/src/dragonflyvane/core/ownership/assignment.cpp
+++ b/src/dragonflyvane/core/ownership/assignment.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <optional>
 
 namespace dragonflyvane {
 
@@ -11,10 +10,6 @@
 constexpr double AllPoints = LastPoint + 1.0;
 /// A candidate below this part of its fair share is given more.
 constexpr double PoorShare = 0.6;
-/// A host whose load exceeds the mean by this factor gives some away.
-constexpr double HighLoad = 1.35;
-/// Below this utilization a host is never relieved.
-constexpr double BusyUtilization = 0.55;
 /// A row has room for so many ranges.
 constexpr size_t MostRanges = 300;
 
@@ -108,71 +103,6 @@
   return true;
 }
 
-std::optional<std::string>
-hottest(const std::vector<candidate> &Candidates,
-        const std::map<std::string, load_report> &Loads, double &Mean) {
-  std::optional<std::string> Hot;
-  double Most = 0;
-  Mean = 0;
-  for (const candidate &C : Candidates) {
-    auto Found = Loads.find(C.Host);
-    double Load = Found == Loads.end() ? 0 : Found->second.Utilization;
-    Mean += Load / static_cast<double>(Candidates.size());
-    if (Load > Most) {
-      Most = Load;
-      Hot = C.Host;
-    }
-  }
-  if (Most < BusyUtilization || Most < Mean * HighLoad)
-    return std::nullopt;
-  return Hot;
-}
-
-const candidate *coolest(const std::vector<candidate> &Candidates,
-                         const std::map<std::string, load_report> &Loads,
-                         const std::string &But) {
-  const candidate *Cool = nullptr;
-  double Least = 0;
-  for (const candidate &C : Candidates) {
-    auto Found = Loads.find(C.Host);
-    double Load = Found == Loads.end() ? 0 : Found->second.Utilization;
-    if (C.Host == But || (Cool && Load >= Least))
-      continue;
-    Least = Load;
-    Cool = &C;
-  }
-  return Cool;
-}
-
-/// Moves a run of points that carries about this part of the host's requests.
-bool orderRun(ownership_map &Map, const std::string &From,
-              const std::string &To, const load_report &Load, double Part) {
-  std::vector<key_point> Sample = Load.Sample;
-  std::sort(Sample.begin(), Sample.end());
-  auto Wanted = static_cast<size_t>(
-      std::lround(Part * static_cast<double>(Sample.size())));
-  if (Wanted == 0)
-    return false;
-  // The shortest run of points with that many requests costs least to move.
-  size_t Best = 0;
-  for (size_t I = 0; I + Wanted <= Sample.size(); ++I)
-    if (Sample[I + Wanted - 1] - Sample[I] <
-        Sample[Best + Wanted - 1] - Sample[Best])
-      Best = I;
-  key_point First = Sample[Best];
-  key_point Last = Sample[Best + Wanted - 1];
-  Map.cutBefore(First);
-  Map.cutBefore(Last + 1);
-  bool Changed = false;
-  for (owned_range &Range : Map.Ranges)
-    if (Range.Owner == From && Range.Next.empty() && Range.First >= First &&
-        Range.Last <= Last) {
-      Range.Next = To;
-      Changed = true;
-    }
-  return Changed;
-}
-
 } // namespace
 
 bool takeOver(ownership_map &Map, const std::set<std::string> &Lapsed) {
@@ -248,18 +178,10 @@
                   const plan_options &Options) {
   if (Candidates.size() < 2 || Map.Ranges.size() >= MostRanges)
     return false;
-  if (orderToPoor(Map, Candidates, Options.MostMoving))
-    return true;
-  if (moving(Map) > 0)
-    return false;
-  double Mean = 0;
-  std::optional<std::string> Hot = hottest(Candidates, Loads, Mean);
-  if (!Hot)
-    return false;
-  const candidate *Cool = coolest(Candidates, Loads, *Hot);
-  const load_report &Load = Loads.at(*Hot);
-  double Excess = (Load.Utilization - Mean) / Load.Utilization;
-  return orderRun(Map, *Hot, Cool->Host, Load, std::min(0.5, Excess));
+  load_balance Balance(Candidates, Loads);
+  if (!Balance.knowsLoad())
+    return orderToPoor(Map, Candidates, Options.MostMoving);
+  return moving(Map) == 0 && Balance.order(Map);
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/ownership/assignment.hpp
+++ b/src/dragonflyvane/core/ownership/assignment.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYVANE_CORE_OWNERSHIP_ASSIGNMENT_HPP
 #define DRAGONFLYVANE_CORE_OWNERSHIP_ASSIGNMENT_HPP
 
+#include "dragonflyvane/core/ownership/load_balance.hpp"
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 
 #include <map>
@@ -12,25 +13,6 @@
 
 namespace dragonflyvane {
 
-/// A backend server as the planner sees it.
-struct candidate {
-  std::string Host;
-  server_life Life;
-  /// Requests that it can run at once, corrected by its speed.
-  double Capacity = 1;
-};
-
-/// The keyed load of one host, as it reported it.
-struct load_report {
-  /// Requests a second.
-  double Rate = 0;
-  /// The points of some recent requests; each stands for an equal part.
-  std::vector<key_point> Sample;
-  /// Seconds of backend server time that a second of requests takes, divided
-  /// by its slots: above 1 it cannot keep up.
-  double Utilization = 0;
-};
-
 /// What the planner may do in one step.
 struct plan_options {
   /// The token of every range that gets another owner or life.
@@ -52,8 +34,7 @@
 /// whose receiver is none any more.
 bool orderMoves(ownership_map &Map, const std::vector<candidate> &Candidates);
 
-/// Orders moves towards candidates that own much less than their fair part, or
-/// away from those that carry much more load than others.
+/// Orders moves that even out the load or, while none is known, the points.
 bool orderBalance(ownership_map &Map, const std::vector<candidate> &Candidates,
                   const std::map<std::string, load_report> &Loads,
                   const plan_options &Options);
--- a/src/dragonflyvane/core/rate/token_bucket.hpp
+++ b/src/dragonflyvane/core/rate/token_bucket.hpp
@@ -38,6 +38,8 @@
     Tokens -= Taken;
     return Taken;
   }
+  /// Puts a token back that was taken for nothing.
+  void giveBack() { Tokens = std::min(Burst, Tokens + 1); }
   /// The time until one token is there.
   duration untilNext() const {
     if (Rate <= 0)
--- a/src/dragonflyvane/core/rate/workspace_rates.cpp
+++ b/src/dragonflyvane/core/rate/workspace_rates.cpp
@@ -58,6 +58,12 @@
   return Now < Part.NextAsk ? rate_verdict::Refused : rate_verdict::AskPool;
 }
 
+void host_rates::giveBack(const std::string &Workspace) {
+  auto Found = Parts.find(Workspace);
+  if (Found != Parts.end())
+    Found->second.Own.giveBack();
+}
+
 double host_rates::chunk(const std::string &Workspace) const {
   auto Found = Parts.find(Workspace);
   if (Found == Parts.end())
--- a/src/dragonflyvane/core/rate/workspace_rates.hpp
+++ b/src/dragonflyvane/core/rate/workspace_rates.hpp
@@ -24,6 +24,8 @@
   /// Takes one token. `AskPool` when the own part is used up and the pool may
   /// have some.
   rate_verdict take(const std::string &Workspace, time_point Now);
+  /// Puts a token back, since its request has not run.
+  void giveBack(const std::string &Workspace);
   /// How many tokens to ask the pool for.
   double chunk(const std::string &Workspace) const;
   /// The pool's answer: tokens, or none and when to ask again.
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -175,8 +175,15 @@
 }
 
 void http_client::implementation::write(const connection_pointer &C) {
-  if (C->Options.MaySend && !C->Options.MaySend())
-    return fail(C, call_outcome::NotSent, "may not be sent any more");
+  if (C->Options.MaySend && !C->Options.MaySend()) {
+    // Never before `send` has returned.
+    Loop.post([Weak = weak_from_this(), C, Id = C->Call] {
+      auto Self = Weak.lock();
+      if (Self && C->Call == Id && !C->Closed)
+        Self->fail(C, call_outcome::NotSent, "may not be sent any more");
+    });
+    return;
+  }
   C->Sent = true;
   std::array<boost::asio::const_buffer, 2> Out = {
       boost::asio::buffer(C->OutHead), boost::asio::buffer(C->OutBody)};
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -101,6 +101,22 @@
   }
   waiting_request Waiting = waitingOf(Id, Entry);
   if (!Queue.fits(Waiting, room(), Running, Now)) {
+    auto InMs = [](duration Time) {
+      return std::chrono::duration_cast<std::chrono::milliseconds>(Time)
+          .count();
+    };
+    writeRequestLog(
+        "no room at the door",
+        {{"request_id",
+          Entry.Request.Headers.find(Parts.Names.RequestId).value_or("")},
+         {"running", Running},
+         {"waiting", Queue.size()},
+         {"awaiting_grant", AwaitingGrant.size()},
+         {"work_ms", InMs(Waiting.Work)},
+         {"queued_work_ms", InMs(Queue.work())},
+         {"aim_left_ms", InMs(Waiting.Aim - Now)},
+         {"time_left_ms", InMs(Waiting.Deadline - Now)},
+         {"cold", Parts.Server.isCold(Now) ? "yes" : "no"}});
     refuse(Id, "queue-full");
     return 0;
   }
@@ -343,6 +359,7 @@
   Report.Rate = static_cast<double>(Arrivals) / Seconds;
   Report.Utilization = std::chrono::duration<double>(BusyTime).count() /
                        Seconds / std::max(1U, Parts.Server.slots());
+  Report.Work = std::chrono::duration<double>(MeanWork).count();
   size_t Step = std::max<size_t>(1, RecentPoints.size() / SampleSize);
   for (size_t I = 0; I < RecentPoints.size(); I += Step)
     Report.Sample.push_back(RecentPoints[I]);
--- a/src/dragonflyvane/node/journey.cpp
+++ b/src/dragonflyvane/node/journey.cpp
@@ -138,6 +138,7 @@
   if (!Admitted)
     return refuse(429, "over-rate", run_state::NotRun,
                   std::max<duration>(RetryAfter, LeastRetryAfter));
+  HasToken = true;
   chooseService();
   E.budgetOf(Order.Service).onRequest();
   dispatch();
@@ -378,6 +379,8 @@
     return;
   IsDone = true;
   Timer.cancel();
+  if (HasToken && !MayHaveRun)
+    E.Parts.Rates.giveBack(Order.Workspace);
   duration Took = E.Parts.Clock.now() - StartedAt;
   E.Parts.Metrics.observe("request_seconds", {{"workspace", Order.Workspace}},
                           Took);
--- a/src/dragonflyvane/node/journey.hpp
+++ b/src/dragonflyvane/node/journey.hpp
@@ -57,6 +57,8 @@
   time_point WaitEnd{};
   uint32_t Reached = 0;
   uint32_t Refusals = 0;
+  /// It took a token of its workspace's rate.
+  bool HasToken = false;
   /// Some backend server may have begun it.
   bool MayHaveRun = false;
   std::string SentTo;
--- a/src/dragonflyvane/node/peer_messages.cpp
+++ b/src/dragonflyvane/node/peer_messages.cpp
@@ -34,6 +34,7 @@
   return makeMessage("report", {{"host", Message.Host},
                                 {"rate", Message.Load.Rate},
                                 {"use", Message.Load.Utilization},
+                                {"work", Message.Load.Work},
                                 {"sample", Message.Load.Sample}});
 }
 
@@ -45,6 +46,7 @@
   Message.Host = Body->value("host", "");
   Message.Load.Rate = Body->value("rate", 0.0);
   Message.Load.Utilization = Body->value("use", 0.0);
+  Message.Load.Work = Body->value("work", 0.0);
   Message.Load.Sample = Body->value("sample", std::vector<key_point>{});
   return Message;
 }
--- a/src/dragonflyvane/node/rate_gate.hpp
+++ b/src/dragonflyvane/node/rate_gate.hpp
@@ -32,6 +32,8 @@
     Rates.configure(Workspaces, Hosts, Clock.now());
   }
   void admit(const std::string &Workspace, callback Callback);
+  /// An admitted request has not run, and never will.
+  void giveBack(const std::string &Workspace) { Rates.giveBack(Workspace); }
 
 private:
   void askPool(const std::string &Workspace);
--- a/src/dragonflyvane/node/steward.cpp
+++ b/src/dragonflyvane/node/steward.cpp
@@ -2,6 +2,8 @@
 
 #include "dragonflyvane/net/log.hpp"
 
+#include <cmath>
+
 namespace dragonflyvane {
 
 namespace {
@@ -18,6 +20,20 @@
 /// have stood for so long.
 constexpr std::chrono::milliseconds SettleTime{1200};
 constexpr std::chrono::milliseconds BalancePeriod{1000};
+/// Weight of the newest report of a rate.
+constexpr double NewestWeight = 0.6;
+
+/// `HOST=PERCENT` of its slots in use, for each candidate.
+std::string describeLoads(const std::vector<candidate> &Candidates,
+                          const std::map<std::string, load_report> &Loads) {
+  std::string Text;
+  for (const candidate &C : Candidates) {
+    auto Found = Loads.find(C.Host);
+    double Load = Found == Loads.end() ? 0 : Found->second.Utilization;
+    Text += C.Host + "=" + std::to_string(std::lround(Load * 100)) + " ";
+  }
+  return Text;
+}
 
 } // namespace
 
@@ -45,7 +61,10 @@
 }
 
 void steward::onReport(const std::string &Host, const load_report &Report) {
-  Loads[Host] = Report;
+  load_report &Known = Loads[Host];
+  double Before = Known.Rate;
+  Known = Report;
+  Known.Rate = Before * (1 - NewestWeight) + Report.Rate * NewestWeight;
 }
 
 void steward::tick() {
@@ -181,7 +200,13 @@
          if (!MayBalance || Changed)
            return Changed;
          LastBalance[Service] = Parts.Clock.now();
-         return orderBalance(Map, Candidates, Loads, Options);
+         bool Moves = orderBalance(Map, Candidates, Loads, Options);
+         if (Moves)
+           writeLog(log_level::Info, "moving keys",
+                    {{"step", "steward"},
+                     {"service", Service},
+                     {"loads", describeLoads(Candidates, Loads)}});
+         return Moves;
        },
        {}});
 }
