Death of a server needs silence too; silent watches are found through peers

Change: refusals without a pause and without a heartbeat, for a heartbeat interval; reports and their answers carry the newest row version seen.

--- a/src/dragonflyvane/core/admission/retry_budget.hpp
+++ b/src/dragonflyvane/core/admission/retry_budget.hpp
@@ -27,7 +27,9 @@
     MostEarned = Free;
   }
 
-  void onRequest() { Earned = std::min(Earned + Ratio, MostEarned + 8 * Ratio); }
+  void onRequest() {
+    Earned = std::min(Earned + Ratio, MostEarned + 8 * Ratio);
+  }
   bool take(time_point Now) {
     if (Earned >= 1) {
       Earned -= 1;
--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -58,7 +58,8 @@
     return std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
                        [&](const stored_row &Row) { return Row.Id == Id; });
   };
-  std::erase_if(Hosts, [&](const auto &H) { return !Stands(hostRow(H.first)); });
+  std::erase_if(Hosts,
+                [&](const auto &H) { return !Stands(hostRow(H.first)); });
   std::erase_if(Maps, [&](const auto &M) { return !Stands(mapRow(M.first)); });
   if (!Stands(stewardRow()))
     Steward = {};
--- a/src/dragonflyvane/core/cluster/host_info.cpp
+++ b/src/dragonflyvane/core/cluster/host_info.cpp
@@ -38,7 +38,8 @@
     Host.PeerAddress = Json.at("peer").get<std::string>();
     Host.FailureDomain = Json.at("domain").get<std::string>();
     Host.Service = Json.at("service").get<std::string>();
-    Host.Standing = static_cast<server_standing>(Json.at("standing").get<int>());
+    Host.Standing =
+        static_cast<server_standing>(Json.at("standing").get<int>());
     Host.Life = {Json.at("instance").get<std::string>(),
                  Json.at("born").get<int64_t>()};
     Host.Slots = Json.at("slots").get<uint32_t>();
--- a/src/dragonflyvane/core/configuration/order_book.cpp
+++ b/src/dragonflyvane/core/configuration/order_book.cpp
@@ -35,8 +35,9 @@
 bool order_book::applyAll(const row_batch &Batch) {
   bool Changed = false;
   for (const row_id &Id : Rows) {
-    bool Stands = std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
-                              [&](const stored_row &Row) { return Row.Id == Id; });
+    bool Stands =
+        std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
+                    [&](const stored_row &Row) { return Row.Id == Id; });
     if (!Stands)
       Changed |= apply({Id, Batch.Revision, std::nullopt});
   }
--- a/src/dragonflyvane/core/ownership/assignment.cpp
+++ b/src/dragonflyvane/core/ownership/assignment.cpp
@@ -75,8 +75,8 @@
   const candidate *Rich = nullptr;
   double Excess = 0;
   for (const candidate &C : Candidates) {
-    double Over = Points[C.Host] -
-                  AllPoints * C.Capacity / totalCapacity(Candidates);
+    double Over =
+        Points[C.Host] - AllPoints * C.Capacity / totalCapacity(Candidates);
     if (Over > Excess) {
       Excess = Over;
       Rich = &C;
--- a/src/dragonflyvane/core/ownership/grant_book.cpp
+++ b/src/dragonflyvane/core/ownership/grant_book.cpp
@@ -57,11 +57,11 @@
 /// a single point is taken from it and given back, in turns with its
 /// neighbour, until the range that it waits for is there.
 void grant_book::leaveOnePointOut(std::vector<granted_range> &Ranges) {
-  auto Largest = std::max_element(
-      Ranges.begin(), Ranges.end(),
-      [](const granted_range &A, const granted_range &B) {
-        return A.Last - A.First < B.Last - B.First;
-      });
+  auto Largest =
+      std::max_element(Ranges.begin(), Ranges.end(),
+                       [](const granted_range &A, const granted_range &B) {
+                         return A.Last - A.First < B.Last - B.First;
+                       });
   if (Largest == Ranges.end() || Largest->Last - Largest->First < 4)
     return;
   LeftOutLast = !LeftOutLast;
@@ -114,9 +114,9 @@
   if (Released.size() > MostReleases)
     Released.erase(Released.begin(), Released.end() - MostReleases);
   using std::chrono::duration_cast;
-  auto Hold = std::min(duration_cast<std::chrono::milliseconds>(
-                           (Until - Now) / SlowestClock),
-                       Terms.LongestHold);
+  auto Hold = std::min(
+      duration_cast<std::chrono::milliseconds>((Until - Now) / SlowestClock),
+      Terms.LongestHold);
   if (Hold < ShortestHold)
     return std::nullopt;
   grant Grant;
@@ -129,8 +129,8 @@
     leaveOnePointOut(Grant.Ranges);
   Granted = Grant.Ranges;
   GrantEnd = Now + Hold;
-  HoldsEnd = std::max(
-      HoldsEnd, Now + duration_cast<duration>(Hold * SlowestClock));
+  HoldsEnd =
+      std::max(HoldsEnd, Now + duration_cast<duration>(Hold * SlowestClock));
   return Grant;
 }
 
--- a/src/dragonflyvane/core/rate/workspace_rates.cpp
+++ b/src/dragonflyvane/core/rate/workspace_rates.cpp
@@ -1,6 +1,5 @@
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
 
-
 namespace dragonflyvane {
 
 namespace {
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -76,7 +76,8 @@
     std::optional<response_parser> Parser;
   };
 
-  connection_pointer takeIdle(const endpoint &Peer, const call_options &Options);
+  connection_pointer takeIdle(const endpoint &Peer,
+                              const call_options &Options);
   void connect(const connection_pointer &C);
   void onConnected(const connection_pointer &C,
                    const boost::system::error_code &Error);
@@ -119,9 +120,8 @@
   C->Sent = false;
   C->Strangers = 0;
   C->Callback = std::move(Callback);
-  duration First =
-      IsNew ? std::min(Options.ConnectTimeout, Options.Timeout)
-            : Options.Timeout;
+  duration First = IsNew ? std::min(Options.ConnectTimeout, Options.Timeout)
+                         : Options.Timeout;
   C->Options = std::move(Options);
   Calls[C->Call] = C;
   setTimer(C, First);
@@ -149,11 +149,11 @@
 }
 
 void http_client::implementation::connect(const connection_pointer &C) {
-  C->Socket.async_connect(
-      toAsio(C->Peer), [Weak = weak_from_this(), C](auto Error) {
-        if (auto Self = Weak.lock())
-          Self->onConnected(C, Error);
-      });
+  C->Socket.async_connect(toAsio(C->Peer),
+                          [Weak = weak_from_this(), C](auto Error) {
+                            if (auto Self = Weak.lock())
+                              Self->onConnected(C, Error);
+                          });
 }
 
 void http_client::implementation::onConnected(
--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -49,18 +49,18 @@
 
 private:
   void accept() {
-    Acceptor.async_accept(
-        [Weak = weak_from_this()](auto Error, tcp::socket Socket) {
-          auto Self = Weak.lock();
-          if (!Self || Error == boost::asio::error::operation_aborted)
-            return;
-          if (!Error)
-            Self->adopt(std::move(Socket));
-          if (!Error)
-            return Self->accept();
-          Self->Retry = Self->Loop.after(
-              AcceptPause, [Self = Self.get()] { Self->accept(); });
-        });
+    Acceptor.async_accept([Weak = weak_from_this()](auto Error,
+                                                    tcp::socket Socket) {
+      auto Self = Weak.lock();
+      if (!Self || Error == boost::asio::error::operation_aborted)
+        return;
+      if (!Error)
+        Self->adopt(std::move(Socket));
+      if (!Error)
+        return Self->accept();
+      Self->Retry = Self->Loop.after(AcceptPause,
+                                     [Self = Self.get()] { Self->accept(); });
+    });
   }
 
   void adopt(tcp::socket Socket) {
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -86,8 +86,8 @@
 }
 
 void http_server_connection::checkTime(time_point Now) {
-  bool Late = Phase == phase::Reading &&
-              Now - LastStep > State->Limits.HeadTimeout;
+  bool Late =
+      Phase == phase::Reading && Now - LastStep > State->Limits.HeadTimeout;
   bool Unused = Phase == phase::Idle &&
                 (State->Closing || Now - LastStep > State->Limits.IdleTimeout);
   bool Stuck =
@@ -100,16 +100,15 @@
   if (ReadPending || !Open || Buffer.size() > MostAhead + ReadSize)
     return;
   ReadPending = true;
-  Socket.async_read_some(
-      Buffer.prepare(ReadSize),
-      [Self = shared_from_this()](auto Error, size_t Size) {
-        Self->ReadPending = false;
-        if (!Self->Open)
-          return;
-        if (Error)
-          return Self->close();
-        Self->onBytes(Size);
-      });
+  Socket.async_read_some(Buffer.prepare(ReadSize),
+                         [Self = shared_from_this()](auto Error, size_t Size) {
+                           Self->ReadPending = false;
+                           if (!Self->Open)
+                             return;
+                           if (Error)
+                             return Self->close();
+                           Self->onBytes(Size);
+                         });
 }
 
 void http_server_connection::onBytes(size_t Size) {
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -32,7 +32,8 @@
 public:
   using socket = boost::asio::ip::tcp::socket;
 
-  http_server_connection(socket Socket, std::shared_ptr<http_server_state> State)
+  http_server_connection(socket Socket,
+                         std::shared_ptr<http_server_state> State)
       : Socket(std::move(Socket)), State(std::move(State)) {}
 
   void start();
@@ -43,8 +44,8 @@
 
 private:
   class exchange;
-  using parser = boost::beast::http::request_parser<
-      boost::beast::http::string_body>;
+  using parser =
+      boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   enum class phase { Idle, Reading, Serving, Writing };
 
--- a/src/dragonflyvane/net/log.cpp
+++ b/src/dragonflyvane/net/log.cpp
@@ -4,10 +4,10 @@
 
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
-#include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/sources/severity_logger.hpp>
 #include <boost/log/sinks/basic_sink_backend.hpp>
 #include <boost/log/sinks/unlocked_frontend.hpp>
+#include <boost/log/sources/record_ostream.hpp>
+#include <boost/log/sources/severity_logger.hpp>
 #include <boost/make_shared.hpp>
 #include <nlohmann/json.hpp>
 
@@ -30,9 +30,8 @@
 }
 
 /// Writes to standard output only when its reader has room.
-class output_sink
-    : public boost::log::sinks::basic_formatted_sink_backend<
-          char, boost::log::sinks::concurrent_feeding> {
+class output_sink : public boost::log::sinks::basic_formatted_sink_backend<
+                        char, boost::log::sinks::concurrent_feeding> {
 public:
   void consume(const boost::log::record_view &, const std::string &Text) {
     pollfd Output{STDOUT_FILENO, POLLOUT, 0};
--- a/src/dragonflyvane/net/peer_link.hpp
+++ b/src/dragonflyvane/net/peer_link.hpp
@@ -3,9 +3,9 @@
 #ifndef DRAGONFLYVANE_NET_PEER_LINK_HPP
 #define DRAGONFLYVANE_NET_PEER_LINK_HPP
 
+#include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
-#include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 
 #include <memory>
--- a/src/dragonflyvane/net/store_codec.cpp
+++ b/src/dragonflyvane/net/store_codec.cpp
@@ -11,9 +11,7 @@
 /// Only daemons send this field; entrances remove it from callers.
 constexpr const char *KindField = "x-dragonflyvane-store";
 
-json toJson(const row_id &Id) {
-  return {static_cast<int>(Id.Kind), Id.Key};
-}
+json toJson(const row_id &Id) { return {static_cast<int>(Id.Kind), Id.Key}; }
 
 row_id toId(const json &Json) {
   return {static_cast<row_kind>(Json.at(0).get<int>()),
@@ -40,8 +38,8 @@
 std::vector<stored_row> toRows(const json &List) {
   std::vector<stored_row> Rows;
   for (const json &Row : List)
-    Rows.push_back({toId(Row.at(0)), Row.at(1).get<row_version>(),
-                    toValue(Row.at(2))});
+    Rows.push_back(
+        {toId(Row.at(0)), Row.at(1).get<row_version>(), toValue(Row.at(2))});
   return Rows;
 }
 
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -43,8 +43,9 @@
               Config ? static_cast<double>(Config->Version) : 0);
   Metrics.set("evidence_age_seconds", {},
               Config ? secondsOf(Parts.Orders.evidenceAge(Now)) : -1);
-  Metrics.set("lease_seconds_left", {},
-              std::max(0.0, secondsOf(Parts.Keeper.sync().grantsUntil() - Now)));
+  Metrics.set(
+      "lease_seconds_left", {},
+      std::max(0.0, secondsOf(Parts.Keeper.sync().grantsUntil() - Now)));
   Metrics.set("door_busy", {}, Parts.Door.load().Busy);
   Metrics.set("steward", {}, Parts.Keeper.planner().isActive() ? 1 : 0);
   for (const auto &[Service, Map] : Parts.Keeper.view().maps())
@@ -59,18 +60,19 @@
 http_response admin::showStatus() const {
   time_point Now = Parts.Clock.now();
   auto Config = Parts.Orders.config();
-  return show({{"host", Parts.Settings.Host},
-               {"failure_domain", Parts.Settings.FailureDomain},
-               {"service", Parts.Settings.LocalService},
-               {"server", Parts.Keeper.server().life().Instance},
-               {"standing", toString(Parts.Keeper.server().standing())},
-               {"configuration", Config ? Config->Version : 0},
-               {"evidence_age_s",
-                Config ? secondsOf(Parts.Orders.evidenceAge(Now)) : -1},
-               {"lease_left_s",
-                std::max(0.0, secondsOf(Parts.Keeper.sync().grantsUntil() - Now))},
-               {"steward", Parts.Keeper.view().steward().Content},
-               {"busy", Parts.Door.load().Busy}});
+  return show(
+      {{"host", Parts.Settings.Host},
+       {"failure_domain", Parts.Settings.FailureDomain},
+       {"service", Parts.Settings.LocalService},
+       {"server", Parts.Keeper.server().life().Instance},
+       {"standing", toString(Parts.Keeper.server().standing())},
+       {"configuration", Config ? Config->Version : 0},
+       {"evidence_age_s",
+        Config ? secondsOf(Parts.Orders.evidenceAge(Now)) : -1},
+       {"lease_left_s",
+        std::max(0.0, secondsOf(Parts.Keeper.sync().grantsUntil() - Now))},
+       {"steward", Parts.Keeper.view().steward().Content},
+       {"busy", Parts.Door.load().Busy}});
 }
 
 http_response admin::showHosts() const {
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -14,6 +14,8 @@
 /// How long one watch waits for a change.
 constexpr std::chrono::milliseconds WatchWait{20'000};
 constexpr std::chrono::milliseconds ReadRetry{250};
+/// News of a peer should have come by the watch too within this.
+constexpr std::chrono::milliseconds NewsPatience{400};
 constexpr std::chrono::milliseconds RenewalRetry{250};
 constexpr std::chrono::milliseconds HostRowRetry{400};
 /// After so many conflicts in a row a change is left to the next occasion.
@@ -44,9 +46,12 @@
 void cluster_sync::readAll(feed &Feed) {
   Feed.IsRead = false;
   time_point SentAt = Parts.Clock.now();
-  Parts.Store.read(Feed.Kind, [this, &Feed, SentAt](const read_result &Result) {
-    onReadAll(Feed, SentAt, Result);
-  });
+  uint64_t Round = ++Feed.Round;
+  Parts.Store.read(Feed.Kind,
+                   [this, &Feed, SentAt, Round](const read_result &Result) {
+                     if (Round == Feed.Round)
+                       onReadAll(Feed, SentAt, Result);
+                   });
 }
 
 void cluster_sync::onReadAll(feed &Feed, time_point SentAt,
@@ -72,11 +77,27 @@
 
 void cluster_sync::watch(feed &Feed) {
   Parts.Store.watch(Feed.Kind, Feed.Revision, WatchWait,
-                    [this, &Feed](const read_result &Result) {
-                      onWatched(Feed, Result);
+                    [this, &Feed, Round = Feed.Round](
+                        const read_result &Result) {
+                      if (Round == Feed.Round)
+                        onWatched(Feed, Result);
                     });
 }
 
+void cluster_sync::onNews(row_version Version) {
+  if (Version <= Newest || CheckingNews || !ClusterFeed.IsRead)
+    return;
+  CheckingNews = true;
+  NewsCheck = Parts.Loop.after(NewsPatience, [this, Version] {
+    CheckingNews = false;
+    if (Version <= Newest || !ClusterFeed.IsRead)
+      return;
+    writeLog(log_level::Warning, "watch has gone silent, reading all rows",
+             {{"step", "watch"}, {"seen", Newest}, {"peer_saw", Version}});
+    readAll(ClusterFeed);
+  });
+}
+
 void cluster_sync::onWatched(feed &Feed, const read_result &Result) {
   if (Result.Outcome == read_outcome::HistoryGone) {
     writeLog(log_level::Info, "history is gone, reading all rows",
@@ -120,6 +141,7 @@
     return Parts.Orders.apply(Row);
   if (Row.Id.Kind != row_kind::Cluster)
     return false;
+  Newest = std::max(Newest, Row.Version);
   try {
     return View.apply(Row);
   } catch (const step_error &Error) {
@@ -211,22 +233,22 @@
 }
 
 void cluster_sync::readMapAfterClaim(row_version ClaimedAt) {
-  Parts.Store.read(row_kind::Cluster, [this, ClaimedAt](
-                                          const read_result &Result) {
-    if (!IsClaimed)
-      return;
-    if (Result.Outcome != read_outcome::Answered ||
-        Result.Batch.Revision < ClaimedAt) {
-      MapRetry = Parts.Loop.after(
-          ReadRetry, [this, ClaimedAt] { readMapAfterClaim(ClaimedAt); });
-      return;
-    }
-    for (const stored_row &Row : Result.Batch.Rows)
-      applyRow(Row);
-    MapIsFresh = true;
-    Parts.OnChange();
-    writeHostRow();
-  });
+  Parts.Store.read(
+      row_kind::Cluster, [this, ClaimedAt](const read_result &Result) {
+        if (!IsClaimed)
+          return;
+        if (Result.Outcome != read_outcome::Answered ||
+            Result.Batch.Revision < ClaimedAt) {
+          MapRetry = Parts.Loop.after(
+              ReadRetry, [this, ClaimedAt] { readMapAfterClaim(ClaimedAt); });
+          return;
+        }
+        for (const stored_row &Row : Result.Batch.Rows)
+          applyRow(Row);
+        MapIsFresh = true;
+        Parts.OnChange();
+        writeHostRow();
+      });
 }
 
 void cluster_sync::readLeases(store::read_callback Callback) {
@@ -263,8 +285,7 @@
 
 void cluster_sync::transact(const store_transaction &Transaction,
                             store::transaction_callback Done) {
-  Parts.Store.transact(Transaction, [this, Transaction,
-                                     Done = std::move(Done)](
+  Parts.Store.transact(Transaction, [this, Transaction, Done = std::move(Done)](
                                         const transaction_result &Result) {
     if (Result.Outcome == transaction_outcome::Committed) {
       std::vector<stored_row> Written;
@@ -286,8 +307,7 @@
 
 void cluster_sync::runChange(const map_change &Change, int Tries) {
   const versioned<ownership_map> *Known = View.map(Change.Service);
-  versioned<ownership_map> Map =
-      Known ? *Known : versioned<ownership_map>{};
+  versioned<ownership_map> Map = Known ? *Known : versioned<ownership_map>{};
   if (!Change.Edit(Map.Content, nextToken(Map.Version)))
     return;
   Changing[Change.Service] = true;
@@ -295,12 +315,13 @@
   Transaction.Conditions.push_back({mapRow(Change.Service), Map.Version});
   Transaction.Writes.push_back(
       {mapRow(Change.Service), encodeMap(Map.Content)});
-  transact(Transaction, [this, Change, Tries](const transaction_result &Result) {
-    Changing[Change.Service] = false;
-    if (Result.Outcome == transaction_outcome::Conflict &&
-        Tries < MostConflicts)
-      runChange(Change, Tries + 1);
-  });
+  transact(Transaction,
+           [this, Change, Tries](const transaction_result &Result) {
+             Changing[Change.Service] = false;
+             if (Result.Outcome == transaction_outcome::Conflict &&
+                 Tries < MostConflicts)
+               runChange(Change, Tries + 1);
+           });
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -7,8 +7,8 @@
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
 #include "dragonflyvane/core/configuration/order_book.hpp"
 #include "dragonflyvane/core/ownership/host_lease.hpp"
-#include "dragonflyvane/core/store.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
+#include "dragonflyvane/core/store.hpp"
 
 #include <functional>
 #include <map>
@@ -63,6 +63,12 @@
                 store::transaction_callback Done);
   void readLeases(store::read_callback Callback);
 
+  /// The version of the newest cluster row that this daemon has seen.
+  row_version newest() const { return Newest; }
+  /// A peer has seen a cluster row of this version. If this daemon still has
+  /// not after a moment, its watch has gone silent.
+  void onNews(row_version Version);
+
 private:
   /// Reading and watching the rows of one kind.
   struct feed {
@@ -70,6 +76,8 @@
     row_version Revision = 0;
     bool IsRead = false;
     bool WasLost = false;
+    /// Answers to earlier reads and watches are ignored.
+    uint64_t Round = 0;
     timer Next;
   };
 
@@ -93,8 +101,12 @@
 
   parts Parts;
   cluster_view View;
-  feed OrderFeed{row_kind::Order, 0, false, false, {}};
-  feed ClusterFeed{row_kind::Cluster, 0, false, false, {}};
+  feed OrderFeed{row_kind::Order, 0, false, false, 0, {}};
+  feed ClusterFeed{row_kind::Cluster, 0, false, false, 0, {}};
+  row_version Newest = 0;
+  /// Checks whether news of a peer have come by the watch too.
+  timer NewsCheck;
+  bool CheckingNews = false;
   host_lease Lease;
   std::string Run;
   uint64_t RenewalCount = 0;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -53,7 +53,7 @@
               [this](const std::string &Service, key_point Point) {
                 return Keeper.isOwner(Service, Point);
               },
-              [this] { Keeper.onServerDead(); }}),
+              [this] { Keeper.onRefusedConnection(); }}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_gate::pool_callback Callback) {
@@ -66,10 +66,9 @@
                    [this](const exchange_pointer &E) { servePeer(E); }),
         AdminServer(Loop, Settings.Admin, {},
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
-        EntranceServer(Loop, Settings.Entrance, {},
-                       [this](const exchange_pointer &E) {
-                         Entrance.serve(E);
-                       }) {}
+        EntranceServer(
+            Loop, Settings.Entrance, {},
+            [this](const exchange_pointer &E) { Entrance.serve(E); }) {}
 
   void start() {
     writeLog(log_level::Info, "started",
@@ -108,10 +107,9 @@
                {{"step", "configuration"},
                 {"version", Config->Version},
                 {"rates", describeRates(*Config)}});
-      EntranceServer.setLimits({Config->Limits.BodyBytes,
-                                Config->Limits.HeadBytes,
-                                Config->Limits.HeadTimeout,
-                                Config->Limits.IdleTimeout});
+      EntranceServer.setLimits(
+          {Config->Limits.BodyBytes, Config->Limits.HeadBytes,
+           Config->Limits.HeadTimeout, Config->Limits.IdleTimeout});
     }
     if (Config)
       Rates.configure(Config->Workspaces,
@@ -123,7 +121,9 @@
   void servePeer(const exchange_pointer &Exchange) {
     if (auto Report = decodeReport(Exchange->request())) {
       Keeper.planner().onReport(Report->Host, Report->Load);
-      return Exchange->answer({Keeper.planner().isActive() ? 200 : 404, {}, ""});
+      Keeper.onNews(Report->Newest);
+      return Exchange->answer(encodeAnswer(report_answer{
+          Keeper.planner().isActive(), Keeper.sync().newest()}));
     }
     if (auto Ask = decodeAsk(Exchange->request())) {
       duration AskAfter{0};
@@ -165,12 +165,21 @@
     auto Peer = stewardPeer();
     if (!Peer)
       return Keeper.planner().onReport(Settings.Host, Load);
-    Peers.send(*Peer, encodeReport({Settings.Host, Load}), ReportTimeout,
-               [this](const call_result &Result) {
-                 if (Result.Outcome == call_outcome::Answered &&
-                     Result.Response.Status == 200)
-                   Keeper.planner().onStewardHeard();
-               });
+    Peers.send(*Peer,
+               encodeReport({Settings.Host, Load, Keeper.sync().newest()}),
+               ReportTimeout,
+               [this](const call_result &Result) { onReported(Result); });
+  }
+
+  void onReported(const call_result &Result) {
+    if (Result.Outcome != call_outcome::Answered)
+      return;
+    auto Answer = decodeReportAnswer(Result.Response);
+    if (!Answer)
+      return;
+    if (Answer->IsSteward)
+      Keeper.planner().onStewardHeard();
+    Keeper.onNews(Answer->Newest);
   }
 
   void askPool(const std::string &Workspace, double Amount,
@@ -185,7 +194,7 @@
                [Callback = std::move(Callback)](const call_result &Result) {
                  token_answer Answer{0, std::chrono::milliseconds(100)};
                  if (Result.Outcome == call_outcome::Answered)
-                   Answer = decodeAnswer(Result.Response).value_or(Answer);
+                   Answer = decodeTokenAnswer(Result.Response).value_or(Answer);
                  Callback(Answer.Tokens, Answer.AskAfter);
                });
   }
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -192,7 +192,8 @@
   header_list &Headers = Request.Headers;
   auto Left = std::chrono::duration_cast<std::chrono::milliseconds>(
       Entry.Deadline - Parts.Clock.now());
-  Headers.set(Names.TimeLeft, std::to_string(std::max<int64_t>(1, Left.count())));
+  Headers.set(Names.TimeLeft,
+              std::to_string(std::max<int64_t>(1, Left.count())));
   Headers.set(Names.OriginService, Entry.Order.OriginService);
   Headers.set(Names.ExpectedInstance, Parts.Server.life().Instance);
   Headers.remove(Names.Workspace);
@@ -240,7 +241,8 @@
   Entry.IsRunning = false;
   duration Took = Parts.Clock.now() - Entry.SentAt;
   BusyTime += Took;
-  if (Result.Outcome == call_outcome::Answered && Result.Response.Status < 400) {
+  if (Result.Outcome == call_outcome::Answered &&
+      Result.Response.Status < 400) {
     auto [Known, IsNew] = Work.try_emplace(Entry.Order.Route, Took);
     auto Blend = [&](duration Old) {
       return std::chrono::duration_cast<duration>(Old * (1 - WorkWeight) +
@@ -253,7 +255,7 @@
   bool SameLife = Entry.Life == Parts.Server.life();
   finish(Id, judge(Entry, std::move(Result)));
   if (Refused && SameLife)
-    Parts.OnServerDead();
+    Parts.OnRefusedConnection();
   pump();
 }
 
@@ -283,9 +285,8 @@
     return Refusal;
   }
   auto Echo = Response.Headers.find(Parts.Names.RequestId);
-  if (!Echo || *Echo !=
-                   Entry.Request.Headers.find(Parts.Names.RequestId)
-                       .value_or("") ||
+  if (!Echo ||
+      *Echo != Entry.Request.Headers.find(Parts.Names.RequestId).value_or("") ||
       !isFromServer(Response))
     return unknown("bad-answer");
   forward_result End;
@@ -352,8 +353,7 @@
 load_report door::takeReport() {
   load_report Report;
   time_point Now = Parts.Clock.now();
-  double Seconds =
-      std::chrono::duration<double>(Now - ReportedAt).count();
+  double Seconds = std::chrono::duration<double>(Now - ReportedAt).count();
   if (Seconds <= 0)
     return Report;
   Report.Rate = static_cast<double>(Arrivals) / Seconds;
--- a/src/dragonflyvane/node/door.hpp
+++ b/src/dragonflyvane/node/door.hpp
@@ -39,8 +39,8 @@
     metrics &Metrics;
     /// Whether the map says that this host owns a point.
     std::function<bool(const std::string &Service, key_point)> IsOwner;
-    /// Nothing listens at the server's address.
-    std::function<void()> OnServerDead;
+    /// The server refused a connection.
+    std::function<void()> OnRefusedConnection;
   };
 
   explicit door(parts Parts);
--- a/src/dragonflyvane/node/journey.cpp
+++ b/src/dragonflyvane/node/journey.cpp
@@ -189,7 +189,8 @@
 }
 
 void entrance::journey::send(const std::string &Host) {
-  Order.TimeLeft = std::chrono::duration_cast<std::chrono::milliseconds>(left());
+  Order.TimeLeft =
+      std::chrono::duration_cast<std::chrono::milliseconds>(left());
   Order.AimLeft = Order.TimeLeft;
   if (Route->Aim.count() > 0)
     Order.AimLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -251,15 +252,15 @@
   if (Result.Reached)
     ++Reached;
   MayHaveRun |= Result.Outcome != forward_outcome::NotRun;
-  if (Result.Outcome == forward_outcome::Answered && Result.Response.Status < 500)
+  if (Result.Outcome == forward_outcome::Answered &&
+      Result.Response.Status < 500)
     return answer(std::move(Result.Response));
   if (Result.Outcome == forward_outcome::NotRun) {
     ++Refusals;
-    bool MapIsStale = Result.Code == "not-owner" ||
-                      Result.Code == "server-leaving-or-down" ||
-                      Result.Code == "evacuated" ||
-                      Result.Code == "peer-unreachable" ||
-                      Result.Code == "stopping";
+    bool MapIsStale =
+        Result.Code == "not-owner" || Result.Code == "server-leaving-or-down" ||
+        Result.Code == "evacuated" || Result.Code == "peer-unreachable" ||
+        Result.Code == "stopping";
     if (IsKeyed && MapIsStale)
       return waitForHost(Result.Code);
   }
@@ -358,19 +359,18 @@
   Response.Headers.add(E.Parts.Names.RequestId, requestId());
   E.Parts.Metrics.count("refusals_total", {{"code", Code}});
   time_point Now = E.Parts.Clock.now();
-  writeRequestLog(
-      "refused",
-      {{"request_id", requestId()},
-       {"status", Status},
-       {"code", Code},
-       {"ran", toString(Ran)},
-       {"route", Order.Route},
-       {"workspace", Order.Workspace},
-       {"peer", SentTo},
-       {"reached", Reached},
-       {"config", Config ? Config->Version : 0},
-       {"evidence_ms", inMilliseconds(E.Parts.Orders.evidenceAge(Now))},
-       {"took_ms", inMilliseconds(Now - StartedAt)}});
+  writeRequestLog("refused", {{"request_id", requestId()},
+                              {"status", Status},
+                              {"code", Code},
+                              {"ran", toString(Ran)},
+                              {"route", Order.Route},
+                              {"workspace", Order.Workspace},
+                              {"peer", SentTo},
+                              {"reached", Reached},
+                              {"config", Config ? Config->Version : 0},
+                              {"evidence_ms",
+                               inMilliseconds(E.Parts.Orders.evidenceAge(Now))},
+                              {"took_ms", inMilliseconds(Now - StartedAt)}});
   answer(std::move(Response));
 }
 
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -8,6 +8,10 @@
 constexpr std::chrono::milliseconds SilenceLimit{3500};
 /// The part of the drain time in which new requests still go to a server.
 constexpr int DrainPartPercent = 85;
+/// A server has ended if it refuses connections without a pause for longer than
+/// it would take to send a heartbeat.
+constexpr std::chrono::milliseconds RefusalSlack{150};
+constexpr std::chrono::milliseconds RefusalGap{400};
 /// Beyond a heartbeat interval: for news to reach the receiver of a range.
 constexpr std::chrono::milliseconds MoveSlack{60};
 
@@ -15,6 +19,7 @@
 
 local_server::local_server(const settings &Settings, const clock_source &Clock)
     : Clock(Clock), DrainTimeout(Settings.DrainTimeout),
+      HeartbeatInterval(Settings.HeartbeatInterval),
       Book({Settings.Host, Settings.LongestHold,
             Settings.HeartbeatInterval + MoveSlack},
            Clock.now()) {}
@@ -72,7 +77,15 @@
 }
 
 void local_server::onRefusedConnection() {
-  if (Standing == server_standing::None)
+  time_point Now = Clock.now();
+  bool Continues = Now - LastRefusal < RefusalGap && LastHeard < FirstRefusal;
+  LastRefusal = Now;
+  if (!Continues)
+    FirstRefusal = Now;
+  // One that leaves refuses connections too, while it still works, but it goes
+  // on sending heartbeats.
+  if (Standing != server_standing::Ready ||
+      Now - FirstRefusal < HeartbeatInterval + RefusalSlack)
     return;
   Standing = server_standing::Down;
   Book.onServerDead();
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -34,7 +34,8 @@
                                    const grant_terms &Terms);
   /// The server says that it leaves.
   void onLeave(const server_life &Life);
-  /// Nothing listens at its address: this life has ended.
+  /// It refused a connection. If it goes on to, and sends no heartbeat, this
+  /// life has ended.
   void onRefusedConnection();
   /// Notices silence.
   void tick();
@@ -67,6 +68,7 @@
 
   const clock_source &Clock;
   std::chrono::milliseconds DrainTimeout;
+  std::chrono::milliseconds HeartbeatInterval;
   grant_book Book;
   server_standing Standing = server_standing::None;
   server_life Life;
@@ -75,6 +77,9 @@
   uint32_t Slots = 0;
   uint64_t Sequence = 0;
   time_point LastHeard{};
+  /// The refusals that followed each other up to now.
+  time_point FirstRefusal{};
+  time_point LastRefusal{};
   time_point LeavingSince{};
   std::optional<time_point> EvacuatedSince;
   time_point ColdUntil{};
--- a/src/dragonflyvane/node/ownership_keeper.cpp
+++ b/src/dragonflyvane/node/ownership_keeper.cpp
@@ -15,8 +15,8 @@
       Sync({Parts.Settings.Host, Parts.Loop, Parts.Clock, Parts.Store,
             Parts.Orders, [this] { onClusterChange(); }}),
       Server(Parts.Settings, Parts.Clock),
-      Steward({Parts.Settings.Host, Parts.Loop, Parts.Clock, Sync,
-               Parts.Orders}) {}
+      Steward(
+          {Parts.Settings.Host, Parts.Loop, Parts.Clock, Sync, Parts.Orders}) {}
 
 void ownership_keeper::start() {
   announce();
@@ -24,8 +24,7 @@
   Tick = Parts.Loop.every(TickPeriod, [this] { tick(); });
 }
 
-std::optional<grant>
-ownership_keeper::onHeartbeat(const heartbeat &Heartbeat) {
+std::optional<grant> ownership_keeper::onHeartbeat(const heartbeat &Heartbeat) {
   auto Grant = Server.onHeartbeat(Heartbeat, termsOf(Heartbeat.Service));
   announce();
   freeRanges();
@@ -37,7 +36,7 @@
   announce();
 }
 
-void ownership_keeper::onServerDead() {
+void ownership_keeper::onRefusedConnection() {
   Server.onRefusedConnection();
   announce();
   freeRanges();
--- a/src/dragonflyvane/node/ownership_keeper.hpp
+++ b/src/dragonflyvane/node/ownership_keeper.hpp
@@ -34,12 +34,14 @@
   /// The local backend server's heartbeat, and the grant to answer with.
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat);
   void onLeave(const server_life &Life);
-  /// Nothing listens at the local backend server's address.
-  void onServerDead();
+  /// The local backend server refused a connection.
+  void onRefusedConnection();
 
   const cluster_view &view() const { return Sync.view(); }
   const cluster_sync &sync() const { return Sync; }
   const local_server &server() const { return Server; }
+  /// A peer has seen a cluster row of this version.
+  void onNews(row_version Version) { Sync.onNews(Version); }
   steward &planner() { return Steward; }
   const steward &planner() const { return Steward; }
   /// Whether the map gives a point to the local backend server's present life.
--- a/src/dragonflyvane/node/peer_directory.cpp
+++ b/src/dragonflyvane/node/peer_directory.cpp
@@ -49,8 +49,8 @@
                       ? static_cast<double>(State.Load.Work.count())
                       : UnknownWorkMs;
   bool Fresh = Clock.now() - State.LoadAt < LoadLife;
-  double Busy = std::max<double>(Fresh ? State.Load.Busy : 0,
-                                 State.Outstanding);
+  double Busy =
+      std::max<double>(Fresh ? State.Load.Busy : 0, State.Outstanding);
   double Waiting = std::max(0.0, Busy + 1 - Slots);
   // A little for each busy slot, so that equal hosts share the work.
   return WorkMs * (1 + Waiting / Slots + 0.3 * Busy / Slots) + Far;
--- a/src/dragonflyvane/node/peer_directory.hpp
+++ b/src/dragonflyvane/node/peer_directory.hpp
@@ -22,8 +22,8 @@
   peer_directory(const cluster_view &View, const order_book &Orders,
                  const clock_source &Clock, std::string FailureDomain)
       : View(View), Orders(Orders), Clock(Clock),
-        FailureDomain(std::move(FailureDomain)), Random(std::random_device{}()) {
-  }
+        FailureDomain(std::move(FailureDomain)),
+        Random(std::random_device{}()) {}
 
   /// The better of two random hosts of a service by expected time; hosts of
   /// `Tried` only if there is no other.
--- a/src/dragonflyvane/node/peer_messages.cpp
+++ b/src/dragonflyvane/node/peer_messages.cpp
@@ -35,7 +35,8 @@
                                 {"rate", Message.Load.Rate},
                                 {"use", Message.Load.Utilization},
                                 {"work", Message.Load.Work},
-                                {"sample", Message.Load.Sample}});
+                                {"sample", Message.Load.Sample},
+                                {"newest", Message.Newest}});
 }
 
 std::optional<report_message> decodeReport(const http_request &Request) {
@@ -46,11 +47,26 @@
   Message.Host = Body->value("host", "");
   Message.Load.Rate = Body->value("rate", 0.0);
   Message.Load.Utilization = Body->value("use", 0.0);
+  Message.Newest = Body->value("newest", row_version{0});
   Message.Load.Work = Body->value("work", 0.0);
   Message.Load.Sample = Body->value("sample", std::vector<key_point>{});
   return Message;
 }
 
+http_response encodeAnswer(const report_answer &Answer) {
+  return jsonResponse(200, json{{"steward", Answer.IsSteward},
+                                {"newest", Answer.Newest}}
+                               .dump());
+}
+
+std::optional<report_answer> decodeReportAnswer(const http_response &Response) {
+  json Body = json::parse(Response.Body, nullptr, false);
+  if (!Body.is_object())
+    return std::nullopt;
+  return report_answer{Body.value("steward", false),
+                       Body.value("newest", row_version{0})};
+}
+
 http_request encodeAsk(const token_ask &Ask) {
   return makeMessage("tokens",
                      {{"workspace", Ask.Workspace}, {"amount", Ask.Amount}});
@@ -69,7 +85,7 @@
                                .dump());
 }
 
-std::optional<token_answer> decodeAnswer(const http_response &Response) {
+std::optional<token_answer> decodeTokenAnswer(const http_response &Response) {
   json Body = json::parse(Response.Body, nullptr, false);
   if (!Body.is_object())
     return std::nullopt;
--- a/src/dragonflyvane/node/peer_messages.hpp
+++ b/src/dragonflyvane/node/peer_messages.hpp
@@ -5,7 +5,8 @@
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
-#include "dragonflyvane/core/ownership/assignment.hpp"
+#include "dragonflyvane/core/ownership/load_balance.hpp"
+#include "dragonflyvane/core/store.hpp"
 
 #include <optional>
 #include <string>
@@ -16,6 +17,14 @@
 struct report_message {
   std::string Host;
   load_report Load;
+  /// The version of the newest cluster row that it has seen.
+  row_version Newest = 0;
+};
+
+/// What the steward answers.
+struct report_answer {
+  bool IsSteward = false;
+  row_version Newest = 0;
 };
 
 /// An ask for tokens of a workspace.
@@ -32,10 +41,12 @@
 
 http_request encodeReport(const report_message &Message);
 std::optional<report_message> decodeReport(const http_request &Request);
+http_response encodeAnswer(const report_answer &Answer);
+std::optional<report_answer> decodeReportAnswer(const http_response &Response);
 http_request encodeAsk(const token_ask &Ask);
 std::optional<token_ask> decodeAsk(const http_request &Request);
 http_response encodeAnswer(const token_answer &Answer);
-std::optional<token_answer> decodeAnswer(const http_response &Response);
+std::optional<token_answer> decodeTokenAnswer(const http_response &Response);
 
 } // namespace dragonflyvane
 
--- a/src/dragonflyvane/node/steward.cpp
+++ b/src/dragonflyvane/node/steward.cpp
@@ -88,8 +88,8 @@
     Rank += Name != Holder;
   }
   bool IsVacant = Holder.empty();
-  duration Patience = (IsVacant ? duration{0} : duration{OfficeTimeout}) +
-                      OfficeStep * Rank;
+  duration Patience =
+      (IsVacant ? duration{0} : duration{OfficeTimeout}) + OfficeStep * Rank;
   if (Now - LastHeard >= Patience)
     takeOffice();
 }
@@ -101,21 +101,21 @@
   store_transaction Transaction;
   Transaction.Conditions.push_back({stewardRow(), Row.Version});
   Transaction.Writes.push_back({stewardRow(), Parts.Host});
-  Parts.Sync.transact(
-      Transaction, [this, Before](const transaction_result &Result) {
-        TakingOffice = false;
-        LastHeard = Parts.Clock.now();
-        if (Result.Outcome != transaction_outcome::Committed)
-          return;
-        writeLog(log_level::Info, "steward from now on",
-                 {{"step", "steward"}, {"before", Before}});
-        // The pool of the one before ends with its lease at the latest.
-        PoolOpens = Parts.Clock.now() +
-                    (Before.empty() ? duration{0}
-                                    : duration{LeaseLength + LeaseMargin});
-        Pool.clear();
-        Leases.clear();
-      });
+  Parts.Sync.transact(Transaction, [this,
+                                    Before](const transaction_result &Result) {
+    TakingOffice = false;
+    LastHeard = Parts.Clock.now();
+    if (Result.Outcome != transaction_outcome::Committed)
+      return;
+    writeLog(log_level::Info, "steward from now on",
+             {{"step", "steward"}, {"before", Before}});
+    // The pool of the one before ends with its lease at the latest.
+    PoolOpens =
+        Parts.Clock.now() +
+        (Before.empty() ? duration{0} : duration{LeaseLength + LeaseMargin});
+    Pool.clear();
+    Leases.clear();
+  });
 }
 
 double steward::takeTokens(const std::string &Workspace, double Amount,
@@ -142,8 +142,7 @@
   });
 }
 
-std::vector<candidate>
-steward::candidatesOf(const std::string &Service) const {
+std::vector<candidate> steward::candidatesOf(const std::string &Service) const {
   std::vector<candidate> Candidates;
   for (const auto &[Name, Row] : Parts.Sync.view().hosts()) {
     const host_info &Info = Row.Content;
@@ -249,11 +248,10 @@
     Also.Conditions.push_back({leaseRow(Owner), Leases.versionOf(Owner)});
     Also.Writes.push_back({leaseRow(Owner), "{}"});
   }
-  Parts.Sync.change({Service,
-                     [Owners](ownership_map &Map, uint64_t) {
-                       return takeOver(Map, Owners);
-                     },
-                     Also});
+  Parts.Sync.change(
+      {Service,
+       [Owners](ownership_map &Map, uint64_t) { return takeOver(Map, Owners); },
+       Also});
 }
 
 void steward::removeHosts(const std::set<std::string> &Lapsed) {
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -13,8 +13,8 @@
   metrics Metrics;
   http_client Client(Loop);
   platform::store_client Store(Client, Settings.Store, Metrics);
-  dragonflyvane::daemon Daemon(Loop, Settings, platform::access(Store, Settings), Client,
-                Metrics);
+  dragonflyvane::daemon Daemon(
+      Loop, Settings, platform::access(Store, Settings), Client, Metrics);
   platform::control_api Control(Loop, Settings, Daemon);
   Daemon.start();
   Loop.run();
--- a/tests/fake_server.hpp
+++ b/tests/fake_server.hpp
@@ -29,6 +29,8 @@
     uint64_t Seed = 0;
     /// How fast its clock runs; a hold lasts longer on a slow one.
     double ClockSpeed = 0.98;
+    /// Reports a release at once, though it works on.
+    bool EarlyRelease = false;
   };
 
   explicit fake_server(parts Parts);
@@ -37,6 +39,7 @@
   void crash();
   void drain() { State = server_state::Draining; }
   bool isUp() const { return Up; }
+  bool isDraining() const { return Up && State == server_state::Draining; }
   /// Whether it runs requests for a point now, and under which token.
   std::optional<uint64_t> tokenOf(key_point Point) const;
   const server_life &life() const { return Life; }
