--- a/cmake/dragonflyvane_develop.cmake
+++ b/cmake/dragonflyvane_develop.cmake
@@ -0,0 +1,4 @@
+# Stand-ins for the demo and the tests, and the operators' tool.
+foreach(Name store backend load)
+  dragonflyvane_program(standin_${Name} platform/standin/${Name}.cpp)
+endforeach()
--- a/cmake/dragonflyvane_targets.cmake
+++ b/cmake/dragonflyvane_targets.cmake
@@ -2,6 +2,7 @@
 function(dragonflyvane_library Layer Folder)
   file(GLOB_RECURSE Sources CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/${Folder}/*.cpp)
   list(FILTER Sources EXCLUDE REGEX "_test\\.cpp$")
+  list(FILTER Sources EXCLUDE REGEX "/standin/")
   add_library(dragonflyvane_${Layer} STATIC ${Sources})
   target_link_libraries(dragonflyvane_${Layer} PUBLIC dragonflyvane_options ${ARGN})
 endfunction()
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -79,12 +79,12 @@
 }
 
 void cluster_sync::watch(feed &Feed) {
-  Parts.Store.watch(Feed.Kind, Feed.Revision, WatchWait,
-                    [this, &Feed, Round = Feed.Round](
-                        const read_result &Result) {
-                      if (Round == Feed.Round)
-                        onWatched(Feed, Result);
-                    });
+  Parts.Store.watch(
+      Feed.Kind, Feed.Revision, WatchWait,
+      [this, &Feed, Round = Feed.Round](const read_result &Result) {
+        if (Round == Feed.Round)
+          onWatched(Feed, Result);
+      });
 }
 
 void cluster_sync::onNews(row_version Version) {
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -122,8 +122,8 @@
     if (auto Report = decodeReport(Exchange->request())) {
       Keeper.planner().onReport(Report->Host, Report->Load);
       Keeper.onNews(Report->Newest);
-      return Exchange->answer(encodeAnswer(report_answer{
-          Keeper.planner().isActive(), Keeper.sync().newest()}));
+      return Exchange->answer(encodeAnswer(
+          report_answer{Keeper.planner().isActive(), Keeper.sync().newest()}));
     }
     if (auto Ask = decodeAsk(Exchange->request())) {
       duration AskAfter{0};
--- a/src/dragonflyvane/node/peer_messages.cpp
+++ b/src/dragonflyvane/node/peer_messages.cpp
@@ -54,9 +54,9 @@
 }
 
 http_response encodeAnswer(const report_answer &Answer) {
-  return jsonResponse(200, json{{"steward", Answer.IsSteward},
-                                {"newest", Answer.Newest}}
-                               .dump());
+  return jsonResponse(
+      200,
+      json{{"steward", Answer.IsSteward}, {"newest", Answer.Newest}}.dump());
 }
 
 std::optional<report_answer> decodeReportAnswer(const http_response &Response) {
