--- a/cmake/dragonflyvane_tests.cmake
+++ b/cmake/dragonflyvane_tests.cmake
@@ -12,7 +12,7 @@
   add_executable(${Layer}_tests ${Tests} ${PROJECT_SOURCE_DIR}/tests/main.cc)
   target_link_libraries(${Layer}_tests PRIVATE dragonflyvane_test_support)
   target_compile_definitions(${Layer}_tests PRIVATE
-    GOLDEN_DIRECTORY="${PROJECT_SOURCE_DIR}/tests/golden")
+    EXAMPLE_CONFIGURATION="${PROJECT_SOURCE_DIR}/examples/lakeshore/config.json")
   add_test(NAME ${Layer} COMMAND ${Layer}_tests)
 endfunction()
 
--- a/src/dragonflyvane/core/admission/retry_budget.hpp
+++ b/src/dragonflyvane/core/admission/retry_budget.hpp
@@ -23,8 +23,8 @@
       : Ratio(Terms.Ratio * Safety) {
     double Windows = static_cast<double>(Terms.Window.count());
     double Free = Terms.Extra * Safety / static_cast<double>(Hosts) / 2;
-    Bucket = token_bucket(Free / Windows, Free, Now);
-    MostEarned = Free;
+    Bucket = token_bucket(Free / Windows, std::max(1.0, Free), Now);
+    MostEarned = std::max(1.0, Free);
   }
 
   void onRequest() {
--- a/src/dragonflyvane/core/cluster/host_info.cpp
+++ b/src/dragonflyvane/core/cluster/host_info.cpp
@@ -6,7 +6,7 @@
 
 namespace dragonflyvane {
 
-std::string toString(server_standing Standing) {
+std::string nameOf(server_standing Standing) {
   switch (Standing) {
   case server_standing::None:
     return "none";
--- a/src/dragonflyvane/core/cluster/host_info.hpp
+++ b/src/dragonflyvane/core/cluster/host_info.hpp
@@ -21,7 +21,7 @@
 };
 
 /// `none`, `ready`, `leaving` or `down`.
-std::string toString(server_standing Standing);
+std::string nameOf(server_standing Standing);
 
 /// One host. Its row changes only when something here does.
 struct host_info {
--- /dev/null
+++ b/src/dragonflyvane/core/configuration/configuration_test.cpp
@@ -0,0 +1,20 @@
+#include "dragonflyvane/core/configuration/configuration.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+TEST_CASE("the longest prefix of the host's routes wins") {
+  configuration Config;
+  for (const char *Prefix : {"/a/", "/a/b/", "/"}) {
+    route Route;
+    Route.Name = Prefix;
+    Route.Host = "x.example";
+    Route.Prefix = Prefix;
+    Config.add(Route);
+  }
+  CHECK(findRoute(Config, "x.example", "/a/b/c?q=/z/")->Name == "/a/b/");
+  CHECK(findRoute(Config, "x.example:80", "/a/bc")->Name == "/a/");
+  CHECK(findRoute(Config, "x.example", "/q?/a/b/")->Name == "/");
+  CHECK(!findRoute(Config, "y.example", "/a/"));
+}
--- /dev/null
+++ b/src/dragonflyvane/core/ownership/assignment_test.cpp
@@ -0,0 +1,98 @@
+#include "dragonflyvane/core/ownership/assignment.hpp"
+
+#include "dragonflyvane/core/error.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+std::vector<candidate> candidates(int Count) {
+  std::vector<candidate> Result;
+  for (int I = 0; I < Count; ++I)
+    Result.push_back({"host" + std::to_string(I), {"i", I}, 9});
+  return Result;
+}
+
+double pointsOf(const ownership_map &Map, const std::string &Host) {
+  double Points = 0;
+  for (const owned_range &Range : Map.Ranges)
+    Points += Range.Owner == Host ? Range.size() : 0;
+  return Points;
+}
+
+ownership_map firstMap(int Count) {
+  ownership_map Map;
+  assignFree(Map, candidates(Count), {7, 0.2});
+  return Map;
+}
+
+} // namespace
+
+TEST_CASE("a first map gives each backend server its fair part") {
+  ownership_map Map = firstMap(9);
+  for (const candidate &C : candidates(9))
+    CHECK(pointsOf(Map, C.Host) == doctest::Approx(65536.0 / 9).epsilon(0.01));
+  CHECK(Map.Ranges.size() == 9);
+  CHECK(Map.find(0).Token == 7);
+}
+
+TEST_CASE("the keys of a lost host go to all others, with a higher token") {
+  ownership_map Map = firstMap(4);
+  CHECK(takeOver(Map, {"host1"}));
+  CHECK(pointsOf(Map, "host1") == 0);
+  std::vector<candidate> Rest = candidates(4);
+  Rest.erase(Rest.begin() + 1);
+  CHECK(assignFree(Map, Rest, {9, 0.2}));
+  for (const candidate &C : Rest)
+    CHECK(pointsOf(Map, C.Host) == doctest::Approx(65536.0 / 3).epsilon(0.01));
+  CHECK(Map.find(20000).Token == 9);
+  CHECK(!takeOver(Map, {"host1"}));
+}
+
+TEST_CASE(
+    "a leaving host is ordered to hand over, and not to one that leaves") {
+  ownership_map Map = firstMap(3);
+  std::vector<candidate> Rest = candidates(3);
+  Rest.erase(Rest.begin());
+  CHECK(orderMoves(Map, Rest));
+  for (const owned_range &Range : Map.Ranges)
+    CHECK(Range.Next.empty() == (Range.Owner != "host0"));
+  // The receiver leaves too: the order is taken back and given anew.
+  std::vector<candidate> Last = {Rest.back()};
+  CHECK(orderMoves(Map, Last));
+  for (const owned_range &Range : Map.Ranges)
+    CHECK((Range.Owner == "host2" || Range.Next == "host2"));
+}
+
+TEST_CASE("a free range that has a receiver goes to it") {
+  ownership_map Map = firstMap(2);
+  Map.Ranges[0].Owner.clear();
+  Map.Ranges[0].Next = "host1";
+  Map.Ranges[0].Handover = "h";
+  CHECK(assignFree(Map, candidates(2), {9, 0.2}));
+  CHECK(Map.find(0).Owner == "host1");
+  CHECK(Map.find(0).Handover == "h");
+  CHECK(Map.find(0).Next.empty());
+}
+
+TEST_CASE("without load, a host that joins is given points") {
+  ownership_map Map = firstMap(3);
+  plan_options Options{9, 0.5};
+  CHECK(orderBalance(Map, candidates(4), {}, Options));
+  double Points = 0;
+  for (const owned_range &Range : Map.Ranges)
+    Points += Range.Next == "host3" ? Range.size() : 0;
+  CHECK(Points > 1000);
+}
+
+TEST_CASE("a map survives its row, and a bad row is refused") {
+  ownership_map Map = firstMap(5);
+  Map.Ranges[2].Next = "host0";
+  CHECK(decodeMap(encodeMap(Map)) == Map);
+  CHECK_THROWS_AS(decodeMap("nonsense"), step_error);
+  CHECK_THROWS_AS(decodeMap(R"({"ranges":[]})"), step_error);
+  CHECK_THROWS_AS(decodeMap(R"({"ranges":[[0,9,"a","i",1,1,"",""]]})"),
+                  step_error);
+}
--- /dev/null
+++ b/src/dragonflyvane/core/ownership/load_balance_test.cpp
@@ -0,0 +1,104 @@
+#include "dragonflyvane/core/ownership/load_balance.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+constexpr int Hosts = 4;
+
+std::string nameOf(int I) { return "host" + std::to_string(I); }
+
+std::vector<candidate> candidates() {
+  std::vector<candidate> Result;
+  for (int I = 0; I < Hosts; ++I)
+    Result.push_back({nameOf(I), {"i", I}, 9});
+  return Result;
+}
+
+/// Four equal ranges.
+ownership_map evenMap() {
+  ownership_map Map;
+  for (key_point I = 1; I < Hosts; ++I)
+    Map.cutBefore(I * 16384);
+  for (int I = 0; I < Hosts; ++I)
+    Map.Ranges[I].Owner = nameOf(I);
+  return Map;
+}
+
+load_report report(double Rate, std::vector<key_point> Sample,
+                   double Work = 0.06) {
+  return {Rate, std::move(Sample), 0, Work};
+}
+
+/// The part of the rate that each host would have, moves done.
+std::map<std::string, double>
+ratesAfter(const ownership_map &Map,
+           const std::map<std::string, load_report> &Loads) {
+  std::map<std::string, double> Rates;
+  for (const auto &[Host, Load] : Loads)
+    for (key_point Point : Load.Sample) {
+      const owned_range &Range = Map.find(Point);
+      Rates[Range.Next.empty() ? Range.Owner : Range.Next] +=
+          Load.Rate / static_cast<double>(Load.Sample.size());
+    }
+  return Rates;
+}
+
+} // namespace
+
+TEST_CASE("hot key range: busy neighbours are spread over all hosts") {
+  std::map<std::string, load_report> Loads;
+  std::vector<key_point> Busy;
+  for (key_point I = 0; I < 48; ++I)
+    Busy.push_back(5000 + I * 4);
+  Loads[nameOf(0)] = report(400, Busy);
+  for (int I = 1; I < Hosts; ++I)
+    Loads[nameOf(I)] = report(20, {static_cast<key_point>(I * 16384 + 9)});
+  ownership_map Map = evenMap();
+  REQUIRE(load_balance(candidates(), Loads).order(Map));
+  for (const auto &[Host, Rate] : ratesAfter(Map, Loads)) {
+    CAPTURE(Host);
+    CHECK(Rate < 460.0 / Hosts * 1.3);
+  }
+}
+
+TEST_CASE("slow server: it keeps what it can bear") {
+  std::map<std::string, load_report> Loads;
+  for (int I = 0; I < Hosts; ++I) {
+    std::vector<key_point> Sample;
+    for (key_point J = 0; J < 40; ++J)
+      Sample.push_back(I * 16384 + J * 400);
+    Loads[nameOf(I)] = report(60, Sample, I == 0 ? 0.24 : 0.06);
+  }
+  ownership_map Map = evenMap();
+  REQUIRE(load_balance(candidates(), Loads).order(Map));
+  CHECK(ratesAfter(Map, Loads)[nameOf(0)] < 45);
+}
+
+TEST_CASE("one hot key stays; what lies beside it goes") {
+  std::map<std::string, load_report> Loads;
+  std::vector<key_point> Sample(30, 7000);
+  for (key_point I = 0; I < 18; ++I)
+    Sample.push_back(100 + I * 100);
+  Loads[nameOf(0)] = report(300, Sample);
+  for (int I = 1; I < Hosts; ++I)
+    Loads[nameOf(I)] = report(20, {static_cast<key_point>(I * 16384 + 9)});
+  ownership_map Map = evenMap();
+  REQUIRE(load_balance(candidates(), Loads).order(Map));
+  CHECK(Map.find(7000).Next.empty());
+  CHECK(ratesAfter(Map, Loads)[nameOf(0)] < 240);
+}
+
+TEST_CASE("even load, or hardly any, moves nothing") {
+  std::map<std::string, load_report> Loads;
+  for (int I = 0; I < Hosts; ++I) {
+    key_point First = I * 16384;
+    Loads[nameOf(I)] = report(90 + I * 5, {First, First + 900, First + 9000});
+  }
+  ownership_map Map = evenMap();
+  CHECK(!load_balance(candidates(), Loads).order(Map));
+  CHECK(Map == evenMap());
+  CHECK(!load_balance(candidates(), {}).knowsLoad());
+}
--- /dev/null
+++ b/src/dragonflyvane/core/rate/workspace_rates_test.cpp
@@ -0,0 +1,110 @@
+#include "dragonflyvane/core/rate/workspace_rates.hpp"
+
+#include <doctest/doctest.h>
+
+#include <deque>
+#include <random>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+
+namespace {
+
+constexpr double Rate = 50;
+constexpr double Burst = 40;
+
+std::map<std::string, workspace> workspaces(double R = Rate) {
+  return {{"ferry", {"ferry", R, Burst, -1}}};
+}
+
+/// Hosts and their pool, without the network between them.
+struct rate_cluster {
+  explicit rate_cluster(size_t Count) : Hosts(Count) { configure(Rate); }
+
+  void configure(double R) {
+    for (host_rates &Host : Hosts)
+      Host.configure(workspaces(R), Hosts.size(), Clock.now());
+    Pool.configure(workspaces(R), Clock.now());
+  }
+
+  bool take(size_t Host) {
+    host_rates &Rates = Hosts[Host];
+    rate_verdict Verdict = Rates.take("ferry", Clock.now());
+    if (Verdict == rate_verdict::AskPool) {
+      duration AskAfter{0};
+      double Tokens =
+          Pool.take("ferry", Rates.chunk("ferry"), AskAfter, Clock.now());
+      Rates.onChunk("ferry", Tokens, AskAfter, Clock.now());
+      Verdict = Rates.take("ferry", Clock.now());
+    }
+    return Verdict == rate_verdict::Granted;
+  }
+
+  manual_clock Clock;
+  std::vector<host_rates> Hosts;
+  rate_pool Pool;
+};
+
+} // namespace
+
+TEST_CASE("hot workspace: no window sees more than rate x time + burst") {
+  rate_cluster Cluster(12);
+  std::mt19937 Random(3);
+  std::deque<time_point> Admitted;
+  double Worst = 0;
+  for (int I = 0; I < 20000; ++I) {
+    Cluster.Clock.advance(milliseconds(1));
+    if (Cluster.take(Random() % 12))
+      Admitted.push_back(Cluster.Clock.now());
+    while (!Admitted.empty() &&
+           Cluster.Clock.now() - Admitted.front() > std::chrono::seconds(5))
+      Admitted.pop_front();
+    Worst = std::max(Worst, static_cast<double>(Admitted.size()));
+  }
+  // Each host keeps room for one token at least.
+  CHECK(Worst <= Rate * 5 + Burst + 12);
+}
+
+TEST_CASE("a workspace whose callers use one host gets most of its rate") {
+  rate_cluster Cluster(12);
+  int Admitted = 0;
+  for (int I = 0; I < 10000; ++I) {
+    Cluster.Clock.advance(milliseconds(1));
+    Admitted += Cluster.take(0);
+  }
+  CHECK(Admitted >= Rate * 10 * 0.5);
+}
+
+TEST_CASE("rate far below the demand: the lower rate holds at once") {
+  rate_cluster Cluster(12);
+  Cluster.Clock.advance(std::chrono::seconds(2));
+  Cluster.configure(5);
+  std::mt19937 Random(3);
+  int Admitted = 0;
+  for (int I = 0; I < 10000; ++I) {
+    Cluster.Clock.advance(milliseconds(1));
+    Admitted += Cluster.take(Random() % 12);
+  }
+  CHECK(Admitted <= 5 * 10 + Burst + 12);
+}
+
+TEST_CASE("a request that has not run gives its token back") {
+  host_rates Rates;
+  manual_clock Clock;
+  Rates.configure(workspaces(), 1, Clock.now());
+  Clock.advance(std::chrono::seconds(1));
+  while (Rates.take("ferry", Clock.now()) == rate_verdict::Granted) {
+  }
+  Rates.giveBack("ferry");
+  CHECK(Rates.take("ferry", Clock.now()) == rate_verdict::Granted);
+  CHECK(Rates.take("ferry", Clock.now()) == rate_verdict::AskPool);
+}
+
+TEST_CASE("a new pool begins empty") {
+  rate_pool Pool;
+  manual_clock Clock;
+  duration AskAfter{0};
+  Pool.configure(workspaces(), Clock.now());
+  CHECK(Pool.take("ferry", 1, AskAfter, Clock.now()) == 0);
+  CHECK(AskAfter > duration{0});
+}
--- a/src/dragonflyvane/core/wire_names.hpp
+++ b/src/dragonflyvane/core/wire_names.hpp
@@ -14,7 +14,7 @@
   /// From callers and to backend servers: milliseconds left.
   std::string TimeLeft = "X-Time-Left";
   /// From callers: the secret of a workspace. Never passed on.
-  std::string CallerKey = "X-Api-Key";
+  std::string CallerKey = "X-Caller-Key";
   /// From callers: the point of the request's key, a whole number.
   std::string KeyPoint = "X-Key-Point";
   /// To backend servers: the workspace of the caller.
@@ -22,7 +22,7 @@
   /// To backend servers: the service beside which the request began.
   std::string OriginService = "X-Origin-Service";
   /// To backend servers: the instance that is meant.
-  std::string ExpectedInstance = "X-Expected-Instance";
+  std::string ExpectedInstance = "X-Meant-Instance";
   /// From backend servers: the mark of an answer that they made.
   std::string Signature = "X-Signature";
   /// From backend servers: the request has not run.
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -65,7 +65,7 @@
        {"failure_domain", Parts.Settings.FailureDomain},
        {"service", Parts.Settings.LocalService},
        {"server", Parts.Keeper.server().life().Instance},
-       {"standing", toString(Parts.Keeper.server().standing())},
+       {"standing", nameOf(Parts.Keeper.server().standing())},
        {"configuration", Config ? Config->Version : 0},
        {"evidence_age_s",
         Config ? secondsOf(Parts.Orders.evidenceAge(Now)) : -1},
@@ -82,7 +82,7 @@
                    {"failure_domain", Row.Content.FailureDomain},
                    {"service", Row.Content.Service},
                    {"server", Row.Content.Life.Instance},
-                   {"standing", toString(Row.Content.Standing)},
+                   {"standing", nameOf(Row.Content.Standing)},
                    {"slots", Row.Content.Slots}};
   return show(Hosts);
 }
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -311,7 +311,7 @@
   });
 }
 
-void cluster_sync::change(map_change Change) {
+void cluster_sync::change(const map_change &Change) {
   if (Changing[Change.Service] || !ClusterFeed.IsRead)
     return;
   runChange(Change, 0);
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -57,7 +57,7 @@
   void announce(const host_info &Info);
   /// Begins a change, unless one of the same map is under way; whoever needs it
   /// looks again after the next change or tick.
-  void change(map_change Change);
+  void change(const map_change &Change);
   /// Writes anything else; `Done` gets the result after the view has learned.
   void transact(const store_transaction &Transaction,
                 store::transaction_callback Done);
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -41,7 +41,6 @@
                  platform_access Platform, http_client &Client,
                  metrics &Metrics)
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
-        Metrics(Metrics),
         Orders(this->Platform.OrderRows, this->Platform.DecodeOrder),
         Peers(Loop, MaxPeerBody),
         Store({Settings.Host, this->Platform.Store, Peers, Clock,
@@ -227,7 +226,6 @@
   event_loop &Loop;
   settings Settings;
   platform_access Platform;
-  metrics &Metrics;
   boot_clock Clock;
   order_book Orders;
   peer_client Peers;
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -78,7 +78,7 @@
 
 void local_server::onRefusedConnection() {
   time_point Now = Clock.now();
-  bool Continues = Now - LastRefusal < RefusalGap && LastHeard < FirstRefusal;
+  bool Continues = Now - LastRefusal < RefusalGap && LastHeard <= FirstRefusal;
   LastRefusal = Now;
   if (!Continues)
     FirstRefusal = Now;
--- a/src/dragonflyvane/node/ownership_keeper.cpp
+++ b/src/dragonflyvane/node/ownership_keeper.cpp
@@ -82,7 +82,7 @@
   writeLog(log_level::Info, "server standing",
            {{"step", "server"},
             {"instance", Info.Life.Instance},
-            {"standing", toString(Info.Standing)}});
+            {"standing", nameOf(Info.Standing)}});
   Sync.announce(Info);
 }
 
--- a/src/dragonflyvane/node/steward.cpp
+++ b/src/dragonflyvane/node/steward.cpp
@@ -37,7 +37,7 @@
 
 } // namespace
 
-steward::steward(parts P) : Parts(P), LastHeard(P.Clock.now()) {
+steward::steward(const parts &P) : Parts(P), LastHeard(P.Clock.now()) {
   Tick = Parts.Loop.every(TickPeriod, [this] { tick(); });
   LeaseTick = Parts.Loop.every(LeaseReadPeriod, [this] { readLeases(); });
 }
--- a/src/dragonflyvane/node/steward.hpp
+++ b/src/dragonflyvane/node/steward.hpp
@@ -27,7 +27,7 @@
     const order_book &Orders;
   };
 
-  explicit steward(parts Parts);
+  explicit steward(const parts &Parts);
 
   /// Orders, hosts or maps have changed.
   void onClusterChange();
--- a/tests/ownership_trial.cpp
+++ b/tests/ownership_trial.cpp
@@ -10,7 +10,7 @@
     0,     5000,  11000, 16383, 16384, 21845,
     30000, 32768, 43000, 49152, 60000, 65535};
 const row_id ConfigRow{row_kind::Order, "config"};
-const row_id EvacuationRow{row_kind::Order, "evacuate/east"};
+const row_id EvacuationRow{row_kind::Order, "evacuated-east"};
 
 } // namespace
 
@@ -139,8 +139,8 @@
     const ownership_keeper &Keeper = *Host.Keeper;
     const auto *Map = Keeper.view().map("desk");
     Text += ", known as born " + std::to_string(Keeper.server().life().Born) +
-            " " + toString(Keeper.server().standing()) + ", lease " +
-            (Keeper.sync().holdsLease() ? "held" : "not held") +
+            " " + dragonflyvane::nameOf(Keeper.server().standing()) +
+            ", lease " + (Keeper.sync().holdsLease() ? "held" : "not held") +
             ", map version " + std::to_string(Map ? Map->Version : 0) +
             ", steward " + Keeper.view().steward().Content;
   }
