--- a/cmake/dragonflyvane_develop.cmake
+++ b/cmake/dragonflyvane_develop.cmake
@@ -2,3 +2,4 @@
 foreach(Name store backend load)
   dragonflyvane_program(standin_${Name} platform/standin/${Name}.cpp)
 endforeach()
+dragonflyvane_program(dragonflyvanectl src/programs/dragonflyvanectl.cpp)
--- a/include/dragonflyvane/node.hpp
+++ b/include/dragonflyvane/node.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/node/daemon.hpp"
 #include "dragonflyvane/node/daemon_flags.hpp"
 #include "dragonflyvane/node/flags.hpp"
+#include "dragonflyvane/node/operator_tool.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #endif // DRAGONFLYVANE_NODE_HPP
--- a/src/dragonflyvane/core/ownership/assignment_test.cpp
+++ b/src/dragonflyvane/core/ownership/assignment_test.cpp
@@ -10,6 +10,7 @@
 
 std::vector<candidate> candidates(int Count) {
   std::vector<candidate> Result;
+  Result.reserve(Count);
   for (int I = 0; I < Count; ++I)
     Result.push_back({"host" + std::to_string(I), {"i", I}, 9});
   return Result;
--- a/src/dragonflyvane/core/ownership/load_balance_test.cpp
+++ b/src/dragonflyvane/core/ownership/load_balance_test.cpp
@@ -58,9 +58,9 @@
     Loads[nameOf(I)] = report(20, {static_cast<key_point>(I * 16384 + 9)});
   ownership_map Map = evenMap();
   REQUIRE(load_balance(candidates(), Loads).order(Map));
-  for (const auto &[Host, Rate] : ratesAfter(Map, Loads)) {
-    CAPTURE(Host);
-    CHECK(Rate < 460.0 / Hosts * 1.3);
+  for (const auto &Entry : ratesAfter(Map, Loads)) {
+    CAPTURE(Entry.first);
+    CHECK(Entry.second < 460.0 / Hosts * 1.3);
   }
 }
 
--- /dev/null
+++ b/src/programs/dragonflyvanectl.cpp
@@ -0,0 +1,6 @@
+/// The operators' tool.
+#include <dragonflyvane/node.hpp>
+
+int main(int Count, char **Arguments) {
+  return dragonflyvane::runOperatorTool(Count, Arguments);
+}
