--- a/src/dragonflyvane/core/ownership/load_balance_test.cpp
+++ b/src/dragonflyvane/core/ownership/load_balance_test.cpp
@@ -12,6 +12,7 @@
 
 std::vector<candidate> candidates() {
   std::vector<candidate> Result;
+  Result.reserve(Hosts);
   for (int I = 0; I < Hosts; ++I)
     Result.push_back({nameOf(I), {"i", I}, 9});
   return Result;
--- a/tests/raw_connection.cpp
+++ b/tests/raw_connection.cpp
@@ -67,7 +67,8 @@
   int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address = loopback(0);
   socklen_t Size = sizeof(Address);
-  ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size);
+  if (::bind(Socket, reinterpret_cast<sockaddr *>(&Address), Size) != 0)
+    throw std::runtime_error("no free port");
   ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
   ::close(Socket);
   return ntohs(Address.sin_port);
