--- a/src/dragonflyvane/core/admission/retry_budget.hpp
+++ b/src/dragonflyvane/core/admission/retry_budget.hpp
@@ -27,9 +27,11 @@
     MostEarned = std::max(1.0, Free);
   }
 
+  /// A request for the service came in for the first time.
   void onRequest() {
     Earned = std::min(Earned + Ratio, MostEarned + 8 * Ratio);
   }
+  /// Takes one repetition; false when there is none left.
   bool take(time_point Now) {
     if (Earned >= 1) {
       Earned -= 1;
--- a/src/dragonflyvane/core/ownership/load_balance.cpp
+++ b/src/dragonflyvane/core/ownership/load_balance.cpp
@@ -11,14 +11,14 @@
 /// A host that is asked for more than its fair part by this factor, and is
 /// that busy, is relieved.
 constexpr double HighLoad = 1.3;
-constexpr double BusyUtilization = 0.4;
+constexpr double BusyUtilization = 0.55;
 /// A host that is asked for less than this part of its fair part gets more.
 constexpr double LowLoad = 0.4;
 /// Speeds are believed within these bounds, since work varies by chance.
 constexpr double SlowestSpeed = 0.35;
 constexpr double HighestSpeed = 2;
 /// A run that carries less than this part of a fair part is not worth a move.
-constexpr double LeastRun = 0.08;
+constexpr double LeastRun = 0.12;
 constexpr int MostOrders = 8;
 
 } // namespace
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -4,7 +4,6 @@
 
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
-#include "dragonflyvane/net/log.hpp"
 
 #include <chrono>
 #include <string>
@@ -43,9 +42,6 @@
   /// A leaving backend server gets nothing new after this.
   std::chrono::milliseconds DrainTimeout{2000};
   retry_terms RetryTerms;
-  /// The part by which a cold backend server may get more than its rate.
-  double ColdTolerance = 1.0;
-  log_level LogLevel = log_level::Info;
 };
 
 } // namespace dragonflyvane
