--- a/src/dragonflyvane/core/admission/retry_budget.hpp
+++ b/src/dragonflyvane/core/admission/retry_budget.hpp
@@ -24,13 +24,11 @@
     double Windows = static_cast<double>(Terms.Window.count());
     double Free = Terms.Extra * Safety / static_cast<double>(Hosts) / 2;
     Bucket = token_bucket(Free / Windows, std::max(1.0, Free), Now);
-    MostEarned = std::max(1.0, Free);
+    MostEarned = std::max(1.0, Free) + RequestsKept * Ratio;
   }
 
   /// A request for the service came in for the first time.
-  void onRequest() {
-    Earned = std::min(Earned + Ratio, MostEarned + 8 * Ratio);
-  }
+  void onRequest() { Earned = std::min(Earned + Ratio, MostEarned); }
   /// Takes one repetition; false when there is none left.
   bool take(time_point Now) {
     if (Earned >= 1) {
@@ -44,6 +42,8 @@
   /// Calls that a repeated run makes count as repetitions too, and nobody can
   /// tell them apart.
   static constexpr double Safety = 0.33;
+  /// What so many requests have earned is kept beyond the free part.
+  static constexpr double RequestsKept = 8;
 
   double Ratio;
   double MostEarned = 0;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/node/daemon.hpp"
 
 #include "dragonflyvane/net/http_server.hpp"
+#include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/peer_link.hpp"
 #include "dragonflyvane/node/admin.hpp"
 #include "dragonflyvane/node/door.hpp"
