--- a/src/dragonflyvane/core/clock.hpp
+++ b/src/dragonflyvane/core/clock.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_CORE_CLOCK_HPP
 
 #include <chrono>
+#include <cstdint>
 
 namespace dragonflyvane {
 
@@ -11,6 +12,11 @@
 using time_point = std::chrono::time_point<std::chrono::steady_clock,
                                            std::chrono::nanoseconds>;
 
+/// Whole milliseconds, for logs and messages.
+inline int64_t inMilliseconds(duration Time) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
+}
+
 /// A source of monotonic time. Time spent suspended counts.
 class clock_source {
 public:
--- a/src/dragonflyvane/core/configuration/configuration.hpp
+++ b/src/dragonflyvane/core/configuration/configuration.hpp
@@ -43,8 +43,6 @@
 struct service {
   /// Whether each key has one owner.
   bool Keyed = false;
-  /// Connections that each of its backend servers accepts.
-  uint32_t ConnectionLimit = 0;
   /// Requests a second that a cold backend server bears.
   double ColdRate = 0;
 };
--- a/src/dragonflyvane/core/http_message.cpp
+++ b/src/dragonflyvane/core/http_message.cpp
@@ -98,11 +98,6 @@
     Headers.remove(Name);
 }
 
-bool isIdempotent(std::string_view Method) {
-  return Method == "GET" || Method == "HEAD" || Method == "PUT" ||
-         Method == "DELETE" || Method == "OPTIONS";
-}
-
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
--- a/src/dragonflyvane/core/http_message.hpp
+++ b/src/dragonflyvane/core/http_message.hpp
@@ -59,9 +59,6 @@
 /// Removes the fields that only daemons may set (`X-Dragonflyvane-*`).
 void removeInternal(header_list &Headers);
 
-/// Whether a request of this method may be sent twice (RFC 9110, 9.2.2).
-bool isIdempotent(std::string_view Method);
-
 /// The path of a target, without its query.
 std::string_view pathOf(std::string_view Target);
 
--- a/src/dragonflyvane/core/ownership/grant_book.cpp
+++ b/src/dragonflyvane/core/ownership/grant_book.cpp
@@ -151,8 +151,6 @@
                      });
 }
 
-bool grant_book::mayHoldAny(time_point Now) const { return Now < HoldsEnd; }
-
 bool grant_book::mayHold(const owned_range &Range, time_point Now) const {
   if (Now >= HoldsEnd)
     return false;
--- a/src/dragonflyvane/core/ownership/grant_book.hpp
+++ b/src/dragonflyvane/core/ownership/grant_book.hpp
@@ -89,8 +89,6 @@
   /// Whether the backend server was told that it holds the point, and still
   /// does for a while.
   bool holds(key_point Point, time_point Now) const;
-  /// Whether a hold may be out at all.
-  bool mayHoldAny(time_point Now) const;
   /// The ranges of this host that are to go, or belong to an earlier life, and
   /// that nobody holds any more.
   std::vector<free_range> freeRanges(const ownership_map &Map,
--- a/src/dragonflyvane/core/rate/token_bucket.hpp
+++ b/src/dragonflyvane/core/rate/token_bucket.hpp
@@ -48,7 +48,6 @@
     return std::chrono::duration_cast<duration>(
         std::chrono::duration<double>(Missing / Rate));
   }
-  double level() const { return Tokens; }
 
 private:
   void fill(time_point Now) {
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -30,10 +30,6 @@
 constexpr int MostStrangers = 2;
 constexpr uint32_t MaxHead = 64U << 10;
 
-tcp::endpoint toAsio(const endpoint &Endpoint) {
-  return {boost::asio::ip::make_address(Endpoint.Address), Endpoint.Port};
-}
-
 } // namespace
 
 class http_client::implementation
@@ -45,7 +41,6 @@
   call_id send(const endpoint &Peer, const http_request &Request,
                call_options Options, callback Callback);
   void cancel(call_id Id);
-  void dropIdle(const endpoint &Peer);
   void closeAll();
 
 private:
@@ -65,7 +60,6 @@
     call_options Options;
     callback Callback;
     bool IsHead = false;
-    bool Connected = false;
     bool Sent = false;
     bool Closed = false;
     int Strangers = 0;
@@ -165,7 +159,6 @@
     return fail(C, Refused ? call_outcome::Refused : call_outcome::NotSent,
                 Error.message());
   }
-  C->Connected = true;
   boost::system::error_code Ignored;
   C->Socket.set_option(tcp::no_delay(true), Ignored);
   setTimer(C, C->Options.Timeout);
@@ -333,15 +326,6 @@
   fail(C, call_outcome::Lost, "cancelled");
 }
 
-void http_client::implementation::dropIdle(const endpoint &Peer) {
-  auto Found = Idle.find(Peer);
-  if (Found == Idle.end())
-    return;
-  for (const connection_pointer &C : Found->second)
-    close(*C);
-  Idle.erase(Found);
-}
-
 void http_client::implementation::closeAll() {
   for (auto &[Id, C] : Calls)
     close(*C);
@@ -365,8 +349,4 @@
 
 void http_client::cancel(call_id Id) { Implementation->cancel(Id); }
 
-void http_client::dropIdle(const endpoint &Peer) {
-  Implementation->dropIdle(Peer);
-}
-
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -45,8 +45,6 @@
                call_options Options, callback Callback);
   /// Ends a call by closing its connection; it is not called back.
   void cancel(call_id Id);
-  /// Ends kept connections to a peer, as when it has restarted.
-  void dropIdle(const endpoint &Peer);
 
 private:
   class implementation;
--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -28,8 +28,7 @@
             http_server_state{Limits, std::move(Handler), false})) {}
 
   void listen(const endpoint &Listen) {
-    tcp::endpoint Address(boost::asio::ip::make_address(Listen.Address),
-                          Listen.Port);
+    tcp::endpoint Address = toAsio(Listen);
     Acceptor.open(Address.protocol());
     Acceptor.set_option(tcp::acceptor::reuse_address(true));
     Acceptor.bind(Address);
--- a/src/dragonflyvane/net/peer_link.cpp
+++ b/src/dragonflyvane/net/peer_link.cpp
@@ -17,10 +17,6 @@
 constexpr std::chrono::seconds MaxIdle{60};
 constexpr std::chrono::seconds SweepPeriod{10};
 
-tcp::endpoint toAsio(const endpoint &Endpoint) {
-  return {boost::asio::ip::make_address(Endpoint.Address), Endpoint.Port};
-}
-
 } // namespace
 
 class peer_client::implementation
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -101,10 +101,6 @@
   }
   waiting_request Waiting = waitingOf(Id, Entry);
   if (!Queue.fits(Waiting, room(), Running, Now)) {
-    auto InMs = [](duration Time) {
-      return std::chrono::duration_cast<std::chrono::milliseconds>(Time)
-          .count();
-    };
     writeRequestLog(
         "no room at the door",
         {{"request_id",
@@ -112,10 +108,10 @@
          {"running", Running},
          {"waiting", Queue.size()},
          {"awaiting_grant", AwaitingGrant.size()},
-         {"work_ms", InMs(Waiting.Work)},
-         {"queued_work_ms", InMs(Queue.work())},
-         {"aim_left_ms", InMs(Waiting.Aim - Now)},
-         {"time_left_ms", InMs(Waiting.Deadline - Now)},
+         {"work_ms", inMilliseconds(Waiting.Work)},
+         {"queued_work_ms", inMilliseconds(Queue.work())},
+         {"aim_left_ms", inMilliseconds(Waiting.Aim - Now)},
+         {"time_left_ms", inMilliseconds(Waiting.Deadline - Now)},
          {"cold", Parts.Server.isCold(Now) ? "yes" : "no"}});
     refuse(Id, "queue-full");
     return 0;
--- a/src/dragonflyvane/node/journey.cpp
+++ b/src/dragonflyvane/node/journey.cpp
@@ -39,10 +39,6 @@
   return Value;
 }
 
-int64_t inMilliseconds(duration Time) {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(Time).count();
-}
-
 } // namespace
 
 entrance::journey::journey(entrance &Entrance, exchange_pointer Exchange)
