Wrong settings are told as a JSON line too

Cause: OPERATIONS shows a JSON line for a wrong setting, but the log was set up only after the settings were read, so the library's own format came out. Change: the sink is set up first, the host's name follows.

--- a/src/dragonflyvane/net/log.cpp
+++ b/src/dragonflyvane/net/log.cpp
@@ -79,8 +79,9 @@
 
 } // namespace
 
-void setUpLog(const std::string &Host, log_level Least) {
-  hostName() = Host;
+void setLogHost(const std::string &Host) { hostName() = Host; }
+
+void setUpLog(log_level Least) {
   using frontend = boost::log::sinks::unlocked_sink<output_sink>;
   auto Sink = boost::make_shared<frontend>();
   Sink->set_formatter(boost::log::expressions::stream
--- a/src/dragonflyvane/net/log.hpp
+++ b/src/dragonflyvane/net/log.hpp
@@ -27,8 +27,11 @@
   std::variant<std::string, int64_t> Value;
 };
 
-/// Sets up the sink; every line carries the host's name.
-void setUpLog(const std::string &Host, log_level Least);
+/// Sets up the sink; to be called before the first line, and once.
+void setUpLog(log_level Least);
+
+/// From now on every line carries the host's name.
+void setLogHost(const std::string &Host);
 
 /// Writes one line.
 ///
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -25,9 +25,10 @@
 
 int main(int Count, char **Arguments) {
   daemon_flags Flags = readDaemonFlags(Count, Arguments);
+  setUpLog(Flags.LogLevel);
   try {
     settings Settings = platform::readSettingsFile(Flags.ConfigPath);
-    setUpLog(Settings.Host, Flags.LogLevel);
+    setLogHost(Settings.Host);
     return run(Settings);
   } catch (const step_error &Error) {
     writeLog(log_level::Error, Error.what(),
