Neighbours call the store through a collector of their failure domain

Ruled out: longer renewals, since a withdrawn key must stop within 5 s. Change: the strongest host of a failure domain calls the store for the others. Renewals join into one transaction (transaction_batch), one watch and one read serve all (shared_store); a collector that does not answer is left alone, for longer each time. Maps are no conditions of renewals any more. The test of a lapsed host now isolates it from its peers too, since a cut from the store alone is no loss any more.

--- /dev/null
+++ b/src/dragonflyvane/core/cluster/collectors.hpp
@@ -0,0 +1,21 @@
+/// Which hosts call the store for their neighbours.
+#ifndef DRAGONFLYVANE_CORE_CLUSTER_COLLECTORS_HPP
+#define DRAGONFLYVANE_CORE_CLUSTER_COLLECTORS_HPP
+
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+
+#include <string>
+#include <vector>
+
+namespace dragonflyvane {
+
+/// The hosts of a failure domain that may call the store for the others there,
+/// the first choice first: those with most processor, then by name. All hosts
+/// that see the same rows choose the same; where views differ, one collector
+/// more is asked, which does no harm.
+std::vector<std::string> collectorsOf(const cluster_view &View,
+                                      const std::string &FailureDomain);
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_CORE_CLUSTER_COLLECTORS_HPP
--- /dev/null
+++ b/src/dragonflyvane/core/cluster/collectors_test.cpp
@@ -0,0 +1,28 @@
+#include "dragonflyvane/core/cluster/collectors.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+void add(cluster_view &View, const std::string &Name, const std::string &Domain,
+         double Share) {
+  host_info Info;
+  Info.FailureDomain = Domain;
+  Info.ProcessorShare = Share;
+  View.apply({hostRow(Name), View.hosts().size() + 1, encodeHost(Info)});
+}
+
+} // namespace
+
+TEST_CASE("the strongest hosts of a failure domain call the store for it") {
+  cluster_view View;
+  add(View, "a", "west", 0.1);
+  add(View, "b", "west", 0.5);
+  add(View, "c", "west", 0.1);
+  add(View, "d", "east", 2);
+  CHECK(collectorsOf(View, "west") == std::vector<std::string>{"b", "a"});
+  CHECK(collectorsOf(View, "east") == std::vector<std::string>{"d"});
+  CHECK(collectorsOf(View, "north").empty());
+}
--- a/src/dragonflyvane/core/cluster/host_info.cpp
+++ b/src/dragonflyvane/core/cluster/host_info.cpp
@@ -27,7 +27,8 @@
                         {"standing", static_cast<int>(Host.Standing)},
                         {"instance", Host.Life.Instance},
                         {"born", Host.Life.Born},
-                        {"slots", Host.Slots}}
+                        {"slots", Host.Slots},
+                        {"processor", Host.ProcessorShare}}
       .dump();
 }
 
@@ -43,6 +44,7 @@
     Host.Life = {Json.at("instance").get<std::string>(),
                  Json.at("born").get<int64_t>()};
     Host.Slots = Json.at("slots").get<uint32_t>();
+    Host.ProcessorShare = Json.at("processor").get<double>();
     return Host;
   } catch (const nlohmann::json::exception &Error) {
     throw step_error("host row", "", Error.what());
--- a/src/dragonflyvane/core/cluster/host_info.hpp
+++ b/src/dragonflyvane/core/cluster/host_info.hpp
@@ -32,6 +32,8 @@
   server_standing Standing = server_standing::None;
   server_life Life;
   uint32_t Slots = 0;
+  /// The part of a processor core that the daemon may use; 1 is a whole core.
+  double ProcessorShare = 0;
 
   bool operator==(const host_info &) const = default;
 };
--- /dev/null
+++ b/src/dragonflyvane/core/cluster/transaction_batch_test.cpp
@@ -0,0 +1,101 @@
+#include "dragonflyvane/core/cluster/transaction_batch.hpp"
+
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+const row_id Config{row_kind::Order, "config"};
+
+store_transaction renewal(const std::string &Host, row_version Known,
+                          row_version ConfigVersion) {
+  return {{{Config, ConfigVersion}, {leaseRow(Host), Known}},
+          {{leaseRow(Host), "alive"}},
+          std::chrono::milliseconds(400)};
+}
+
+} // namespace
+
+TEST_CASE("renewals of many hosts are one call with one condition on orders") {
+  transaction_batch Batch;
+  CHECK(Batch.add(renewal("a", 3, 7)));
+  CHECK(Batch.add(renewal("b", 4, 7)));
+  CHECK(Batch.joined().Conditions.size() == 3);
+  CHECK(Batch.joined().Writes.size() == 2);
+  transaction_result Committed;
+  Committed.Outcome = transaction_outcome::Committed;
+  Committed.Revision = 12;
+  for (const auto &Result : Batch.split(Committed)) {
+    REQUIRE(Result);
+    CHECK(Result->Revision == 12);
+  }
+}
+
+TEST_CASE("a host that knows older orders waits for another batch") {
+  transaction_batch Batch;
+  CHECK(Batch.add(renewal("a", 3, 7)));
+  CHECK_FALSE(Batch.add(renewal("b", 4, 6)));
+  CHECK(Batch.size() == 1);
+}
+
+TEST_CASE("transactions that touch each other's rows are not joined") {
+  transaction_batch Batch;
+  CHECK(Batch.add(renewal("a", 3, 7)));
+  CHECK_FALSE(Batch.add(renewal("a", 3, 7)));
+  CHECK_FALSE(Batch.add({{{leaseRow("a"), 3}}, {{hostRow("a"), "x"}}, {}}));
+  CHECK_FALSE(Batch.add({{}, {{Config, "x"}}, {}}));
+}
+
+TEST_CASE("a call holds no more entries than the store takes") {
+  transaction_batch Batch;
+  int Taken = 0;
+  while (Batch.add(renewal("h" + std::to_string(Taken), 1, 7)))
+    ++Taken;
+  CHECK(Taken == 49);
+  store_transaction Joined = Batch.joined();
+  CHECK(Joined.Conditions.size() + Joined.Writes.size() <= 100);
+}
+
+TEST_CASE("one lapsed host does not cost the others their renewal") {
+  transaction_batch Batch;
+  Batch.add(renewal("a", 3, 7));
+  Batch.add(renewal("lapsed", 4, 7));
+  transaction_result Conflict;
+  Conflict.Outcome = transaction_outcome::Conflict;
+  Conflict.Current = {{Config, 7, "c"},
+                      {leaseRow("a"), 3, "alive"},
+                      {leaseRow("lapsed"), 9, "{}"}};
+  auto Results = Batch.split(Conflict);
+  CHECK_FALSE(Results[0]);
+  REQUIRE(Results[1]);
+  CHECK(Results[1]->Outcome == transaction_outcome::Conflict);
+  CHECK(Results[1]->Current.size() == 2);
+}
+
+TEST_CASE("new orders reach every host of the batch") {
+  transaction_batch Batch;
+  Batch.add(renewal("a", 3, 7));
+  Batch.add(renewal("b", 4, 7));
+  transaction_result Conflict;
+  Conflict.Outcome = transaction_outcome::Conflict;
+  Conflict.Current = {{Config, 8, "newer"},
+                      {leaseRow("a"), 3, "alive"},
+                      {leaseRow("b"), 4, "alive"}};
+  for (const auto &Result : Batch.split(Conflict)) {
+    REQUIRE(Result);
+    CHECK(Result->Current.front().Version == 8);
+  }
+}
+
+TEST_CASE("an unknown end is unknown for each") {
+  transaction_batch Batch;
+  Batch.add(renewal("a", 3, 7));
+  Batch.add(renewal("b", 4, 7));
+  for (const auto &Result : Batch.split({})) {
+    REQUIRE(Result);
+    CHECK(Result->Outcome == transaction_outcome::Unknown);
+  }
+}
--- a/src/dragonflyvane/core/store.hpp
+++ b/src/dragonflyvane/core/store.hpp
@@ -65,6 +65,8 @@
 struct store_transaction {
   std::vector<row_condition> Conditions;
   std::vector<row_write> Writes;
+  /// May be held back for so long, so that it joins those of other hosts.
+  std::chrono::milliseconds Patience{0};
 };
 
 /// How a transaction ended.
--- a/src/dragonflyvane/net/store_codec.cpp
+++ b/src/dragonflyvane/net/store_codec.cpp
@@ -50,7 +50,9 @@
   json Writes = json::array();
   for (const row_write &Write : Transaction.Writes)
     Writes.push_back({toJson(Write.Id), toJson(Write.Value)});
-  return {{"conditions", Conditions}, {"writes", Writes}};
+  return {{"conditions", Conditions},
+          {"writes", Writes},
+          {"patience", Transaction.Patience.count()}};
 }
 
 store_transaction toTransaction(const json &Json) {
@@ -60,6 +62,8 @@
         {toId(Row.at(0)), Row.at(1).get<row_version>()});
   for (const json &Row : Json.at("writes"))
     Transaction.Writes.push_back({toId(Row.at(0)), toValue(Row.at(1))});
+  Transaction.Patience =
+      std::chrono::milliseconds(Json.at("patience").get<int64_t>());
   return Transaction;
 }
 
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -19,6 +19,14 @@
 constexpr std::chrono::milliseconds NewsPatience{800};
 constexpr std::chrono::milliseconds RenewalRetry{250};
 constexpr std::chrono::milliseconds HostRowRetry{400};
+/// How long a routine renewal may wait for those of other hosts.
+constexpr std::chrono::milliseconds RenewalPatience{400};
+/// A collector renews more often: a way to the store that is broken is to be
+/// noticed before its neighbours miss a change.
+constexpr std::chrono::milliseconds CollectorRenewalPeriod{800};
+constexpr std::chrono::milliseconds CollectorPatience{5};
+/// Renewals are spread by this part of their period.
+constexpr double RenewalSpread = 0.15;
 /// After so many conflicts in a row a change is left to the next occasion.
 constexpr int MostConflicts = 5;
 
@@ -30,12 +38,14 @@
 
 } // namespace
 
-cluster_sync::cluster_sync(parts P) : Parts(std::move(P)), Run(randomRun()) {}
+cluster_sync::cluster_sync(parts P)
+    : Parts(std::move(P)), Run(randomRun()),
+      Random(std::hash<std::string>{}(Parts.Host)) {}
 
 void cluster_sync::start() {
   readAll(OrderFeed);
   readAll(ClusterFeed);
-  renew();
+  renew(std::chrono::milliseconds(0));
 }
 
 time_point cluster_sync::grantsUntil() const {
@@ -179,15 +189,13 @@
   return nlohmann::json{{"run", Run}, {"count", RenewalCount}}.dump();
 }
 
-void cluster_sync::renew() {
+void cluster_sync::renew(std::chrono::milliseconds Patience) {
   ++RenewalCount;
   store_transaction Transaction;
   Transaction.Conditions = Parts.Orders.conditions();
-  // Maps too, since a watch may have gone silent.
-  for (const auto &[Service, Map] : View.maps())
-    Transaction.Conditions.push_back({mapRow(Service), Map.Version});
   Transaction.Conditions.push_back({leaseRow(Parts.Host), LeaseVersion});
   Transaction.Writes.push_back({leaseRow(Parts.Host), leaseValue()});
+  Transaction.Patience = Patience;
   time_point SentAt = Parts.Clock.now();
   Parts.Store.transact(Transaction,
                        [this, SentAt](const transaction_result &Result) {
@@ -200,11 +208,13 @@
   if (Result.Outcome == transaction_outcome::Conflict) {
     onLeaseConflict(Result);
     // At once, since one round of conflicts brings everything up to date.
-    Renewal = Parts.Loop.after(duration{0}, [this] { renew(); });
+    Renewal = Parts.Loop.after(duration{0},
+                               [this] { renew(std::chrono::milliseconds(0)); });
     return;
   }
   if (Result.Outcome != transaction_outcome::Committed) {
-    Renewal = Parts.Loop.after(RenewalRetry, [this] { renew(); });
+    Renewal = Parts.Loop.after(RenewalRetry,
+                               [this] { renew(std::chrono::milliseconds(0)); });
     return;
   }
   LeaseVersion = Result.Revision;
@@ -216,7 +226,21 @@
              {{"step", "lease"}, {"version", LeaseVersion}});
     readMapAfterClaim(LeaseVersion);
   }
-  Renewal = Parts.Loop.after(LeaseRenewalPeriod, [this] { renew(); });
+  renewLater();
+}
+
+void cluster_sync::renewLater() {
+  if (Parts.IsCollector()) {
+    Renewal = Parts.Loop.after(CollectorRenewalPeriod,
+                               [this] { renew(CollectorPatience); });
+    return;
+  }
+  // Spread, so that the collector hears of the store all the time.
+  double Factor = std::uniform_real_distribution<double>(
+      1 - RenewalSpread, 1 + RenewalSpread)(Random);
+  Renewal = Parts.Loop.after(
+      std::chrono::duration_cast<duration>(LeaseRenewalPeriod * Factor),
+      [this] { renew(RenewalPatience); });
 }
 
 void cluster_sync::onLeaseConflict(const transaction_result &Result) {
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -14,6 +14,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <random>
 #include <string>
 #include <vector>
 
@@ -40,6 +41,8 @@
     order_book &Orders;
     /// Orders, hosts or maps have changed, or the lease was won or lost.
     std::function<void()> OnChange;
+    /// Whether this host calls the store for others too.
+    std::function<bool()> IsCollector;
   };
 
   explicit cluster_sync(parts Parts);
@@ -88,7 +91,8 @@
   void retryRead(feed &Feed, const std::string &Why);
   void noteAnswer(feed &Feed);
 
-  void renew();
+  void renew(std::chrono::milliseconds Patience);
+  void renewLater();
   void onRenewed(time_point SentAt, const transaction_result &Result);
   void onLeaseConflict(const transaction_result &Result);
   void readMapAfterClaim(row_version ClaimedAt);
@@ -112,6 +116,7 @@
   bool CheckingNews = false;
   host_lease Lease;
   std::string Run;
+  std::mt19937_64 Random;
   uint64_t RenewalCount = 0;
   row_version LeaseVersion = 0;
   bool IsClaimed = false;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -9,6 +9,7 @@
 #include "dragonflyvane/node/ownership_keeper.hpp"
 #include "dragonflyvane/node/peer_messages.hpp"
 #include "dragonflyvane/node/relayed_store.hpp"
+#include "dragonflyvane/node/shared_store.hpp"
 
 #include <cmath>
 
@@ -43,11 +44,18 @@
                  metrics &Metrics)
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
         Orders(this->Platform.OrderRows, this->Platform.DecodeOrder),
-        Peers(Loop, MaxPeerBody),
-        Store({Settings.Host, this->Platform.Store, Peers, Clock,
-               [this] { return &Keeper.view(); }}),
+        Peers(Loop, MaxPeerBody), Shared(this->Platform.Store, Loop, Clock),
+        Store({Settings.Host, Settings.FailureDomain, Shared,
+               [this](const endpoint &Peer, http_request Request,
+                      std::chrono::milliseconds Timeout,
+                      peer_client::callback Callback) {
+                 Peers.send(Peer, std::move(Request), Timeout,
+                            std::move(Callback));
+               },
+               Clock, [this] { return &Keeper.view(); }}),
         Keeper({this->Settings, Loop, Clock, Store, Orders,
-                [this] { onClusterChange(); }}),
+                [this] { onClusterChange(); },
+                [this] { return Store.isCollector(); }}),
         Door({Loop, Clock, Client, Keeper.server(), Orders,
               this->Platform.Names, Metrics,
               [this](const std::string &Service, key_point Point) {
@@ -230,6 +238,7 @@
   boot_clock Clock;
   order_book Orders;
   peer_client Peers;
+  shared_store Shared;
   relayed_store Store;
   ownership_keeper Keeper;
   door Door;
--- a/src/dragonflyvane/node/ownership_keeper.cpp
+++ b/src/dragonflyvane/node/ownership_keeper.cpp
@@ -13,7 +13,7 @@
 ownership_keeper::ownership_keeper(parts P)
     : Parts(std::move(P)),
       Sync({Parts.Settings.Host, Parts.Loop, Parts.Clock, Parts.Store,
-            Parts.Orders, [this] { onClusterChange(); }}),
+            Parts.Orders, [this] { onClusterChange(); }, Parts.IsCollector}),
       Server(Parts.Settings, Parts.Clock),
       Steward(
           {Parts.Settings.Host, Parts.Loop, Parts.Clock, Sync, Parts.Orders}) {}
@@ -74,6 +74,7 @@
   host_info Info;
   Info.PeerAddress = toString(Parts.Settings.Peer);
   Info.FailureDomain = Parts.Settings.FailureDomain;
+  Info.ProcessorShare = Parts.Settings.ProcessorShare;
   Info.Service = Parts.Settings.LocalService;
   Server.describe(Info);
   if (Info == Announced)
--- a/src/dragonflyvane/node/ownership_keeper.hpp
+++ b/src/dragonflyvane/node/ownership_keeper.hpp
@@ -26,6 +26,8 @@
     order_book &Orders;
     /// Orders, hosts, maps or the lease have changed.
     std::function<void()> OnChange;
+    /// Whether this host calls the store for others too.
+    std::function<bool()> IsCollector;
   };
 
   explicit ownership_keeper(parts Parts);
--- a/src/dragonflyvane/node/ownership_trial_test.cpp
+++ b/src/dragonflyvane/node/ownership_trial_test.cpp
@@ -87,14 +87,16 @@
 
 namespace {
 
-/// A host loses its lease, and comes back with a watch that has gone silent.
+/// A host loses its lease, and comes back while its own watch and that of its
+/// collector have gone silent.
 trial_report returnDeaf(trial_flaws Flaws) {
   ownership_trial Trial(7, 5, Flaws);
   Trial.runFor(StartTime);
-  Trial.cut(1, true);
-  Trial.runFor(std::chrono::seconds(9));
   Trial.deafen(1, true);
-  Trial.cut(1, false);
+  Trial.deafen(3, true);
+  Trial.isolate(1, true);
+  Trial.runFor(std::chrono::seconds(9));
+  Trial.isolate(1, false);
   Trial.runFor(std::chrono::seconds(6));
   return Trial.report();
 }
@@ -109,11 +111,32 @@
   CHECK(returnDeaf(Renewals).TwoOwners > 0);
 }
 
+TEST_CASE("a host without a way to the store goes on through its collector") {
+  ownership_trial Trial(7, 5);
+  Trial.runFor(StartTime);
+  Trial.cut(1, true);
+  Trial.runFor(std::chrono::seconds(9));
+  CHECK(Trial.server(1).tokenOf(16384));
+  CHECK(Trial.ownedPart() == 1.0);
+}
+
+TEST_CASE("the loss of a collector leaves its neighbours their leases") {
+  ownership_trial Trial(7, 6);
+  Trial.runFor(StartTime);
+  Trial.isolate(0, true);
+  for (int Second = 0; Second < 12; ++Second) {
+    Trial.runFor(std::chrono::seconds(1));
+    CHECK(Trial.server(2).tokenOf(30000));
+    CHECK(Trial.server(4).tokenOf(49152));
+  }
+  CHECK(Trial.ownedPart() == 1.0);
+}
+
 TEST_CASE("the keys of a lapsed host go to others, not back to it") {
   ownership_trial Trial(7, 5);
   Trial.runFor(StartTime);
   CHECK(Trial.server(1).tokenOf(16384));
-  Trial.cut(1, true);
+  Trial.isolate(1, true);
   Trial.runFor(std::chrono::seconds(9));
   CHECK(!Trial.server(1).tokenOf(16384));
   CHECK(Trial.ownedPart() == 1.0);
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/relayed_store.cpp
@@ -1,7 +1,9 @@
 #include "dragonflyvane/node/relayed_store.hpp"
 
+#include "dragonflyvane/core/cluster/collectors.hpp"
 #include "dragonflyvane/net/log.hpp"
 
+#include <algorithm>
 #include <vector>
 
 namespace dragonflyvane {
@@ -10,10 +12,13 @@
 
 /// How long the own way is left alone after a failure.
 constexpr std::chrono::milliseconds DirectPause{2000};
-/// How long a peer that could not help is left alone.
-constexpr std::chrono::milliseconds RelayPause{1500};
+/// How long a peer that could not help is left alone; twice as long each time.
+constexpr std::chrono::milliseconds FirstPause{1000};
+constexpr int MostDoublings = 4;
 constexpr std::chrono::milliseconds RelayTimeout{1000};
 constexpr std::chrono::milliseconds WatchMargin{1000};
+/// Who was asked within this collects the calls of others.
+constexpr std::chrono::milliseconds CollectorMemory{4000};
 
 bool isReadReached(const read_result &Result) {
   return Result.Outcome != read_outcome::Failed;
@@ -29,14 +34,36 @@
 relayed_store::relayed_store(parts P)
     : Parts(std::move(P)), Random(std::random_device{}()) {}
 
+bool relayed_store::isCollector() const {
+  return LastServed != time_point{} &&
+         Parts.Clock.now() - LastServed < CollectorMemory;
+}
+
+bool relayed_store::isPaused(const std::string &Host) const {
+  auto Found = Pauses.find(Host);
+  return Found != Pauses.end() && Parts.Clock.now() < Found->second.Until;
+}
+
 std::optional<relayed_store::relay> relayed_store::chooseRelay() {
-  time_point Now = Parts.Clock.now();
   const cluster_view *View = Parts.View();
-  if (Now >= DirectAgainAt || !View)
+  if (!View || !View->host(Parts.Host))
+    return std::nullopt;
+  for (const std::string &Name : collectorsOf(*View, Parts.FailureDomain)) {
+    if (Name == Parts.Host && isOwnWayOpen())
+      return std::nullopt;
+    if (Name != Parts.Host && !isPaused(Name))
+      return relay{Name, parseEndpoint(View->host(Name)->PeerAddress)};
+  }
+  if (isOwnWayOpen())
     return std::nullopt;
+  return chooseAnyPeer(*View);
+}
+
+std::optional<relayed_store::relay>
+relayed_store::chooseAnyPeer(const cluster_view &View) {
   std::vector<relay> Usable;
-  for (const auto &[Name, Row] : View->hosts())
-    if (Name != Parts.Host && Now >= RelayAgainAt[Name])
+  for (const auto &[Name, Row] : View.hosts())
+    if (Name != Parts.Host && !isPaused(Name))
       Usable.push_back({Name, parseEndpoint(Row.Content.PeerAddress)});
   if (Usable.empty())
     return std::nullopt;
@@ -55,9 +82,13 @@
 }
 
 void relayed_store::onRelayed(const std::string &Host, bool Reached) {
-  time_point Now = Parts.Clock.now();
-  if (!Reached)
-    RelayAgainAt[Host] = Now + RelayPause;
+  if (Reached) {
+    Pauses.erase(Host);
+    return;
+  }
+  pause &Pause = Pauses[Host];
+  Pause.Until = Parts.Clock.now() + FirstPause * (1 << Pause.Failures);
+  Pause.Failures = std::min(Pause.Failures + 1, MostDoublings);
 }
 
 template <typename Result>
@@ -66,17 +97,27 @@
                              Result (*Decode)(const http_response &),
                              bool (*IsReached)(const Result &),
                              std::function<void(Result)> Callback) {
-  Parts.Peers.send(Relay.Peer, encodeCall(Call), Timeout,
-                   [this, Host = Relay.Host, Decode, IsReached,
-                    Callback = std::move(Callback)](const call_result &Ended) {
-                     Result End{};
-                     if (Ended.Outcome == call_outcome::Answered)
-                       End = Decode(Ended.Response);
-                     else
-                       End.Error = Ended.Error;
-                     onRelayed(Host, IsReached(End));
-                     Callback(std::move(End));
-                   });
+  Parts.Send(Relay.Peer, encodeCall(Call), Timeout,
+             [this, Host = Relay.Host, Decode, IsReached,
+              Callback = std::move(Callback)](const call_result &Ended) {
+               Result End{};
+               if (Ended.Outcome == call_outcome::Answered)
+                 End = Decode(Ended.Response);
+               else
+                 End.Error = Ended.Error;
+               onRelayed(Host, IsReached(End));
+               Callback(std::move(End));
+             });
+}
+
+template <typename Result>
+std::function<void(Result)>
+relayed_store::noting(bool (*IsReached)(const Result &),
+                      std::function<void(Result)> Callback) {
+  return [this, IsReached, Callback = std::move(Callback)](Result End) {
+    onDirect(IsReached(End));
+    Callback(std::move(End));
+  };
 }
 
 void relayed_store::read(row_kind Kind, read_callback Callback) {
@@ -84,10 +125,8 @@
     return callPeer<read_result>(*Relay, store_read{Kind}, RelayTimeout,
                                  &decodeReadEnd, &isReadReached,
                                  std::move(Callback));
-  Parts.Direct.read(Kind, [this, Callback](read_result Result) {
-    onDirect(isReadReached(Result));
-    Callback(std::move(Result));
-  });
+  Parts.Direct.read(Kind,
+                    noting<read_result>(&isReadReached, std::move(Callback)));
 }
 
 void relayed_store::watch(row_kind Kind, row_version After,
@@ -97,39 +136,48 @@
     return callPeer<read_result>(*Relay, store_watch{Kind, After, Wait},
                                  Wait + WatchMargin, &decodeReadEnd,
                                  &isReadReached, std::move(Callback));
-  Parts.Direct.watch(Kind, After, Wait, [this, Callback](read_result Result) {
-    onDirect(isReadReached(Result));
-    Callback(std::move(Result));
-  });
+  Parts.Direct.watch(Kind, After, Wait,
+                     noting<read_result>(&isReadReached, std::move(Callback)));
 }
 
 void relayed_store::transact(const store_transaction &Transaction,
                              transaction_callback Callback) {
   if (auto Relay = chooseRelay())
     return callPeer<transaction_result>(
-        *Relay, Transaction, RelayTimeout, &decodeTransactionEnd,
-        &isTransactionReached, std::move(Callback));
-  Parts.Direct.transact(Transaction,
-                        [this, Callback](transaction_result Result) {
-                          onDirect(isTransactionReached(Result));
-                          Callback(std::move(Result));
-                        });
+        *Relay, Transaction, RelayTimeout + Transaction.Patience,
+        &decodeTransactionEnd, &isTransactionReached, std::move(Callback));
+  Parts.Direct.transact(
+      Transaction,
+      noting<transaction_result>(&isTransactionReached, std::move(Callback)));
 }
 
 bool relayed_store::serve(const exchange_pointer &Exchange) {
   auto Call = decodeCall(Exchange->request());
   if (!Call)
     return false;
+  LastServed = Parts.Clock.now();
+  if (isOwnWayOpen())
+    makeCall(*Call, Exchange);
+  else
+    // At once, so that the asker turns to somebody else.
+    Exchange->answer({503, {}, ""});
+  return true;
+}
+
+void relayed_store::makeCall(const store_call &Call,
+                             const exchange_pointer &Exchange) {
   auto Answer = [Exchange](const auto &Result) {
     Exchange->answer(encodeEnd(Result));
   };
-  if (const auto *Read = std::get_if<store_read>(&*Call))
-    Parts.Direct.read(Read->Kind, Answer);
-  else if (const auto *Watch = std::get_if<store_watch>(&*Call))
-    Parts.Direct.watch(Watch->Kind, Watch->After, Watch->Wait, Answer);
+  if (const auto *Read = std::get_if<store_read>(&Call))
+    Parts.Direct.read(Read->Kind, noting<read_result>(&isReadReached, Answer));
+  else if (const auto *Watch = std::get_if<store_watch>(&Call))
+    Parts.Direct.watch(Watch->Kind, Watch->After, Watch->Wait,
+                       noting<read_result>(&isReadReached, Answer));
   else
-    Parts.Direct.transact(std::get<store_transaction>(*Call), Answer);
-  return true;
+    Parts.Direct.transact(
+        std::get<store_transaction>(Call),
+        noting<transaction_result>(&isTransactionReached, Answer));
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -17,6 +17,8 @@
   std::string Host;
   std::string FailureDomain;
   std::vector<std::string> FailureDomains;
+  /// The part of a processor core that this process may use.
+  double ProcessorShare = 1;
   /// The service of the backend server beside this daemon.
   std::string LocalService;
   /// Where callers and the local backend server send requests.
--- /dev/null
+++ b/tests/counting_store.hpp
@@ -0,0 +1,41 @@
+/// Counts the calls that reach a store.
+#ifndef DRAGONFLYVANE_TESTS_COUNTING_STORE_HPP
+#define DRAGONFLYVANE_TESTS_COUNTING_STORE_HPP
+
+#include "dragonflyvane/core/store.hpp"
+
+namespace dragonflyvane {
+
+/// Passes every call on. A mute one leaves transactions without an answer.
+class counting_store final : public store {
+public:
+  explicit counting_store(store &Inner) : Inner(Inner) {}
+
+  void read(row_kind Kind, read_callback Callback) override {
+    ++Reads;
+    Inner.read(Kind, std::move(Callback));
+  }
+  void watch(row_kind Kind, row_version After, std::chrono::milliseconds Wait,
+             read_callback Callback) override {
+    ++Watches;
+    Inner.watch(Kind, After, Wait, std::move(Callback));
+  }
+  void transact(const store_transaction &Transaction,
+                transaction_callback Callback) override {
+    ++Transactions;
+    if (!IsMute)
+      Inner.transact(Transaction, std::move(Callback));
+  }
+
+  int Reads = 0;
+  int Watches = 0;
+  int Transactions = 0;
+  bool IsMute = false;
+
+private:
+  store &Inner;
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_TESTS_COUNTING_STORE_HPP
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -58,8 +58,9 @@
 }
 
 bool fake_store::isRenewal(const store_transaction &Transaction) {
-  return Transaction.Writes.size() == 1 &&
-         Transaction.Writes[0].Id.Kind == row_kind::Lease;
+  return std::all_of(
+      Transaction.Writes.begin(), Transaction.Writes.end(),
+      [](const row_write &Write) { return Write.Id.Kind == row_kind::Lease; });
 }
 
 transaction_result fake_store::apply(const store_transaction &Transaction) {
--- a/tests/manual_scheduler.hpp
+++ b/tests/manual_scheduler.hpp
@@ -14,6 +14,15 @@
 ///     Loop.runFor(std::chrono::seconds(3));
 class manual_scheduler final : public scheduler {
 public:
+  manual_scheduler() = default;
+  manual_scheduler(const manual_scheduler &) = delete;
+  manual_scheduler &operator=(const manual_scheduler &) = delete;
+  /// What is left may schedule more when it is destroyed.
+  ~manual_scheduler() override {
+    while (!Queue.empty())
+      std::exchange(Queue, {});
+  }
+
   const clock_source &clock() const { return Clock; }
   time_point now() const { return Clock.now(); }
 
--- a/tests/ownership_trial.cpp
+++ b/tests/ownership_trial.cpp
@@ -16,7 +16,7 @@
 
 ownership_trial::ownership_trial(uint64_t Seed, int Count, trial_flaws Flaws)
     : Random(Seed), Flaws(Flaws), Store(Loop, Seed + 1, Flaws.Store),
-      Hosts(static_cast<size_t>(Count)) {
+      Peers(Loop), Hosts(static_cast<size_t>(Count)) {
   Store.put(ConfigRow, "first");
   for (int I = 0; I < Count; ++I) {
     host &Host = Hosts[I];
@@ -44,7 +44,8 @@
     if (!Host.Keeper || Host.Frozen)
       continue;
     for (host &Other : Hosts) {
-      bool IsSteward = Other.Keeper && !Other.Frozen &&
+      bool IsReached = !Host.Isolated && !Other.Isolated;
+      bool IsSteward = Other.Keeper && !Other.Frozen && IsReached &&
                        Host.Keeper->view().steward().Content == Other.Name;
       if (!IsSteward)
         continue;
@@ -80,19 +81,46 @@
   Host.Client->setDeaf(Host.Deaf);
   Host.Orders = std::make_unique<order_book>(
       std::vector<row_id>{ConfigRow, EvacuationRow}, &decode);
+  Host.Shared =
+      std::make_unique<shared_store>(*Host.Client, Loop, Loop.clock());
+  Host.Store = std::make_unique<relayed_store>(storeParts(Host));
   Host.Keeper = std::make_unique<ownership_keeper>(ownership_keeper::parts{
-      Host.Settings, Loop, Loop.clock(), *Host.Client, *Host.Orders, [] {}});
+      Host.Settings, Loop, Loop.clock(), *Host.Store, *Host.Orders, [] {},
+      [&Host] { return Host.Store->isCollector(); }});
+  Peers.add(Host.Settings.Peer, [&Host](const exchange_pointer &Exchange) {
+    Host.Store->serve(Exchange);
+  });
+  Peers.setFrozen(Host.Settings.Peer, Host.Frozen);
+  Peers.setCut(Host.Settings.Peer, Host.Isolated);
   Host.Keeper->start();
 }
 
+relayed_store::parts ownership_trial::storeParts(host &Host) {
+  return {Host.Name,
+          Host.Settings.FailureDomain,
+          *Host.Shared,
+          [this, &Host](const endpoint &Peer, const http_request &Request,
+                        std::chrono::milliseconds Timeout,
+                        fake_peers::callback Callback) {
+            Peers.send(Host.Settings.Peer, Peer, Request, Timeout,
+                       std::move(Callback));
+          },
+          Loop.clock(),
+          [&Host] { return Host.Keeper ? &Host.Keeper->view() : nullptr; }};
+}
+
 void ownership_trial::killDaemon(int I) {
+  Peers.remove(Hosts[I].Settings.Peer);
   Hosts[I].Keeper.reset();
+  Hosts[I].Store.reset();
+  Hosts[I].Shared.reset();
   Hosts[I].Orders.reset();
   Hosts[I].Client.reset();
 }
 
 void ownership_trial::freeze(int I, bool Value) {
   Hosts[I].Frozen = Value;
+  Peers.setFrozen(Hosts[I].Settings.Peer, Value);
   if (Hosts[I].Client)
     Hosts[I].Client->setFrozen(Value);
 }
@@ -103,6 +131,12 @@
     Hosts[I].Client->setCut(Value);
 }
 
+void ownership_trial::isolate(int I, bool Value) {
+  cut(I, Value);
+  Hosts[I].Isolated = Value;
+  Peers.setCut(Hosts[I].Settings.Peer, Value);
+}
+
 void ownership_trial::deafen(int I, bool Value) {
   Hosts[I].Deaf = Value;
   if (Hosts[I].Client)
@@ -203,7 +237,7 @@
 void ownership_trial::disturb() {
   int I = static_cast<int>(Random() % Hosts.size());
   host &Host = Hosts[I];
-  switch (Random() % 16) {
+  switch (Random() % 17) {
   case 0:
     return killDaemon(I);
   case 1:
@@ -241,6 +275,8 @@
     return;
   case 13:
     return deafen(I, !Host.Deaf);
+  case 15:
+    return isolate(I, !Host.Isolated);
   case 14:
     return freeze(I, !Host.Frozen);
   default:
@@ -254,7 +290,7 @@
   Store.setLatency(std::chrono::milliseconds(5));
   Store.erase(EvacuationRow);
   for (int I = 0; I < static_cast<int>(Hosts.size()); ++I) {
-    cut(I, false);
+    isolate(I, false);
     deafen(I, false);
     freeze(I, false);
     if (!Hosts[I].Keeper)
--- a/tests/ownership_trial.hpp
+++ b/tests/ownership_trial.hpp
@@ -4,6 +4,9 @@
 #define DRAGONFLYVANE_TESTS_OWNERSHIP_TRIAL_HPP
 
 #include "dragonflyvane/node/ownership_keeper.hpp"
+#include "dragonflyvane/node/relayed_store.hpp"
+#include "dragonflyvane/node/shared_store.hpp"
+#include "fake_peers.hpp"
 #include "fake_server.hpp"
 #include "fake_store.hpp"
 
@@ -58,6 +61,8 @@
   void startDaemon(int Host);
   void freeze(int Host, bool Value);
   void cut(int Host, bool Value);
+  /// Cut off from the store and from all peers.
+  void isolate(int Host, bool Value);
   void deafen(int Host, bool Value);
   fake_server &server(int Host) { return *Hosts[Host].Server; }
   fake_store &rows() { return Store; }
@@ -71,6 +76,7 @@
 
   void check();
   void sendReports();
+  relayed_store::parts storeParts(host &Host);
   std::optional<std::optional<grant>> onBeat(int Host, const heartbeat &Beat);
   static std::optional<operator_order> decode(const stored_row &Row);
 
@@ -78,12 +84,15 @@
     std::string Name;
     settings Settings;
     std::unique_ptr<fake_store_client> Client;
+    std::unique_ptr<shared_store> Shared;
+    std::unique_ptr<relayed_store> Store;
     std::unique_ptr<order_book> Orders;
     std::unique_ptr<ownership_keeper> Keeper;
     std::unique_ptr<fake_server> Server;
     bool Frozen = false;
     bool Cut = false;
     bool Deaf = false;
+    bool Isolated = false;
   };
 
   manual_scheduler Loop;
@@ -91,6 +100,7 @@
   std::mt19937_64 Random;
   trial_flaws Flaws;
   fake_store Store;
+  fake_peers Peers;
   std::vector<host> Hosts;
   trial_report Report;
   /// The highest token of each checked point, and the life that had it.
