Idle peer streams cost neither timers nor buffers

Cause: each connection between daemons checked for silence every 200 ms, also without an open stream, and kept a read buffer of 64 KiB. With 58 hosts that is up to 114 connections a daemon, 570 wake-ups a second and 7 MB. Change: the check runs while streams are open; one read buffer serves all.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -82,7 +82,7 @@
                                  http_handler Handler)
     : Socket(std::move(Socket)), SilenceTimer(this->Socket.get_executor()),
       Role(Role), MaxBody(MaxBody), Handler(std::move(Handler)),
-      ReadBuffer(ReadSize, '\0'), LastRead(Clock.now()) {
+      LastRead(Clock.now()) {
   setUpSession();
 }
 
@@ -146,8 +146,8 @@
 void peer_connection::start() {
   boost::system::error_code Ignored;
   Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  Socket.non_blocking(true, Ignored);
   readMore();
-  checkSilence();
   flush();
 }
 
@@ -168,22 +168,32 @@
 }
 
 void peer_connection::readMore() {
-  Socket.async_read_some(boost::asio::buffer(ReadBuffer),
-                         [Self = shared_from_this()](auto Error, size_t Size) {
-                           if (!Self->Open)
-                             return;
-                           if (Error)
-                             return Self->close("peer closed the connection");
-                           Self->onRead(Size);
-                         });
+  Socket.async_wait(socket::wait_read, [Self = shared_from_this()](auto Error) {
+    if (!Self->Open)
+      return;
+    if (Error)
+      return Self->close("peer closed the connection");
+    Self->readNow();
+  });
+}
+
+void peer_connection::readNow() {
+  // One for all connections, since each uses it up at once.
+  thread_local std::vector<uint8_t> Buffer(ReadSize);
+  boost::system::error_code Error;
+  size_t Size = Socket.read_some(boost::asio::buffer(Buffer), Error);
+  if (Error == boost::asio::error::would_block)
+    return readMore();
+  if (Error)
+    return close("peer closed the connection");
+  onRead(Buffer.data(), Size);
 }
 
-void peer_connection::onRead(size_t Size) {
+void peer_connection::onRead(const uint8_t *Data, size_t Size) {
   LastRead = Clock.now();
   PingPending = false;
   Feeding = true;
-  ssize_t Taken = nghttp2_session_mem_recv(
-      Session, reinterpret_cast<const uint8_t *>(ReadBuffer.data()), Size);
+  ssize_t Taken = nghttp2_session_mem_recv(Session, Data, Size);
   Feeding = false;
   if (Taken < 0)
     return close(nghttp2_strerror(static_cast<int>(Taken)));
@@ -217,7 +227,11 @@
                            });
 }
 
+/// Goes on as long as there are open streams.
 void peer_connection::checkSilence() {
+  CheckingSilence = !Streams.empty();
+  if (!CheckingSilence)
+    return;
   SilenceTimer.expires_after(SilenceCheckPeriod);
   SilenceTimer.async_wait([Weak = weak_from_this()](auto Error) {
     auto Self = Weak.lock();
@@ -226,8 +240,9 @@
     time_point Now = Self->Clock.now();
     if (Self->PingPending && Now - Self->PingSent > PingTimeout)
       return Self->close("connection went silent");
-    bool Quiet = !Self->Streams.empty() &&
-                 Now - Self->LastRead > QuietBeforePing && !Self->PingPending;
+    bool Quiet =
+        !Self->Streams.empty() && !Self->PingPending &&
+        Now - std::max(Self->LastRead, Self->QuietSince) > QuietBeforePing;
     if (Quiet) {
       Self->PingPending = true;
       Self->PingSent = Now;
@@ -280,7 +295,7 @@
   header_list Fields = joinLower(Pseudo, Request.Headers);
   std::vector<nghttp2_nv> Pairs = fieldsOf(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
-  stream &Stream = Streams[Id];
+  stream &Stream = openStream(Id);
   Stream.Out.Bytes = Request.Body;
   Stream.Callback = std::move(Callback);
   nghttp2_data_provider Provider{{.ptr = &Stream.Out}, &readBody};
@@ -297,6 +312,16 @@
   return Id;
 }
 
+peer_connection::stream &peer_connection::openStream(stream_id Id) {
+  stream &Stream = Streams[Id];
+  if (!CheckingSilence) {
+    QuietSince = Clock.now();
+    PingPending = false;
+    checkSilence();
+  }
+  return Stream;
+}
+
 void peer_connection::cancel(stream_id Id) {
   if (!Open || !Streams.contains(Id))
     return;
@@ -324,7 +349,7 @@
 
 void peer_connection::onHeader(stream_id Id, std::string Name,
                                std::string Value) {
-  stream &Stream = Streams[Id];
+  stream &Stream = openStream(Id);
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -65,9 +65,12 @@
 
   void setUpSession();
   void readMore();
-  void onRead(size_t Size);
+  void readNow();
+  void onRead(const uint8_t *Data, size_t Size);
   void flush();
   void checkSilence();
+  /// The stream, made if it is new.
+  stream &openStream(stream_id Id);
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
@@ -92,10 +95,12 @@
   bool Open = true;
   bool Writing = false;
   bool Feeding = false;
-  std::string ReadBuffer;
   std::string WriteBuffer;
   time_point LastRead;
+  /// When there were streams again after a time without.
+  time_point QuietSince;
   time_point PingSent;
+  bool CheckingSilence = false;
   bool PingPending = false;
   std::map<stream_id, stream> Streams;
 };
