Requests that bring backend servers down are quarantined

Cause: such a request came again and took one server after the other down; the rule BUDGET allows three retries after the third death. Change: a door remembers which requests ran when its server died, and tells the steward with its load report; after two deaths (three if many ran at once) every door refuses the request, 'not run'. A request in question that is answered anywhere is cleared, so that popular ones are not caught by chance. The evidence stays with the doors, so a new steward knows it one report later. dragonflyvanectl quarantine, release FINGERPRINT. Ruled out: a row of the store for each mark, since each would wake all watches. Tests: crash_evidence_test (two deaths, busy servers, popular request, broken connection alone, new steward, end).

--- a/cmake/dragonflyvane_targets.cmake
+++ b/cmake/dragonflyvane_targets.cmake
@@ -7,7 +7,8 @@
   target_link_libraries(dragonflyvane_${Layer} PUBLIC dragonflyvane_options ${ARGN})
 endfunction()
 
-dragonflyvane_library(core src/dragonflyvane/core nlohmann_json::nlohmann_json)
+dragonflyvane_library(core src/dragonflyvane/core
+  nlohmann_json::nlohmann_json PkgConfig::XXHASH)
 dragonflyvane_library(net src/dragonflyvane/net
   dragonflyvane_core PkgConfig::NGHTTP2 Boost::log Threads::Threads)
 dragonflyvane_library(node src/dragonflyvane/node
--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -3,11 +3,14 @@
 #define DRAGONFLYVANE_CORE_HPP
 
 #include "dragonflyvane/core/admission/admission_queue.hpp"
+#include "dragonflyvane/core/admission/crash_evidence.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/cluster/collectors.hpp"
 #include "dragonflyvane/core/cluster/host_info.hpp"
+#include "dragonflyvane/core/cluster/transaction_batch.hpp"
 #include "dragonflyvane/core/configuration/configuration.hpp"
 #include "dragonflyvane/core/configuration/order_book.hpp"
 #include "dragonflyvane/core/error.hpp"
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -9,6 +9,7 @@
 using json = nlohmann::json;
 
 const std::string OwnersPrefix = "/v1/owners/";
+const std::string QuarantinePrefix = "/v1/quarantine/";
 
 double secondsOf(duration Time) {
   return std::chrono::duration<double>(Time).count();
@@ -22,6 +23,9 @@
 
 void admin::serve(const exchange_pointer &Exchange) {
   std::string Path(pathOf(Exchange->request().Target));
+  if (Exchange->request().Method == "DELETE" &&
+      Path.compare(0, QuarantinePrefix.size(), QuarantinePrefix) == 0)
+    return Exchange->answer(release(Path.substr(QuarantinePrefix.size())));
   if (Exchange->request().Method != "GET")
     return Exchange->answer(jsonResponse(405, "{\"code\":\"only-get\"}\n"));
   if (Path == "/metrics")
@@ -30,6 +34,8 @@
     return Exchange->answer(showStatus());
   if (Path == "/v1/hosts")
     return Exchange->answer(showHosts());
+  if (Path == "/v1/quarantine")
+    return Exchange->answer(showQuarantine());
   if (Path.compare(0, OwnersPrefix.size(), OwnersPrefix) == 0)
     return Exchange->answer(showOwners(Path.substr(OwnersPrefix.size())));
   Exchange->answer(jsonResponse(404, "{\"code\":\"no-such-page\"}\n"));
@@ -102,4 +108,22 @@
   return show({{"version", Map->Version}, {"ranges", Ranges}});
 }
 
+http_response admin::showQuarantine() const {
+  json Quarantined = json::array();
+  for (request_fingerprint Request : Parts.Guard.quarantined())
+    Quarantined.push_back(toText(Request));
+  json Suspects = json::array();
+  for (request_fingerprint Request : Parts.Guard.suspects())
+    Suspects.push_back(toText(Request));
+  return show({{"quarantined", Quarantined}, {"suspects", Suspects}});
+}
+
+http_response admin::release(const std::string &Fingerprint) {
+  auto Request = parseFingerprint(Fingerprint);
+  if (!Request || !Parts.Guard.suspects().contains(*Request))
+    return jsonResponse(404, "{\"code\":\"no-such-fingerprint\"}\n");
+  Parts.Guard.release(*Request);
+  return show({{"released", Fingerprint}});
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/admin.hpp
+++ b/src/dragonflyvane/node/admin.hpp
@@ -24,6 +24,7 @@
     const order_book &Orders;
     const ownership_keeper &Keeper;
     const door &Door;
+    crash_guard &Guard;
     metrics &Metrics;
   };
 
@@ -36,6 +37,8 @@
   http_response showStatus() const;
   http_response showHosts() const;
   http_response showOwners(const std::string &Service) const;
+  http_response showQuarantine() const;
+  http_response release(const std::string &Fingerprint);
 
   parts Parts;
 };
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -56,7 +56,8 @@
         Keeper({this->Settings, Loop, Clock, Store, Orders,
                 [this] { onClusterChange(); },
                 [this] { return Store.isCollector(); }}),
-        Door({Loop, Clock, Client, Keeper.server(), Orders,
+        Guard(Clock),
+        Door({Loop, Clock, Client, Keeper.server(), Guard, Orders,
               this->Platform.Names, Metrics,
               [this](const std::string &Service, key_point Point) {
                 return Keeper.isOwner(Service, Point);
@@ -69,7 +70,7 @@
               }),
         Entrance({this->Settings, Loop, Clock, Orders, Keeper.view(), Door,
                   Peers, Rates, this->Platform.Names, Metrics}),
-        Admin({this->Settings, Clock, Orders, Keeper, Door, Metrics}),
+        Admin({this->Settings, Clock, Orders, Keeper, Door, Guard, Metrics}),
         PeerServer(Loop, Settings.Peer, MaxPeerBody,
                    [this](const exchange_pointer &E) { servePeer(E); }),
         AdminServer(Loop, Settings.Admin, {},
@@ -130,8 +131,8 @@
     if (auto Report = decodeReport(Exchange->request())) {
       Keeper.planner().onReport(Report->Host, Report->Load);
       Keeper.onNews(Report->Newest);
-      return Exchange->answer(encodeAnswer(
-          report_answer{Keeper.planner().isActive(), Keeper.sync().newest()}));
+      Guard.onReport(*Report);
+      return Exchange->answer(encodeAnswer(answerToReport()));
     }
     if (auto Ask = decodeAsk(Exchange->request())) {
       duration AskAfter{0};
@@ -146,6 +147,14 @@
       serveForwarded(Exchange);
   }
 
+  report_answer answerToReport() const {
+    report_answer Answer;
+    Answer.IsSteward = Keeper.planner().isActive();
+    Answer.Newest = Keeper.sync().newest();
+    Guard.describe(Answer);
+    return Answer;
+  }
+
   void serveForwarded(const exchange_pointer &Exchange) {
     http_request Request = Exchange->request();
     auto Order = takeOrder(Request.Headers);
@@ -169,13 +178,18 @@
   }
 
   void report() {
-    load_report Load = Door.takeReport();
+    report_message Report;
+    Report.Host = Settings.Host;
+    Report.Load = Door.takeReport();
+    Report.Newest = Keeper.sync().newest();
+    Guard.describe(Report);
     auto Peer = stewardPeer();
-    if (!Peer)
-      return Keeper.planner().onReport(Settings.Host, Load);
-    Peers.send(*Peer,
-               encodeReport({Settings.Host, Load, Keeper.sync().newest()}),
-               ReportTimeout,
+    if (!Peer) {
+      Keeper.planner().onReport(Report.Host, Report.Load);
+      Guard.onReport(Report);
+      return Guard.onAnswer(answerToReport());
+    }
+    Peers.send(*Peer, encodeReport(Report), ReportTimeout,
                [this](const call_result &Result) { onReported(Result); });
   }
 
@@ -185,8 +199,10 @@
     auto Answer = decodeReportAnswer(Result.Response);
     if (!Answer)
       return;
-    if (Answer->IsSteward)
+    if (Answer->IsSteward) {
       Keeper.planner().onStewardHeard();
+      Guard.onAnswer(*Answer);
+    }
     Keeper.onNews(Answer->Newest);
   }
 
@@ -241,6 +257,7 @@
   shared_store Shared;
   relayed_store Store;
   ownership_keeper Keeper;
+  crash_guard Guard;
   door Door;
   rate_gate Rates;
   entrance Entrance;
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -91,6 +91,9 @@
   Entry.Request = std::move(Request);
   Entry.Callback = std::move(Callback);
   std::string Why = whyNot(Entry.Order);
+  if (Why.empty() &&
+      Parts.Guard.isQuarantined(Entry.Request, Entry.Order.Workspace))
+    Why = "quarantined";
   if (!Why.empty()) {
     refuse(Id, Why);
     return 0;
@@ -247,6 +250,10 @@
     Known->second = Blend(Known->second);
     MeanWork = Blend(MeanWork);
   }
+  if (Result.Outcome == call_outcome::Lost)
+    Parts.Guard.onLost(Entry.Request, Entry.Order.Workspace, Entry.Life);
+  if (Result.Outcome == call_outcome::Answered)
+    Parts.Guard.onAnswered(Entry.Request, Entry.Order.Workspace);
   bool Refused = Result.Outcome == call_outcome::Refused;
   bool SameLife = Entry.Life == Parts.Server.life();
   finish(Id, judge(Entry, std::move(Result)));
@@ -327,6 +334,7 @@
 
 void door::tick() {
   time_point Now = Parts.Clock.now();
+  Parts.Guard.observe(Parts.Server);
   std::vector<door_id> TooLate;
   Queue.expire(Now, TooLate);
   for (door_id Id : TooLate)
--- a/src/dragonflyvane/node/door.hpp
+++ b/src/dragonflyvane/node/door.hpp
@@ -12,6 +12,7 @@
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
+#include "dragonflyvane/node/crash_guard.hpp"
 #include "dragonflyvane/node/forwarding.hpp"
 #include "dragonflyvane/node/local_server.hpp"
 
@@ -34,6 +35,7 @@
     const clock_source &Clock;
     http_client &Client;
     const local_server &Server;
+    crash_guard &Guard;
     const order_book &Orders;
     const wire_names &Names;
     metrics &Metrics;
--- a/src/dragonflyvane/node/journey.cpp
+++ b/src/dragonflyvane/node/journey.cpp
@@ -24,6 +24,8 @@
 constexpr std::chrono::milliseconds OwnerRetryAfter{500};
 /// A daemon that stops is usually back after this.
 constexpr std::chrono::milliseconds RestartRetryAfter{900};
+/// A request that brings servers down is not run for minutes.
+constexpr std::chrono::milliseconds QuarantineRetryAfter{60'000};
 /// A host that cannot be reached is looked at again after this.
 constexpr std::chrono::milliseconds LookAgainPause{60};
 
@@ -260,6 +262,8 @@
     if (IsKeyed && MapIsStale)
       return waitForHost(Result.Code);
   }
+  if (Result.Code == "quarantined")
+    return refuseUnserved(Result.Code, QuarantineRetryAfter);
   if (mayRepeat(Result))
     return tryAgain();
   if (Result.Outcome == forward_outcome::Answered)
--- a/src/dragonflyvane/node/operator_tool.cpp
+++ b/src/dragonflyvane/node/operator_tool.cpp
@@ -24,6 +24,8 @@
     "  status                  the daemon, its lease, its configuration\n"
     "  hosts                   all hosts and their backend servers\n"
     "  owners SERVICE [POINT]  who owns the keys, or the key at a point\n"
+    "  quarantine              requests that bring backend servers down\n"
+    "  release FINGERPRINT     lets such a request run again\n"
     "  metrics                 counters and histograms";
 
 constexpr int Refused = 1;
@@ -35,10 +37,11 @@
   return UsageExitCode;
 }
 
-call_result ask(const std::string &Path) {
+call_result ask(const std::string &Method, const std::string &Path) {
   event_loop Loop;
   http_client Client(Loop);
   http_request Request;
+  Request.Method = Method;
   Request.Target = Path;
   Request.Headers.add("Host", flagText("admin"));
   call_options Options;
@@ -72,8 +75,9 @@
   Owners["ranges"] = Kept;
 }
 
-int show(const std::string &Path, std::optional<key_point> Point) {
-  call_result Result = ask(Path);
+int show(const std::string &Path, std::optional<key_point> Point,
+         const std::string &Method = "GET") {
+  call_result Result = ask(Method, Path);
   if (Result.Outcome != call_outcome::Answered) {
     std::cerr << "ask " << flagText("admin") << ": " << Result.Error << "\n";
     return Unreachable;
@@ -105,7 +109,10 @@
   if (Words.empty())
     return failUsage("a command is missing");
   const std::string &Command = Words[0];
-  if (Command == "status" || Command == "hosts")
+  if (Command == "release")
+    return Words.size() == 2 ? show("/v1/quarantine/" + Words[1], {}, "DELETE")
+                             : failUsage("release takes FINGERPRINT");
+  if (Command == "status" || Command == "hosts" || Command == "quarantine")
     return Words.size() == 1 ? show("/v1/" + Command, {})
                              : failUsage(Command + " takes no argument");
   if (Command == "metrics" && Words.size() == 1)
--- a/src/dragonflyvane/node/peer_messages.cpp
+++ b/src/dragonflyvane/node/peer_messages.cpp
@@ -28,6 +28,24 @@
   return Body;
 }
 
+json toJson(const std::vector<crash> &Crashes) {
+  json List = json::array();
+  for (const crash &Crash : Crashes)
+    List.push_back({Crash.Request, Crash.Life.Instance, Crash.Life.Born,
+                    Crash.Suspects, Crash.Age.count()});
+  return List;
+}
+
+std::vector<crash> toCrashes(const json &List) {
+  std::vector<crash> Crashes;
+  for (const json &Row : List)
+    Crashes.push_back({Row.at(0).get<request_fingerprint>(),
+                       {Row.at(1).get<std::string>(), Row.at(2).get<int64_t>()},
+                       Row.at(3).get<uint32_t>(),
+                       std::chrono::seconds(Row.at(4).get<int64_t>())});
+  return Crashes;
+}
+
 } // namespace
 
 http_request encodeReport(const report_message &Message) {
@@ -36,7 +54,9 @@
                                 {"use", Message.Load.Utilization},
                                 {"work", Message.Load.Work},
                                 {"sample", Message.Load.Sample},
-                                {"newest", Message.Newest}});
+                                {"newest", Message.Newest},
+                                {"crashes", toJson(Message.Crashes)},
+                                {"answered", Message.Answered}});
 }
 
 std::optional<report_message> decodeReport(const http_request &Request) {
@@ -44,27 +64,43 @@
   if (!Body)
     return std::nullopt;
   report_message Message;
-  Message.Host = Body->value("host", "");
-  Message.Load.Rate = Body->value("rate", 0.0);
-  Message.Load.Utilization = Body->value("use", 0.0);
-  Message.Newest = Body->value("newest", row_version{0});
-  Message.Load.Work = Body->value("work", 0.0);
-  Message.Load.Sample = Body->value("sample", std::vector<key_point>{});
+  try {
+    Message.Host = Body->at("host").get<std::string>();
+    Message.Load.Rate = Body->at("rate").get<double>();
+    Message.Load.Utilization = Body->at("use").get<double>();
+    Message.Load.Work = Body->at("work").get<double>();
+    Message.Load.Sample = Body->at("sample").get<std::vector<key_point>>();
+    Message.Newest = Body->at("newest").get<row_version>();
+    Message.Crashes = toCrashes(Body->at("crashes"));
+    Message.Answered =
+        Body->at("answered").get<std::vector<request_fingerprint>>();
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
   return Message;
 }
 
 http_response encodeAnswer(const report_answer &Answer) {
-  return jsonResponse(
-      200,
-      json{{"steward", Answer.IsSteward}, {"newest", Answer.Newest}}.dump());
+  return jsonResponse(200, json{{"steward", Answer.IsSteward},
+                                {"newest", Answer.Newest},
+                                {"suspects", Answer.Suspects},
+                                {"quarantined", Answer.Quarantined}}
+                               .dump());
 }
 
 std::optional<report_answer> decodeReportAnswer(const http_response &Response) {
   json Body = json::parse(Response.Body, nullptr, false);
   if (!Body.is_object())
     return std::nullopt;
-  return report_answer{Body.value("steward", false),
-                       Body.value("newest", row_version{0})};
+  using fingerprints = std::set<request_fingerprint>;
+  try {
+    return report_answer{Body.at("steward").get<bool>(),
+                         Body.at("newest").get<row_version>(),
+                         Body.at("suspects").get<fingerprints>(),
+                         Body.at("quarantined").get<fingerprints>()};
+  } catch (const json::exception &) {
+    return std::nullopt;
+  }
 }
 
 http_request encodeAsk(const token_ask &Ask) {
--- a/src/dragonflyvane/node/peer_messages.hpp
+++ b/src/dragonflyvane/node/peer_messages.hpp
@@ -3,13 +3,16 @@
 #ifndef DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
 #define DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
 
+#include "dragonflyvane/core/admission/crash_evidence.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/ownership/load_balance.hpp"
 #include "dragonflyvane/core/store.hpp"
 
 #include <optional>
+#include <set>
 #include <string>
+#include <vector>
 
 namespace dragonflyvane {
 
@@ -19,12 +22,18 @@
   load_report Load;
   /// The version of the newest cluster row that it has seen.
   row_version Newest = 0;
+  /// Deaths of its backend server, and requests that are not their cause.
+  std::vector<crash> Crashes;
+  std::vector<request_fingerprint> Answered;
 };
 
 /// What the steward answers.
 struct report_answer {
   bool IsSteward = false;
   row_version Newest = 0;
+  /// Requests that may bring servers down, and those that are not to run.
+  std::set<request_fingerprint> Suspects;
+  std::set<request_fingerprint> Quarantined;
 };
 
 /// An ask for tokens of a workspace.
