The strongest host plans, not the first by name

Ruled out: rates too low (the workspaces sent 0.6 of theirs), the store. Change: hosts take office in the order of their processor's share, as collectors do; while the office is vacant the first ones wait a second, to know each other.

--- a/src/dragonflyvane/core/cluster/collectors.cpp
+++ b/src/dragonflyvane/core/cluster/collectors.cpp
@@ -9,14 +9,32 @@
 /// A failure domain has a first collector and one that stands in for it.
 constexpr size_t MostCollectors = 2;
 
+/// Hosts in this order take on work for others.
+std::pair<double, std::string> strength(const std::string &Name,
+                                        const host_info &Info) {
+  return {-Info.ProcessorShare, Name};
+}
+
 } // namespace
 
+size_t rankOf(const cluster_view &View, const std::string &Host) {
+  const host_info *Own = View.host(Host);
+  if (!Own)
+    return View.hosts().size();
+  auto Strength = strength(Host, *Own);
+  return std::count_if(View.hosts().begin(), View.hosts().end(),
+                       [&](const auto &Other) {
+                         return strength(Other.first, Other.second.Content) <
+                                Strength;
+                       });
+}
+
 std::vector<std::string> collectorsOf(const cluster_view &View,
                                       const std::string &FailureDomain) {
   std::vector<std::pair<double, std::string>> Hosts;
   for (const auto &[Name, Row] : View.hosts())
     if (Row.Content.FailureDomain == FailureDomain)
-      Hosts.emplace_back(-Row.Content.ProcessorShare, Name);
+      Hosts.push_back(strength(Name, Row.Content));
   std::sort(Hosts.begin(), Hosts.end());
   Hosts.resize(std::min(Hosts.size(), MostCollectors));
   std::vector<std::string> Names;
--- a/src/dragonflyvane/core/cluster/collectors_test.cpp
+++ b/src/dragonflyvane/core/cluster/collectors_test.cpp
@@ -26,3 +26,14 @@
   CHECK(collectorsOf(View, "east") == std::vector<std::string>{"d"});
   CHECK(collectorsOf(View, "north").empty());
 }
+
+TEST_CASE("the strongest host of all comes first") {
+  cluster_view View;
+  add(View, "a", "west", 0.1);
+  add(View, "b", "west", 0.5);
+  add(View, "c", "east", 0.5);
+  CHECK(rankOf(View, "b") == 0);
+  CHECK(rankOf(View, "c") == 1);
+  CHECK(rankOf(View, "a") == 2);
+  CHECK(rankOf(View, "unknown") == 3);
+}
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/relayed_store.cpp
@@ -32,7 +32,7 @@
 } // namespace
 
 relayed_store::relayed_store(parts P)
-    : Parts(std::move(P)), Random(std::random_device{}()) {}
+    : Parts(std::move(P)), Random(std::hash<std::string>{}(Parts.Host)) {}
 
 bool relayed_store::isCollector() const {
   return LastServed != time_point{} &&
--- a/src/dragonflyvane/node/steward.cpp
+++ b/src/dragonflyvane/node/steward.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/steward.hpp"
 
+#include "dragonflyvane/core/cluster/collectors.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <cmath>
@@ -12,10 +13,13 @@
 constexpr std::chrono::milliseconds LeaseReadPeriod{1000};
 /// Changes that come together are planned together.
 constexpr std::chrono::milliseconds PlanDelay{10};
-/// A steward that has not been heard of for so long is replaced; each further
-/// host in the order of names waits a little longer.
+/// A steward that has not been heard of for so long is replaced; each weaker
+/// host waits a little longer.
 constexpr std::chrono::milliseconds OfficeTimeout{2500};
+/// While hosts start for the first time, the strongest is to be known.
+constexpr std::chrono::milliseconds VacancyTime{1000};
 constexpr std::chrono::milliseconds OfficeStep{400};
+constexpr size_t LastRank = 10;
 /// Before the first map of a service, the number of its backend servers must
 /// have stood for so long.
 constexpr std::chrono::milliseconds SettleTime{1200};
@@ -81,15 +85,9 @@
   }
   if (!Parts.Sync.holdsLease() || TakingOffice)
     return;
-  int Rank = 0;
-  for (const auto &[Name, Host] : Parts.Sync.view().hosts()) {
-    if (Name == Parts.Host)
-      break;
-    Rank += Name != Holder;
-  }
-  bool IsVacant = Holder.empty();
-  duration Patience =
-      (IsVacant ? duration{0} : duration{OfficeTimeout}) + OfficeStep * Rank;
+  size_t Rank = std::min(rankOf(Parts.Sync.view(), Parts.Host), LastRank);
+  duration Patience = Holder.empty() ? VacancyTime : OfficeTimeout;
+  Patience += OfficeStep * Rank;
   if (Now - LastHeard >= Patience)
     takeOffice();
 }
