Large answers go out in pieces, below the rate of the link

Cause: hosts of the grown sites have links of 10 and 15 Mbit/s. Downloads of 90 KB filled those of the toybin hosts, so that answers to inner calls waited behind them for seconds, their callers failed with 500, and pings between daemons came too late (LOST: a stream 'went silent' while its host waited for the link). Change: bulk_pacer lets large answers have three quarters of the link, in pieces of some 15 ms, the oldest first. Doors count the link when they judge whether an answer comes in time; entrances prefer near servers, and their own, for large answers. Work and bytes of a route are learned in one place, route_costs. Tests: bulk_pacer_test, route_costs_test, admission_queue_test (a download that the link would bring late).

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -3,8 +3,10 @@
 #define DRAGONFLYVANE_CORE_HPP
 
 #include "dragonflyvane/core/admission/admission_queue.hpp"
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/crash_evidence.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
+#include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
--- a/src/dragonflyvane/core/admission/admission_queue.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -18,22 +18,28 @@
 }
 
 bool admission_queue::fits(const waiting_request &Request, uint32_t Slots,
-                           uint32_t Running, time_point Now) const {
-  if (isTooLate(Request, Now))
+                           uint32_t Running, time_point Now,
+                           duration Link) const {
+  if (isTooLate(Request, Now + Link))
     return false;
-  if (Running < Slots && Waiting.empty())
-    return true;
+  duration Start{0};
+  if (Running >= Slots || !Waiting.empty())
+    Start = (workAhead(Request.Priority) + Request.Work) / std::max(1U, Slots);
+  bool AimHasPassed = Now + Request.Work > Request.Aim;
+  if (AimHasPassed)
+    return !isTooLate(Request, Now + Start + Link);
+  bool IsFree = Start == duration{0} && Link == duration{0};
+  return IsFree || Now + Start + Request.Work + Link <= Request.Aim;
+}
+
+duration admission_queue::workAhead(int Priority) const {
   duration Ahead{0};
   for (const auto &[Place, Other] : Waiting) {
-    if (Place.first > Request.Priority)
+    if (Place.first > Priority)
       break;
     Ahead += Other.Work;
   }
-  duration Start = (Ahead + Request.Work) / std::max(1U, Slots);
-  bool AimHasPassed = Now + Request.Work > Request.Aim;
-  if (AimHasPassed)
-    return !isTooLate(Request, Now + Start);
-  return Now + Start + Request.Work <= Request.Aim;
+  return Ahead;
 }
 
 void admission_queue::push(const waiting_request &Request) {
--- a/src/dragonflyvane/core/admission/admission_queue.hpp
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -34,9 +34,10 @@
 public:
   /// Whether a request that came now would end by its aim, or by its deadline
   /// if its aim has passed, given slots and the work ahead of it. In a lasting
-  /// overload a longer queue serves no more requests, only later ones.
+  /// overload a longer queue serves no more requests, only later ones. `Link`
+  /// is what the answer needs beyond that, on its way back.
   bool fits(const waiting_request &Request, uint32_t Slots, uint32_t Running,
-            time_point Now) const;
+            time_point Now, duration Link = duration{0}) const;
   void push(const waiting_request &Request);
   /// The next to run; those that would end too late go to `TooLate`.
   std::optional<door_id> pop(time_point Now, std::vector<door_id> &TooLate);
@@ -49,6 +50,7 @@
 
 private:
   using place = std::pair<int, door_id>;
+  duration workAhead(int Priority) const;
   static bool isTooLate(const waiting_request &Request, time_point Now);
 
   std::map<place, waiting_request> Waiting;
--- a/src/dragonflyvane/core/admission/admission_queue_test.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue_test.cpp
@@ -57,3 +57,13 @@
   CHECK(TooLate == std::vector<door_id>{3});
   CHECK(Queue.work() == duration{0});
 }
+
+TEST_CASE("a download that the link would bring late is refused at once") {
+  admission_queue Queue;
+  time_point Now{std::chrono::seconds(10)};
+  waiting_request Download{1, 0, Now + milliseconds(5000),
+                           Now + milliseconds(800), milliseconds(100)};
+  CHECK(Queue.fits(Download, 6, 0, Now));
+  CHECK(Queue.fits(Download, 6, 0, Now, milliseconds(600)));
+  CHECK_FALSE(Queue.fits(Download, 6, 0, Now, milliseconds(750)));
+}
--- /dev/null
+++ b/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
@@ -0,0 +1,97 @@
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
+
+#include "manual_scheduler.hpp"
+
+#include <doctest/doctest.h>
+
+#include <memory>
+#include <vector>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+
+namespace {
+
+/// 10 Mbit/s.
+constexpr double SlowLink = 1'250'000;
+
+/// A sender that writes piece after piece.
+struct download {
+  download(bulk_pacer &Pacer, size_t Bytes)
+      : Transfer(Pacer, Bytes), Left(Bytes) {
+    next();
+  }
+  void next() {
+    Transfer.await([this] {
+      Left -= std::min(Left, Transfer.piece());
+      if (Left > 0)
+        next();
+    });
+  }
+  bulk_transfer Transfer;
+  size_t Left;
+};
+
+} // namespace
+
+TEST_CASE("downloads leave a quarter of a slow link to small messages") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  download Large(Pacer, 10'000'000);
+  Loop.runFor(std::chrono::seconds(4));
+  double Sent = 10'000'000.0 - static_cast<double>(Large.Left);
+  CHECK(Sent < SlowLink * 4 * 0.77);
+  CHECK(Sent > SlowLink * 4 * 0.7);
+}
+
+TEST_CASE("a piece of a download takes a slow link for some milliseconds") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  CHECK(static_cast<double>(Pacer.piece()) / SlowLink < 0.016);
+  CHECK(Pacer.isBulk(90'000));
+  CHECK_FALSE(Pacer.isBulk(5'000));
+}
+
+TEST_CASE("the oldest download ends first") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  download First(Pacer, 115'000);
+  download Second(Pacer, 115'000);
+  Loop.runFor(milliseconds(140));
+  CHECK(First.Left == 0);
+  CHECK(Second.Left > 50'000);
+  Loop.runFor(milliseconds(140));
+  CHECK(Second.Left == 0);
+}
+
+TEST_CASE("the backlog tells when a new download would begin") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  download First(Pacer, 937'500);
+  CHECK(Pacer.backlog() == std::chrono::seconds(1));
+  CHECK(Pacer.timeFor(93'750) == milliseconds(1100));
+  CHECK(Pacer.timeFor(1'000) == duration{0});
+  Loop.runFor(milliseconds(500));
+  CHECK(Pacer.backlog() < milliseconds(510));
+  CHECK(Pacer.backlog() > milliseconds(440));
+}
+
+TEST_CASE("a download whose caller has left makes room at once") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  auto First = std::make_unique<download>(Pacer, 1'000'000);
+  download Second(Pacer, 50'000);
+  Loop.runFor(milliseconds(30));
+  First.reset();
+  Loop.runFor(milliseconds(80));
+  CHECK(Second.Left == 0);
+  CHECK(Pacer.backlog() == duration{0});
+  Second.Transfer = {};
+  CHECK(Pacer.isIdle());
+}
+
+TEST_CASE("on a fast link nothing is cut into pieces") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), 125'000'000);
+  CHECK_FALSE(Pacer.isBulk(500'000));
+}
--- /dev/null
+++ b/src/dragonflyvane/core/admission/route_costs.cpp
@@ -0,0 +1,39 @@
+#include "dragonflyvane/core/admission/route_costs.hpp"
+
+namespace dragonflyvane {
+
+namespace {
+
+/// Weight of the newest observation.
+constexpr double NewestWeight = 0.05;
+
+duration blend(duration Old, duration New) {
+  return std::chrono::duration_cast<duration>(Old * (1 - NewestWeight) +
+                                              New * NewestWeight);
+}
+
+} // namespace
+
+void route_costs::observe(const std::string &Route, duration Work,
+                          size_t Bytes) {
+  auto Size = static_cast<double>(Bytes);
+  auto [Known, IsNew] = Routes.try_emplace(Route, cost{Work, Size});
+  if (!IsNew) {
+    cost &Cost = Known->second;
+    Cost.Work = blend(Cost.Work, Work);
+    Cost.Bytes = Cost.Bytes * (1 - NewestWeight) + Size * NewestWeight;
+  }
+  MeanWork = blend(MeanWork, Work);
+}
+
+duration route_costs::workOf(const std::string &Route) const {
+  auto Found = Routes.find(Route);
+  return Found == Routes.end() ? MeanWork : Found->second.Work;
+}
+
+size_t route_costs::bytesOf(const std::string &Route) const {
+  auto Found = Routes.find(Route);
+  return Found == Routes.end() ? 0 : static_cast<size_t>(Found->second.Bytes);
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/core/admission/route_costs_test.cpp
@@ -0,0 +1,28 @@
+#include "dragonflyvane/core/admission/route_costs.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+
+TEST_CASE("downloads and lookups of one server cost different things") {
+  route_costs Costs;
+  for (int I = 0; I < 200; ++I) {
+    Costs.observe("download", milliseconds(90), 80'000);
+    Costs.observe("lookup", milliseconds(30), 1'000);
+  }
+  CHECK(Costs.workOf("download") > milliseconds(85));
+  CHECK(Costs.workOf("lookup") < milliseconds(35));
+  CHECK(Costs.bytesOf("download") > 79'000);
+  CHECK(Costs.bytesOf("lookup") < 1'100);
+  CHECK(Costs.bytesOf("unknown") == 0);
+  CHECK(Costs.workOf("unknown") == Costs.meanWork());
+}
+
+TEST_CASE("one slow answer does not change the picture") {
+  route_costs Costs;
+  for (int I = 0; I < 100; ++I)
+    Costs.observe("lookup", milliseconds(30), 1'000);
+  Costs.observe("lookup", milliseconds(900), 1'000);
+  CHECK(Costs.workOf("lookup") < milliseconds(80));
+}
--- a/src/dragonflyvane/core/cluster/collectors.cpp
+++ b/src/dragonflyvane/core/cluster/collectors.cpp
@@ -22,11 +22,10 @@
   if (!Own)
     return View.hosts().size();
   auto Strength = strength(Host, *Own);
-  return std::count_if(View.hosts().begin(), View.hosts().end(),
-                       [&](const auto &Other) {
-                         return strength(Other.first, Other.second.Content) <
-                                Strength;
-                       });
+  return std::count_if(
+      View.hosts().begin(), View.hosts().end(), [&](const auto &Other) {
+        return strength(Other.first, Other.second.Content) < Strength;
+      });
 }
 
 std::vector<std::string> collectorsOf(const cluster_view &View,
--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -22,10 +22,10 @@
     : public std::enable_shared_from_this<implementation> {
 public:
   implementation(event_loop &Loop, const http_limits &Limits,
-                 http_handler Handler)
+                 http_handler Handler, bulk_pacer *Pacer)
       : Loop(Loop), Acceptor(Loop.internals().Io),
         State(std::make_shared<http_server_state>(
-            http_server_state{Limits, std::move(Handler), false})) {}
+            http_server_state{Limits, std::move(Handler), Pacer, false})) {}
 
   void listen(const endpoint &Listen) {
     tcp::endpoint Address = toAsio(Listen);
@@ -44,6 +44,11 @@
       Connection->close();
   }
 
+  bool isWriting() const {
+    return std::any_of(Connections.begin(), Connections.end(),
+                       [](const auto &C) { return C->isWriting(); });
+  }
+
   http_server_state &state() { return *State; }
 
 private:
@@ -86,9 +91,10 @@
 };
 
 http_server::http_server(event_loop &Loop, const endpoint &Listen,
-                         const http_limits &Limits, http_handler Handler)
-    : Implementation(
-          std::make_shared<implementation>(Loop, Limits, std::move(Handler))) {
+                         const http_limits &Limits, http_handler Handler,
+                         bulk_pacer *Pacer)
+    : Implementation(std::make_shared<implementation>(
+          Loop, Limits, std::move(Handler), Pacer)) {
   try {
     Implementation->listen(Listen);
   } catch (const std::exception &Error) {
@@ -102,6 +108,8 @@
   Implementation->state().Limits = Limits;
 }
 
+bool http_server::isWriting() const { return Implementation->isWriting(); }
+
 void http_server::startClosing() { Implementation->state().Closing = true; }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYVANE_NET_HTTP_SERVER_HPP
 #define DRAGONFLYVANE_NET_HTTP_SERVER_HPP
 
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
@@ -29,9 +30,11 @@
 ///     });
 class http_server {
 public:
-  /// Listens at once. Throws `step_error` when the address is taken.
+  /// Listens at once; with a pacer, large answers go out in pieces. Throws
+  /// `step_error` when the address is taken.
   http_server(event_loop &Loop, const endpoint &Listen,
-              const http_limits &Limits, http_handler Handler);
+              const http_limits &Limits, http_handler Handler,
+              bulk_pacer *Pacer = nullptr);
   ~http_server();
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
@@ -40,6 +43,8 @@
   void setLimits(const http_limits &Limits);
   /// From now on answers end their connections, and so do idle connections.
   void startClosing();
+  /// Whether some answer has not left whole yet.
+  bool isWriting() const;
 
 private:
   class implementation;
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/write.hpp>
 
+#include <algorithm>
 #include <array>
 
 namespace dragonflyvane {
@@ -81,6 +82,7 @@
   Open = false;
   boost::system::error_code Ignored;
   Socket.close(Ignored);
+  Transfer = {};
   if (auto Exchange = Current.lock())
     Exchange->disconnect();
 }
@@ -206,6 +208,10 @@
                                    bool Keep) {
   OutHead = std::move(Head);
   OutBody = std::move(Body);
+  if (State->Pacer && State->Pacer->isBulk(OutBody.size())) {
+    Transfer = bulk_transfer(*State->Pacer, OutBody.size());
+    return writePiece(0, Keep);
+  }
   std::array<boost::asio::const_buffer, 2> Out = {boost::asio::buffer(OutHead),
                                                   boost::asio::buffer(OutBody)};
   boost::asio::async_write(
@@ -216,9 +222,34 @@
       });
 }
 
+/// Writes the head and the rest of the body, piece by piece.
+void http_server_connection::writePiece(size_t Offset, bool Keep) {
+  if (Offset == OutBody.size())
+    return onWritten(Keep);
+  Transfer.await([Self = shared_from_this(), Offset, Keep] {
+    size_t Size =
+        std::min(Self->Transfer.piece(), Self->OutBody.size() - Offset);
+    std::array<boost::asio::const_buffer, 2> Out = {
+        boost::asio::buffer(Self->OutHead),
+        boost::asio::buffer(Self->OutBody.data() + Offset, Size)};
+    boost::asio::async_write(
+        Self->Socket, Out,
+        [Self, End = Offset + Size, Keep](auto Error, size_t) {
+          if (Error)
+            return Self->close();
+          if (!Self->Open)
+            return;
+          Self->OutHead.clear();
+          Self->LastStep = Self->Clock.now();
+          Self->writePiece(End, Keep);
+        });
+  });
+}
+
 void http_server_connection::onWritten(bool Keep) {
   if (!Open)
     return;
+  Transfer = {};
   OutBody = std::string();
   if (!Keep) {
     boost::system::error_code Ignored;
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -22,6 +22,7 @@
 struct http_server_state {
   http_limits Limits;
   http_handler Handler;
+  bulk_pacer *Pacer = nullptr;
   bool Closing = false;
 };
 
@@ -41,6 +42,7 @@
   /// Ends a connection whose time is up.
   void checkTime(time_point Now);
   bool isOpen() const { return Open; }
+  bool isWriting() const { return Open && Phase == phase::Writing; }
 
 private:
   class exchange;
@@ -58,6 +60,7 @@
   void serve();
   void answer(http_response Response);
   void write(std::string Head, std::string Body, bool KeepAlive);
+  void writePiece(size_t Offset, bool KeepAlive);
   void onWritten(bool KeepAlive);
 
   socket Socket;
@@ -75,6 +78,8 @@
   std::weak_ptr<exchange> Current;
   std::string OutHead;
   std::string OutBody;
+  /// Set while a large body goes out in pieces.
+  bulk_transfer Transfer;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -79,9 +79,9 @@
 };
 
 peer_connection::peer_connection(socket Socket, peer_role Role, size_t MaxBody,
-                                 http_handler Handler)
+                                 http_handler Handler, bulk_pacer *Pacer)
     : Socket(std::move(Socket)), SilenceTimer(this->Socket.get_executor()),
-      Role(Role), MaxBody(MaxBody), Handler(std::move(Handler)),
+      Role(Role), MaxBody(MaxBody), Handler(std::move(Handler)), Pacer(Pacer),
       LastRead(Clock.now()) {
   setUpSession();
 }
@@ -253,11 +253,38 @@
   });
 }
 
-ssize_t peer_connection::readBody(nghttp2_session *, int32_t, uint8_t *Buffer,
-                                  size_t Length, uint32_t *Flags,
-                                  nghttp2_data_source *Source, void *) {
+void peer_connection::setBody(outgoing_body &Out, const std::string &Bytes) {
+  Out.Bytes = Bytes;
+  if (Pacer && Pacer->isBulk(Bytes.size()))
+    Out.Transfer = bulk_transfer(*Pacer, Bytes.size());
+}
+
+void peer_connection::awaitPiece(stream_id Id, outgoing_body &Body) {
+  Body.Transfer.await([Weak = weak_from_this(), Id] {
+    auto Self = Weak.lock();
+    if (!Self || !Self->Open)
+      return;
+    outgoing_body &Out = Self->Streams.at(Id).Out;
+    Out.Allowed = Out.Transfer.piece();
+    nghttp2_session_resume_data(Self->Session, Id);
+    Self->flush();
+  });
+}
+
+ssize_t peer_connection::readBody(nghttp2_session *, int32_t Id,
+                                  uint8_t *Buffer, size_t Length,
+                                  uint32_t *Flags, nghttp2_data_source *Source,
+                                  void *User) {
   auto &Body = *static_cast<outgoing_body *>(Source->ptr);
   size_t Size = std::min(Length, Body.Bytes.size() - Body.Offset);
+  if (Body.Transfer) {
+    if (Body.Allowed == 0) {
+      self(User).awaitPiece(Id, Body);
+      return NGHTTP2_ERR_DEFERRED;
+    }
+    Size = std::min(Size, Body.Allowed);
+    Body.Allowed -= Size;
+  }
   std::copy_n(Body.Bytes.data() + Body.Offset, Size, Buffer);
   Body.Offset += Size;
   if (Body.Offset == Body.Bytes.size())
@@ -296,7 +323,7 @@
   std::vector<nghttp2_nv> Pairs = fieldsOf(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
   stream &Stream = openStream(Id);
-  Stream.Out.Bytes = Request.Body;
+  setBody(Stream.Out, Request.Body);
   Stream.Callback = std::move(Callback);
   nghttp2_data_provider Provider{{.ptr = &Stream.Out}, &readBody};
   int32_t Submitted = nghttp2_submit_request(
@@ -340,7 +367,7 @@
   Pseudo.add(":status", std::to_string(Response.Status));
   header_list Fields = joinLower(Pseudo, Response.Headers);
   std::vector<nghttp2_nv> Pairs = fieldsOf(Fields);
-  Stream.Out.Bytes = Response.Body;
+  setBody(Stream.Out, Response.Body);
   nghttp2_data_provider Provider{{.ptr = &Stream.Out}, &readBody};
   nghttp2_submit_response(Session, Id, Pairs.data(), Pairs.size(),
                           Response.Body.empty() ? nullptr : &Provider);
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYVANE_NET_PEER_CONNECTION_HPP
 #define DRAGONFLYVANE_NET_PEER_CONNECTION_HPP
 
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
@@ -29,8 +30,9 @@
   using stream_id = int32_t;
   using call_callback = std::function<void(call_result)>;
 
+  /// With a pacer, large bodies go out in pieces.
   peer_connection(socket Socket, peer_role Role, size_t MaxBody,
-                  http_handler Handler);
+                  http_handler Handler, bulk_pacer *Pacer = nullptr);
   ~peer_connection();
   peer_connection(const peer_connection &) = delete;
   peer_connection &operator=(const peer_connection &) = delete;
@@ -54,6 +56,10 @@
   struct outgoing_body {
     std::string Bytes;
     size_t Offset = 0;
+    /// Set for a body that goes out in pieces.
+    bulk_transfer Transfer;
+    /// Bytes that may go now.
+    size_t Allowed = 0;
   };
   struct stream {
     http_request Request;
@@ -68,6 +74,8 @@
   void readNow();
   void onRead(const uint8_t *Data, size_t Size);
   void flush();
+  void setBody(outgoing_body &Out, const std::string &Bytes);
+  void awaitPiece(stream_id Id, outgoing_body &Body);
   void checkSilence();
   /// The stream, made if it is new.
   stream &openStream(stream_id Id);
@@ -91,6 +99,7 @@
   peer_role Role;
   size_t MaxBody;
   http_handler Handler;
+  bulk_pacer *Pacer;
   nghttp2_session *Session = nullptr;
   bool Open = true;
   bool Writing = false;
--- a/src/dragonflyvane/net/peer_link.cpp
+++ b/src/dragonflyvane/net/peer_link.cpp
@@ -189,9 +189,10 @@
 class peer_server::implementation
     : public std::enable_shared_from_this<implementation> {
 public:
-  implementation(event_loop &Loop, size_t MaxBody, http_handler Handler)
+  implementation(event_loop &Loop, size_t MaxBody, http_handler Handler,
+                 bulk_pacer *Pacer)
       : Acceptor(Loop.internals().Io), MaxBody(MaxBody),
-        Handler(std::move(Handler)) {}
+        Handler(std::move(Handler)), Pacer(Pacer) {}
 
   void listen(const endpoint &Listen) {
     tcp::endpoint Address = toAsio(Listen);
@@ -225,7 +226,7 @@
 
   void adopt(tcp::socket Socket) {
     auto Connection = std::make_shared<peer_connection>(
-        std::move(Socket), peer_role::Server, MaxBody, Handler);
+        std::move(Socket), peer_role::Server, MaxBody, Handler, Pacer);
     std::erase_if(Connections, [](const auto &Weak) { return Weak.expired(); });
     Connections.push_back(Connection);
     Connection->start();
@@ -234,13 +235,15 @@
   tcp::acceptor Acceptor;
   size_t MaxBody;
   http_handler Handler;
+  bulk_pacer *Pacer;
   std::vector<std::weak_ptr<peer_connection>> Connections;
 };
 
 peer_server::peer_server(event_loop &Loop, const endpoint &Listen,
-                         size_t MaxBody, http_handler Handler)
-    : Implementation(
-          std::make_shared<implementation>(Loop, MaxBody, std::move(Handler))) {
+                         size_t MaxBody, http_handler Handler,
+                         bulk_pacer *Pacer)
+    : Implementation(std::make_shared<implementation>(
+          Loop, MaxBody, std::move(Handler), Pacer)) {
   try {
     Implementation->listen(Listen);
   } catch (const std::exception &Error) {
--- a/src/dragonflyvane/net/peer_link.hpp
+++ b/src/dragonflyvane/net/peer_link.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYVANE_NET_PEER_LINK_HPP
 #define DRAGONFLYVANE_NET_PEER_LINK_HPP
 
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
@@ -37,9 +38,10 @@
 /// loop's thread.
 class peer_server {
 public:
-  /// Throws `step_error` when the address is taken.
+  /// With a pacer, large answers go out in pieces. Throws `step_error` when
+  /// the address is taken.
   peer_server(event_loop &Loop, const endpoint &Listen, size_t MaxBody,
-              http_handler Handler);
+              http_handler Handler, bulk_pacer *Pacer = nullptr);
   ~peer_server();
   peer_server(const peer_server &) = delete;
   peer_server &operator=(const peer_server &) = delete;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -44,7 +44,8 @@
                  metrics &Metrics)
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
         Orders(this->Platform.OrderRows, this->Platform.DecodeOrder),
-        Peers(Loop, MaxPeerBody), Shared(this->Platform.Store, Loop, Clock),
+        Peers(Loop, MaxPeerBody), Pacer(Loop, Clock, Settings.LinkRate),
+        Shared(this->Platform.Store, Loop, Clock),
         Store({Settings.Host, Settings.FailureDomain, Shared,
                [this](const endpoint &Peer, http_request Request,
                       std::chrono::milliseconds Timeout,
@@ -58,7 +59,7 @@
                 [this] { return Store.isCollector(); }}),
         Guard(Clock),
         Door({Loop, Clock, Client, Keeper.server(), Guard, Orders,
-              this->Platform.Names, Metrics,
+              this->Platform.Names, Metrics, Pacer,
               [this](const std::string &Service, key_point Point) {
                 return Keeper.isOwner(Service, Point);
               },
@@ -69,15 +70,16 @@
                 askPool(Workspace, Amount, std::move(Callback));
               }),
         Entrance({this->Settings, Loop, Clock, Orders, Keeper.view(), Door,
-                  Peers, Rates, this->Platform.Names, Metrics}),
+                  Peers, Rates, this->Platform.Names, Metrics, Pacer}),
         Admin({this->Settings, Clock, Orders, Keeper, Door, Guard, Metrics}),
-        PeerServer(Loop, Settings.Peer, MaxPeerBody,
-                   [this](const exchange_pointer &E) { servePeer(E); }),
+        PeerServer(
+            Loop, Settings.Peer, MaxPeerBody,
+            [this](const exchange_pointer &E) { servePeer(E); }, &Pacer),
         AdminServer(Loop, Settings.Admin, {},
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
         EntranceServer(
             Loop, Settings.Entrance, {},
-            [this](const exchange_pointer &E) { Entrance.serve(E); }) {}
+            [this](const exchange_pointer &E) { Entrance.serve(E); }, &Pacer) {}
 
   void start() {
     writeLog(log_level::Info, "started",
@@ -240,7 +242,8 @@
       return;
     Door.startClosing();
     Entrance.startClosing();
-    bool IsIdle = Entrance.open() + Door.open() == 0;
+    bool IsIdle = Entrance.open() + Door.open() == 0 &&
+                  !EntranceServer.isWriting() && Pacer.isIdle();
     if (!IsIdle && Passed < Settings.StopTimeout)
       return;
     writeLog(log_level::Info, "stopped",
@@ -254,6 +257,7 @@
   boot_clock Clock;
   order_book Orders;
   peer_client Peers;
+  bulk_pacer Pacer;
   shared_store Shared;
   relayed_store Store;
   ownership_keeper Keeper;
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -9,10 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod{25};
-/// What a request is taken to need before its like was seen.
-constexpr std::chrono::milliseconds FirstWork{50};
-/// Weight of the newest observation.
-constexpr double WorkWeight = 0.05;
 constexpr size_t MostRecentPoints = 256;
 constexpr size_t SampleSize = 48;
 /// Requests that a cold server may get in a row.
@@ -40,8 +36,7 @@
 
 } // namespace
 
-door::door(parts P)
-    : Parts(std::move(P)), MeanWork(FirstWork), ReportedAt(Parts.Clock.now()) {
+door::door(parts P) : Parts(std::move(P)), ReportedAt(Parts.Clock.now()) {
   Tick = Parts.Loop.every(TickPeriod, [this] { tick(); });
 }
 
@@ -62,14 +57,9 @@
   return Order.Point && !Parts.Server.holds(*Order.Point, Parts.Clock.now());
 }
 
-duration door::workOf(const std::string &Route) const {
-  auto Found = Work.find(Route);
-  return Found == Work.end() ? MeanWork : Found->second;
-}
-
 waiting_request door::waitingOf(door_id Id, const entry &Entry) const {
   return {Id, Entry.Order.Priority, Entry.Deadline, Entry.Aim,
-          workOf(Entry.Order.Route)};
+          Costs.workOf(Entry.Order.Route)};
 }
 
 uint32_t door::room() const { return Parts.Server.slots(); }
@@ -103,7 +93,7 @@
     return Id;
   }
   waiting_request Waiting = waitingOf(Id, Entry);
-  if (!Queue.fits(Waiting, room(), Running, Now)) {
+  if (!hasRoom(Entry, Waiting)) {
     writeRequestLog(
         "no room at the door",
         {{"request_id",
@@ -113,6 +103,7 @@
          {"awaiting_grant", AwaitingGrant.size()},
          {"work_ms", inMilliseconds(Waiting.Work)},
          {"queued_work_ms", inMilliseconds(Queue.work())},
+         {"link_ms", inMilliseconds(Parts.Link.backlog())},
          {"aim_left_ms", inMilliseconds(Waiting.Aim - Now)},
          {"time_left_ms", inMilliseconds(Waiting.Deadline - Now)},
          {"cold", Parts.Server.isCold(Now) ? "yes" : "no"}});
@@ -124,6 +115,14 @@
   return Id;
 }
 
+/// Whether an answer can be ready, and across the link, in time.
+bool door::hasRoom(const entry &Entry, const waiting_request &Waiting) const {
+  duration Link{0};
+  if (!Entry.Order.IsLocal)
+    Link = Parts.Link.timeFor(Costs.bytesOf(Entry.Order.Route));
+  return Queue.fits(Waiting, room(), Running, Parts.Clock.now(), Link);
+}
+
 void door::cancel(door_id Id) {
   auto Found = Entries.find(Id);
   if (Found == Entries.end())
@@ -240,16 +239,8 @@
   Entry.IsRunning = false;
   duration Took = Parts.Clock.now() - Entry.SentAt;
   BusyTime += Took;
-  if (Result.Outcome == call_outcome::Answered &&
-      Result.Response.Status < 400) {
-    auto [Known, IsNew] = Work.try_emplace(Entry.Order.Route, Took);
-    auto Blend = [&](duration Old) {
-      return std::chrono::duration_cast<duration>(Old * (1 - WorkWeight) +
-                                                  Took * WorkWeight);
-    };
-    Known->second = Blend(Known->second);
-    MeanWork = Blend(MeanWork);
-  }
+  if (Result.Outcome == call_outcome::Answered && Result.Response.Status < 400)
+    Costs.observe(Entry.Order.Route, Took, Result.Response.Body.size());
   if (Result.Outcome == call_outcome::Lost)
     Parts.Guard.onLost(Entry.Request, Entry.Order.Workspace, Entry.Life);
   if (Result.Outcome == call_outcome::Answered)
@@ -307,9 +298,12 @@
 }
 
 door_load door::load() const {
-  return {Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
-          Parts.Server.slots(),
-          std::chrono::duration_cast<std::chrono::milliseconds>(MeanWork)};
+  return {
+      Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
+      Parts.Server.slots(),
+      std::chrono::duration_cast<std::chrono::milliseconds>(Costs.meanWork()),
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+          Parts.Link.backlog())};
 }
 
 std::chrono::milliseconds door::retryAfter() const {
@@ -363,7 +357,7 @@
   Report.Rate = static_cast<double>(Arrivals) / Seconds;
   Report.Utilization = std::chrono::duration<double>(BusyTime).count() /
                        Seconds / std::max(1U, Parts.Server.slots());
-  Report.Work = std::chrono::duration<double>(MeanWork).count();
+  Report.Work = std::chrono::duration<double>(Costs.meanWork()).count();
   size_t Step = std::max<size_t>(1, RecentPoints.size() / SampleSize);
   for (size_t I = 0; I < RecentPoints.size(); I += Step)
     Report.Sample.push_back(RecentPoints[I]);
--- a/src/dragonflyvane/node/door.hpp
+++ b/src/dragonflyvane/node/door.hpp
@@ -4,6 +4,8 @@
 #define DRAGONFLYVANE_NODE_DOOR_HPP
 
 #include "dragonflyvane/core/admission/admission_queue.hpp"
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
+#include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/configuration/order_book.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
@@ -39,6 +41,7 @@
     const order_book &Orders;
     const wire_names &Names;
     metrics &Metrics;
+    const bulk_pacer &Link;
     /// Whether the map says that this host owns a point.
     std::function<bool(const std::string &Service, key_point)> IsOwner;
     /// The server refused a connection.
@@ -75,7 +78,7 @@
   std::string whyNot(const forward_order &Order) const;
   bool mustWaitForGrant(const forward_order &Order) const;
   waiting_request waitingOf(door_id Id, const entry &Entry) const;
-  duration workOf(const std::string &Route) const;
+  bool hasRoom(const entry &Entry, const waiting_request &Waiting) const;
   uint32_t room() const;
   bool mayDispatchCold();
   void dispatch(door_id Id);
@@ -98,8 +101,7 @@
   bool IsClosing = false;
   door_id LastId = 0;
   token_bucket Cold;
-  std::map<std::string, duration> Work;
-  duration MeanWork;
+  route_costs Costs;
   std::deque<key_point> RecentPoints;
   uint64_t Arrivals = 0;
   duration BusyTime{0};
--- a/src/dragonflyvane/node/entrance.cpp
+++ b/src/dragonflyvane/node/entrance.cpp
@@ -6,7 +6,7 @@
 
 entrance::entrance(parts P)
     : Parts(P), Directory(Parts.View, Parts.Orders, Parts.Clock,
-                          Parts.Settings.FailureDomain),
+                          Parts.Settings.Host, Parts.Settings.FailureDomain),
       Random(std::random_device{}()) {}
 
 entrance::~entrance() = default;
--- a/src/dragonflyvane/node/entrance.hpp
+++ b/src/dragonflyvane/node/entrance.hpp
@@ -3,7 +3,9 @@
 #ifndef DRAGONFLYVANE_NODE_ENTRANCE_HPP
 #define DRAGONFLYVANE_NODE_ENTRANCE_HPP
 
+#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
+#include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/wire_names.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
@@ -37,6 +39,7 @@
     rate_gate &Rates;
     const wire_names &Names;
     metrics &Metrics;
+    const bulk_pacer &Link;
   };
 
   explicit entrance(parts Parts);
@@ -59,6 +62,8 @@
 
   parts Parts;
   peer_directory Directory;
+  /// Of answers as callers got them.
+  route_costs Costs;
   std::map<std::string, retry_budget> Budgets;
   std::vector<std::weak_ptr<journey>> Waiting;
   std::mt19937_64 Random;
--- a/src/dragonflyvane/node/forwarding.cpp
+++ b/src/dragonflyvane/node/forwarding.cpp
@@ -20,7 +20,7 @@
 constexpr const char *CodeField = "x-dragonflyvane-code";
 constexpr const char *ReachedField = "x-dragonflyvane-reached";
 constexpr const char *RetryField = "x-dragonflyvane-retry-ms";
-/// `BUSY,SLOTS,WORK_MS`.
+/// `BUSY,SLOTS,WORK_MS,LINK_DELAY_MS`.
 constexpr const char *LoadField = "x-dragonflyvane-load";
 
 template <typename Number>
@@ -34,7 +34,8 @@
 
 std::string encodeLoad(const door_load &Load) {
   return std::to_string(Load.Busy) + "," + std::to_string(Load.Slots) + "," +
-         std::to_string(Load.Work.count());
+         std::to_string(Load.Work.count()) + "," +
+         std::to_string(Load.LinkDelay.count());
 }
 
 door_load decodeLoad(const std::optional<std::string> &Text) {
@@ -42,9 +43,14 @@
   unsigned Busy = 0;
   unsigned Slots = 0;
   long Work = 0;
-  if (!Text || sscanf(Text->c_str(), "%u,%u,%ld", &Busy, &Slots, &Work) != 3)
+  long LinkDelay = 0;
+  int Read = Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld", &Busy, &Slots, &Work,
+                           &LinkDelay)
+                  : 0;
+  if (Read != 4)
     return Load;
-  return {Busy, Slots, std::chrono::milliseconds(Work)};
+  return {Busy, Slots, std::chrono::milliseconds(Work),
+          std::chrono::milliseconds(LinkDelay)};
 }
 
 } // namespace
--- a/src/dragonflyvane/node/forwarding.hpp
+++ b/src/dragonflyvane/node/forwarding.hpp
@@ -27,6 +27,8 @@
   std::chrono::milliseconds TimeLeft{0};
   /// Until when an answer is worth most to the caller.
   std::chrono::milliseconds AimLeft{0};
+  /// It came in at the host of the door; not sent along.
+  bool IsLocal = false;
 };
 
 /// How a forwarded request ended.
@@ -46,6 +48,8 @@
   uint32_t Slots = 0;
   /// Usual work of a request.
   std::chrono::milliseconds Work{0};
+  /// How long a large answer would wait for the link.
+  std::chrono::milliseconds LinkDelay{0};
 };
 
 /// The end of a forwarded request.
--- a/src/dragonflyvane/node/forwarding_test.cpp
+++ b/src/dragonflyvane/node/forwarding_test.cpp
@@ -7,7 +7,8 @@
 
 TEST_CASE("an order crosses a stream, and its fields do not go further") {
   forward_order Order{"desk",  77, "ferry",           "origin",
-                      "route", -1, milliseconds(300), milliseconds(150)};
+                      "route", -1, milliseconds(300), milliseconds(150),
+                      false};
   header_list Headers;
   Headers.add("X-Other", "1");
   writeOrder(Order, Headers);
@@ -28,10 +29,11 @@
   Own.Outcome = forward_outcome::Answered;
   Own.Reached = true;
   Own.Response.Status = 503;
-  Own.Load = {7, 9, milliseconds(60)};
+  Own.Load = {7, 9, milliseconds(60), milliseconds(40)};
   forward_result Read = decodeResult(encodeResult(Own));
   CHECK(Read.Outcome == forward_outcome::Answered);
   CHECK(Read.Load.Busy == 7);
+  CHECK(Read.Load.LinkDelay == milliseconds(40));
   CHECK(Read.Response.Headers.all().empty());
   forward_result Refusal;
   Refusal.Code = "queue-full";
--- a/src/dragonflyvane/node/journey.cpp
+++ b/src/dragonflyvane/node/journey.cpp
@@ -163,7 +163,7 @@
 
 std::optional<std::string> entrance::journey::chooseHost() {
   if (!IsKeyed)
-    return E.Directory.pick(Order.Service, Tried);
+    return E.Directory.pick(Order.Service, E.Costs.bytesOf(Order.Route), Tried);
   const versioned<ownership_map> *Map = E.Parts.View.map(Order.Service);
   if (!Map)
     return std::nullopt;
@@ -190,11 +190,18 @@
   Order.TimeLeft =
       std::chrono::duration_cast<std::chrono::milliseconds>(left());
   Order.AimLeft = Order.TimeLeft;
+  // The answer has to cross this host's link in time, too.
+  duration Link = E.Parts.Link.timeFor(E.Costs.bytesOf(Order.Route));
   if (Route->Aim.count() > 0)
     Order.AimLeft = std::chrono::duration_cast<std::chrono::milliseconds>(
-        StartedAt + Route->Aim - E.Parts.Clock.now());
+        StartedAt + Route->Aim - Link - E.Parts.Clock.now());
+  if (Link > duration{0} && Order.AimLeft.count() < 0)
+    return refuseUnserved(
+        "link-full",
+        std::chrono::duration_cast<std::chrono::milliseconds>(Link));
   SentTo = Host;
-  if (Host == E.Parts.Settings.Host) {
+  Order.IsLocal = Host == E.Parts.Settings.Host;
+  if (Order.IsLocal) {
     E.Directory.onSent(Host);
     AtDoor = E.Parts.Door.submit(
         Order, Request, [Self = shared_from_this(), Host](forward_result R) {
@@ -251,8 +258,11 @@
     ++Reached;
   MayHaveRun |= Result.Outcome != forward_outcome::NotRun;
   if (Result.Outcome == forward_outcome::Answered &&
-      Result.Response.Status < 500)
+      Result.Response.Status < 500) {
+    E.Costs.observe(Order.Route, E.Parts.Clock.now() - StartedAt,
+                    Result.Response.Body.size());
     return answer(std::move(Result.Response));
+  }
   if (Result.Outcome == forward_outcome::NotRun) {
     ++Refusals;
     bool MapIsStale =
--- a/src/dragonflyvane/node/peer_directory.cpp
+++ b/src/dragonflyvane/node/peer_directory.cpp
@@ -12,8 +12,14 @@
 /// A reported load older than this says nothing any more.
 constexpr std::chrono::milliseconds LoadLife{600};
 constexpr double UnknownWorkMs = 50;
-/// What a host of another failure domain must be better by.
+/// What another host must be better by, and one of another failure domain.
+constexpr double HopMs = 2;
 constexpr double FarPenaltyMs = 4;
+/// The same for large answers, which cost bytes on both links.
+constexpr size_t LargeAnswer = size_t{16} << 10;
+constexpr double LargeHopMs = 20;
+constexpr double LargeFarPenaltyMs = 150;
+constexpr size_t RandomChoices = 2;
 
 } // namespace
 
@@ -37,13 +43,24 @@
   return Found != Hosts.end() && Clock.now() < Found->second.SuspectUntil;
 }
 
-double peer_directory::expectedTime(const std::string &Host) const {
-  const host_info *Info = View.host(Host);
-  double Far = Info && Info->FailureDomain != FailureDomain ? FarPenaltyMs : 0;
+bool peer_directory::isNear(const std::string &Name) const {
+  const host_info *Info = View.host(Name);
+  return Info && Info->FailureDomain == FailureDomain;
+}
+
+double peer_directory::expectedTime(const std::string &Name,
+                                    size_t Bytes) const {
+  const host_info *Info = View.host(Name);
   double Slots = Info ? std::max(1U, Info->Slots) : 1;
-  auto Found = Hosts.find(Host);
+  bool IsLarge = Bytes >= LargeAnswer;
+  double Way = IsLarge ? LargeHopMs : HopMs;
+  if (Name == Host)
+    Way = 0;
+  else if (!isNear(Name))
+    Way = IsLarge ? LargeFarPenaltyMs : FarPenaltyMs;
+  auto Found = Hosts.find(Name);
   if (Found == Hosts.end())
-    return UnknownWorkMs + Far;
+    return UnknownWorkMs + Way;
   const state &State = Found->second;
   double WorkMs = State.Load.Work.count() > 0
                       ? static_cast<double>(State.Load.Work.count())
@@ -52,12 +69,14 @@
   double Busy =
       std::max<double>(Fresh ? State.Load.Busy : 0, State.Outstanding);
   double Waiting = std::max(0.0, Busy + 1 - Slots);
+  if (IsLarge && Fresh)
+    Way += static_cast<double>(State.Load.LinkDelay.count());
   // A little for each busy slot, so that equal hosts share the work.
-  return WorkMs * (1 + Waiting / Slots + 0.3 * Busy / Slots) + Far;
+  return WorkMs * (1 + Waiting / Slots + 0.3 * Busy / Slots) + Way;
 }
 
 std::optional<std::string>
-peer_directory::pick(const std::string &Service,
+peer_directory::pick(const std::string &Service, size_t Bytes,
                      const std::set<std::string> &Tried) {
   std::vector<std::string> Good;
   std::vector<std::string> Poor;
@@ -73,9 +92,20 @@
   if (From.empty())
     return std::nullopt;
   std::shuffle(From.begin(), From.end(), Random);
-  if (From.size() > 1 && expectedTime(From[1]) < expectedTime(From[0]))
-    return From[1];
-  return From[0];
+  const std::string *Best = nullptr;
+  double BestTime = 0;
+  for (size_t I = 0; I < From.size(); ++I) {
+    bool IsChoice = I < RandomChoices || From[I] == Host ||
+                    (Bytes >= LargeAnswer && isNear(From[I]));
+    if (!IsChoice)
+      continue;
+    double Time = expectedTime(From[I], Bytes);
+    if (Best && Time >= BestTime)
+      continue;
+    Best = &From[I];
+    BestTime = Time;
+  }
+  return *Best;
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/peer_directory.hpp
+++ b/src/dragonflyvane/node/peer_directory.hpp
@@ -20,14 +20,16 @@
 class peer_directory {
 public:
   peer_directory(const cluster_view &View, const order_book &Orders,
-                 const clock_source &Clock, std::string FailureDomain)
-      : View(View), Orders(Orders), Clock(Clock),
+                 const clock_source &Clock, std::string Host,
+                 std::string FailureDomain)
+      : View(View), Orders(Orders), Clock(Clock), Host(std::move(Host)),
         FailureDomain(std::move(FailureDomain)),
         Random(std::random_device{}()) {}
 
-  /// The better of two random hosts of a service by expected time; hosts of
+  /// The best by expected time of two random hosts of a service and this one;
+  /// for large answers, of all hosts in its failure domain too. Hosts of
   /// `Tried` only if there is no other.
-  std::optional<std::string> pick(const std::string &Service,
+  std::optional<std::string> pick(const std::string &Service, size_t Bytes,
                                   const std::set<std::string> &Tried);
 
   void onSent(const std::string &Host) { ++Hosts[Host].Outstanding; }
@@ -45,11 +47,13 @@
     time_point SuspectUntil{};
   };
 
-  double expectedTime(const std::string &Host) const;
+  bool isNear(const std::string &Name) const;
+  double expectedTime(const std::string &Name, size_t Bytes) const;
 
   const cluster_view &View;
   const order_book &Orders;
   const clock_source &Clock;
+  std::string Host;
   std::string FailureDomain;
   std::map<std::string, state> Hosts;
   std::mt19937_64 Random;
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -19,6 +19,8 @@
   std::vector<std::string> FailureDomains;
   /// The part of a processor core that this process may use.
   double ProcessorShare = 1;
+  /// The rate of the host's link, in bytes a second.
+  double LinkRate = 125'000'000;
   /// The service of the backend server beside this daemon.
   std::string LocalService;
   /// Where callers and the local backend server send requests.
