--- a/src/dragonflyvane/core/ownership/assignment.cpp
+++ b/src/dragonflyvane/core/ownership/assignment.cpp
@@ -10,6 +10,8 @@
 constexpr double AllPoints = LastPoint + 1.0;
 /// A candidate below this part of its fair share is given more.
 constexpr double PoorShare = 0.6;
+/// While so many ranges move, no more are ordered to even out the load.
+constexpr size_t MostMovingRanges = 24;
 /// A row has room for so many ranges.
 constexpr size_t MostRanges = 300;
 
@@ -64,6 +66,11 @@
   return Points / AllPoints;
 }
 
+size_t movingRanges(const ownership_map &Map) {
+  return std::count_if(Map.Ranges.begin(), Map.Ranges.end(),
+                       [](const owned_range &R) { return !R.Next.empty(); });
+}
+
 bool orderToPoor(ownership_map &Map, const std::vector<candidate> &Candidates,
                  double MostMoving) {
   points_by_host Points = pointsToBe(Map);
@@ -181,7 +188,7 @@
   load_balance Balance(Candidates, Loads);
   if (!Balance.knowsLoad())
     return orderToPoor(Map, Candidates, Options.MostMoving);
-  return moving(Map) == 0 && Balance.order(Map);
+  return movingRanges(Map) < MostMovingRanges && Balance.order(Map);
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/ownership/grant_book.cpp
+++ b/src/dragonflyvane/core/ownership/grant_book.cpp
@@ -12,6 +12,8 @@
 constexpr std::chrono::milliseconds ShortestHold{50};
 /// Releases that are remembered; a move needs the newest ones.
 constexpr size_t MostReleases = 256;
+/// Points that a range must have for one to be left out.
+constexpr key_point LeastToLeaveOut = 5;
 
 template <typename A, typename B> bool overlap(const A &X, const B &Y) {
   return X.First <= Y.Last && Y.First <= X.Last;
@@ -47,22 +49,36 @@
   return !Leaves || Now - Leaves->Since < Terms.MoveDelay;
 }
 
-bool grant_book::expectsRange(const ownership_map &Map) const {
+bool grant_book::leaves(const granted_range &Range) const {
+  return std::any_of(Leaving.begin(), Leaving.end(),
+                     [&](const leaving_range &L) {
+                       return L.Token == Range.Token && overlap(L, Range);
+                     });
+}
+
+/// Whether a range comes to this host, or goes from it.
+bool grant_book::movesRange(const ownership_map &Map) const {
   return std::any_of(
-      Map.Ranges.begin(), Map.Ranges.end(),
-      [&](const owned_range &Range) { return Range.Next == Terms.Host; });
+      Map.Ranges.begin(), Map.Ranges.end(), [&](const owned_range &Range) {
+        bool Goes = Range.Owner == Terms.Host;
+        return Range.Next == Terms.Host || (Goes && !Range.Next.empty());
+      });
 }
 
 /// A server that has to release something sends its next heartbeat at once. So
 /// a single point is taken from it and given back, in turns with its
-/// neighbour, until the range that it waits for is there.
+/// neighbour, until what moves has moved.
 void grant_book::leaveOnePointOut(std::vector<granted_range> &Ranges) {
+  // Not from a range that goes, whose handover has to be in one piece.
+  auto Size = [this](const granted_range &Range) {
+    return leaves(Range) ? 0 : Range.Last - Range.First + 1;
+  };
   auto Largest =
       std::max_element(Ranges.begin(), Ranges.end(),
-                       [](const granted_range &A, const granted_range &B) {
-                         return A.Last - A.First < B.Last - B.First;
+                       [&](const granted_range &A, const granted_range &B) {
+                         return Size(A) < Size(B);
                        });
-  if (Largest == Ranges.end() || Largest->Last - Largest->First < 4)
+  if (Largest == Ranges.end() || Size(*Largest) < LeastToLeaveOut)
     return;
   LeftOutLast = !LeftOutLast;
   granted_range Below = *Largest;
@@ -125,7 +141,7 @@
     if (wants(Range, Now))
       Grant.Ranges.push_back(
           {Range.First, Range.Last, Range.Token, Range.Handover});
-  if (expectsRange(Map))
+  if (movesRange(Map))
     leaveOnePointOut(Grant.Ranges);
   Granted = Grant.Ranges;
   GrantEnd = Now + Hold;
--- a/src/dragonflyvane/core/ownership/grant_book.hpp
+++ b/src/dragonflyvane/core/ownership/grant_book.hpp
@@ -105,7 +105,8 @@
 
   bool wants(const owned_range &Range, time_point Now) const;
   const leaving_range *findLeaving(const owned_range &Range) const;
-  bool expectsRange(const ownership_map &Map) const;
+  bool leaves(const granted_range &Range) const;
+  bool movesRange(const ownership_map &Map) const;
   void leaveOnePointOut(std::vector<granted_range> &Ranges);
   bool isRelinquished(const owned_range &Range) const;
   bool mayHold(const owned_range &Range, time_point Now) const;
--- a/src/dragonflyvane/core/ownership/grant_book_test.cpp
+++ b/src/dragonflyvane/core/ownership/grant_book_test.cpp
@@ -114,3 +114,14 @@
   CHECK(Last(*Second, 59999));
   CHECK(!Last(*Second, 59998));
 }
+
+TEST_CASE("a server that gives a range away sends heartbeats quickly too") {
+  book_trial Trial;
+  Trial.Map.cutBefore(10000);
+  Trial.Map.Ranges[0].Next = "there";
+  auto Grant = Trial.beat();
+  // The range that goes is whole, a point of the one that stays is left out.
+  REQUIRE(Grant->Ranges.size() == 2);
+  CHECK(Grant->Ranges[0].Last == 9999);
+  CHECK(Grant->Ranges[1].Last == LastPoint - 1);
+}
--- a/src/dragonflyvane/core/ownership/load_balance.cpp
+++ b/src/dragonflyvane/core/ownership/load_balance.cpp
@@ -19,7 +19,7 @@
 constexpr double HighestSpeed = 2;
 /// A run that carries less than this part of a fair part is not worth a move.
 constexpr double LeastRun = 0.12;
-constexpr int MostOrders = 8;
+constexpr int MostOrders = 12;
 
 } // namespace
 
--- a/src/dragonflyvane/core/ownership/ownership_map.cpp
+++ b/src/dragonflyvane/core/ownership/ownership_map.cpp
@@ -5,6 +5,8 @@
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
+#include <map>
+#include <utility>
 
 namespace dragonflyvane {
 
@@ -17,15 +19,51 @@
   return A == Moved;
 }
 
-owned_range decodeRange(const nlohmann::json &Row) {
+using json = nlohmann::json;
+
+/// Hosts and lives that ranges name by their place in this list.
+class owner_list {
+public:
+  int add(const std::string &Host, const server_life &Life) {
+    if (Host.empty())
+      return Nobody;
+    auto [Found, IsNew] =
+        Places.try_emplace({Host, Life}, static_cast<int>(Places.size()));
+    if (IsNew)
+      Rows.push_back({Host, Life.Instance, Life.Born});
+    return Found->second;
+  }
+  const json &rows() const { return Rows; }
+
+  static constexpr int Nobody = -1;
+
+private:
+  std::map<std::pair<std::string, server_life>, int> Places;
+  json Rows = json::array();
+};
+
+/// First point, owner, token, receiver and, if there is one, handover.
+json encodeRange(const owned_range &Range, owner_list &Owners) {
+  json Row = {Range.First, Owners.add(Range.Owner, Range.Life), Range.Token,
+              Owners.add(Range.Next, {})};
+  if (!Range.Handover.empty())
+    Row.push_back(Range.Handover);
+  return Row;
+}
+
+owned_range decodeRange(const json &Row, const json &Owners) {
   owned_range Range;
   Range.First = Row.at(0).get<key_point>();
-  Range.Last = Row.at(1).get<key_point>();
-  Range.Owner = Row.at(2).get<std::string>();
-  Range.Life = {Row.at(3).get<std::string>(), Row.at(4).get<int64_t>()};
-  Range.Token = Row.at(5).get<uint64_t>();
-  Range.Handover = Row.at(6).get<std::string>();
-  Range.Next = Row.at(7).get<std::string>();
+  if (int Place = Row.at(1).get<int>(); Place != owner_list::Nobody) {
+    const json &Owner = Owners.at(Place);
+    Range.Owner = Owner.at(0).get<std::string>();
+    Range.Life = {Owner.at(1).get<std::string>(), Owner.at(2).get<int64_t>()};
+  }
+  Range.Token = Row.at(2).get<uint64_t>();
+  if (int Place = Row.at(3).get<int>(); Place != owner_list::Nobody)
+    Range.Next = Owners.at(Place).at(0).get<std::string>();
+  if (Row.size() > 4)
+    Range.Handover = Row.at(4).get<std::string>();
   return Range;
 }
 
@@ -73,21 +111,25 @@
 }
 
 std::string encodeMap(const ownership_map &Map) {
-  nlohmann::json Rows = nlohmann::json::array();
-  for (const owned_range &R : Map.Ranges)
-    Rows.push_back({R.First, R.Last, R.Owner, R.Life.Instance, R.Life.Born,
-                    R.Token, R.Handover, R.Next});
-  return nlohmann::json{{"ranges", Rows}}.dump();
+  owner_list Owners;
+  json Ranges = json::array();
+  for (const owned_range &Range : Map.Ranges)
+    Ranges.push_back(encodeRange(Range, Owners));
+  return json{{"owners", Owners.rows()}, {"ranges", Ranges}}.dump();
 }
 
 ownership_map decodeMap(const std::string &Text) {
   ownership_map Map;
   Map.Ranges.clear();
   try {
-    const auto Document = nlohmann::json::parse(Text);
-    for (const auto &Row : Document.at("ranges"))
-      Map.Ranges.push_back(decodeRange(Row));
-  } catch (const nlohmann::json::exception &Error) {
+    const auto Document = json::parse(Text);
+    for (const auto &Row : Document.at("ranges")) {
+      owned_range Range = decodeRange(Row, Document.at("owners"));
+      if (!Map.Ranges.empty())
+        Map.Ranges.back().Last = Range.First - 1;
+      Map.Ranges.push_back(std::move(Range));
+    }
+  } catch (const json::exception &Error) {
     throw step_error("ownership map", "", Error.what());
   }
   if (!coversAll(Map.Ranges))
--- /dev/null
+++ b/src/dragonflyvane/core/ownership/point_sample_test.cpp
@@ -0,0 +1,30 @@
+#include "dragonflyvane/core/ownership/point_sample.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+
+TEST_CASE("hot keys that changed: only the new ones are told") {
+  point_sample Sample;
+  time_point Now{std::chrono::seconds(10)};
+  for (int I = 0; I < 50; ++I)
+    Sample.record(1000, Now);
+  Now += std::chrono::seconds(3);
+  for (int I = 0; I < 10; ++I)
+    Sample.record(2000, Now);
+  CHECK(Sample.take(Now) == std::vector<key_point>(10, 2000));
+}
+
+TEST_CASE("a busy server tells a bounded sample") {
+  point_sample Sample;
+  time_point Now{std::chrono::seconds(10)};
+  for (key_point I = 0; I < 5000; ++I) {
+    Now += milliseconds(1);
+    Sample.record(I, Now);
+  }
+  auto Points = Sample.take(Now);
+  CHECK(Points.size() <= 60);
+  CHECK(Points.size() >= 48);
+  CHECK(Points.front() >= 4744);
+}
--- a/src/dragonflyvane/node/door.cpp
+++ b/src/dragonflyvane/node/door.cpp
@@ -9,8 +9,6 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod{25};
-constexpr size_t MostRecentPoints = 256;
-constexpr size_t SampleSize = 48;
 /// Requests that a cold server may get in a row.
 constexpr double ColdBurst = 2;
 /// The part of its time that a request may wait for the grant of its key.
@@ -69,11 +67,8 @@
   door_id Id = ++LastId;
   time_point Now = Parts.Clock.now();
   ++Arrivals;
-  if (Order.Point) {
-    RecentPoints.push_back(*Order.Point);
-    if (RecentPoints.size() > MostRecentPoints)
-      RecentPoints.pop_front();
-  }
+  if (Order.Point)
+    Sample.record(*Order.Point, Now);
   entry &Entry = Entries[Id];
   Entry.Deadline = Now + Order.TimeLeft;
   Entry.Aim = Now + Order.AimLeft;
@@ -358,9 +353,7 @@
   Report.Utilization = std::chrono::duration<double>(BusyTime).count() /
                        Seconds / std::max(1U, Parts.Server.slots());
   Report.Work = std::chrono::duration<double>(Costs.meanWork()).count();
-  size_t Step = std::max<size_t>(1, RecentPoints.size() / SampleSize);
-  for (size_t I = 0; I < RecentPoints.size(); I += Step)
-    Report.Sample.push_back(RecentPoints[I]);
+  Report.Sample = Sample.take(Now);
   ReportedAt = Now;
   Arrivals = 0;
   BusyTime = duration{0};
--- a/src/dragonflyvane/node/door.hpp
+++ b/src/dragonflyvane/node/door.hpp
@@ -9,6 +9,7 @@
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/configuration/order_book.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
+#include "dragonflyvane/core/ownership/point_sample.hpp"
 #include "dragonflyvane/core/rate/token_bucket.hpp"
 #include "dragonflyvane/core/wire_names.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
@@ -102,7 +103,7 @@
   door_id LastId = 0;
   token_bucket Cold;
   route_costs Costs;
-  std::deque<key_point> RecentPoints;
+  point_sample Sample;
   uint64_t Arrivals = 0;
   duration BusyTime{0};
   time_point ReportedAt;
--- a/src/dragonflyvane/node/ownership_keeper.cpp
+++ b/src/dragonflyvane/node/ownership_keeper.cpp
@@ -94,11 +94,13 @@
   if (!Sync.holdsLease() || Server.freeRanges(Terms).empty())
     return;
   Sync.change({Server.service(),
-               [this](ownership_map &Map, uint64_t) { return freeIn(Map); },
+               [this](ownership_map &Map, uint64_t Token) {
+                 return freeIn(Map, Token);
+               },
                {}});
 }
 
-bool ownership_keeper::freeIn(ownership_map &Map) {
+bool ownership_keeper::freeIn(ownership_map &Map, uint64_t Token) {
   grant_terms Terms = termsOf(Server.service());
   Terms.Map = &Map;
   Server.observe(Terms);
@@ -106,14 +108,26 @@
   for (const free_range &Gone : Free) {
     Server.relinquish(Gone.Range);
     for (owned_range &Range : Map.Ranges) {
-      if (Range.First != Gone.Range.First)
-        continue;
-      Range.Owner.clear();
-      Range.Life = {};
-      Range.Handover = Gone.Handover;
+      if (Range.First == Gone.Range.First)
+        passOn(Range, Gone.Handover, Token);
     }
   }
   return !Free.empty();
 }
 
+/// To its receiver if there is one that can take it, else to nobody.
+void ownership_keeper::passOn(owned_range &Range, const std::string &Handover,
+                              uint64_t Token) const {
+  const host_info *Receiver = view().host(Range.Next);
+  bool IsReady = Receiver && Receiver->Service == Server.service() &&
+                 Receiver->Standing == server_standing::Ready;
+  Range.Handover = Handover;
+  Range.Owner = IsReady ? Range.Next : "";
+  Range.Life = IsReady ? Receiver->Life : server_life{};
+  if (!IsReady)
+    return;
+  Range.Token = Token;
+  Range.Next.clear();
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/ownership_keeper.hpp
+++ b/src/dragonflyvane/node/ownership_keeper.hpp
@@ -54,7 +54,9 @@
   void onClusterChange();
   void announce();
   void freeRanges();
-  bool freeIn(ownership_map &Map);
+  bool freeIn(ownership_map &Map, uint64_t Token);
+  void passOn(owned_range &Range, const std::string &Handover,
+              uint64_t Token) const;
   void tick();
 
   parts Parts;
--- a/src/dragonflyvane/node/shared_store.cpp
+++ b/src/dragonflyvane/node/shared_store.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 /// Changes that come within this are brought by one answer.
-constexpr std::chrono::milliseconds GatherTime{25};
+constexpr std::chrono::milliseconds GatherTime{60};
 /// A change that is known otherwise should have come by the watch within this.
 constexpr std::chrono::milliseconds SilenceLimit{600};
 
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -40,6 +40,8 @@
     LossIsLate = Late;
   }
   void setLatency(duration Value) { Latency = Value; }
+  /// Open watches are never answered.
+  void forgetWatches() { Watches.clear(); }
   /// Forgets which rows changed when.
   void forgetHistory() { OldestKnown = Revision; }
   const std::map<row_id, stored_row> &rows() const { return Rows; }
