Leases tell when they were sent, so that a new steward need not watch them first

Change: a renewal carries the latest that the store's clock can have shown when it was sent (store_clock: the time of an answer plus what passed since its call). A lease has lapsed 5.3 s after that, whoever looks. A new steward that renewed all the while needs no grace; one that did not gives holders 2 s. Office changes after 2.1 s of silence (2.5).

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -22,6 +22,7 @@
 #include "dragonflyvane/core/ownership/host_lease.hpp"
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 #include "dragonflyvane/core/ownership/point_sample.hpp"
+#include "dragonflyvane/core/ownership/store_clock.hpp"
 #include "dragonflyvane/core/rate/token_bucket.hpp"
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
 #include "dragonflyvane/core/refusal.hpp"
--- a/src/dragonflyvane/core/ownership/host_lease.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease.cpp
@@ -1,5 +1,7 @@
 #include "dragonflyvane/core/ownership/host_lease.hpp"
 
+#include <nlohmann/json.hpp>
+
 namespace dragonflyvane {
 
 namespace {
@@ -10,8 +12,28 @@
 
 } // namespace
 
-void lease_watch::observe(const row_batch &Batch) {
-  if (Batch.StoreTime - StoreTime > LongestPause)
+std::string encodeLease(const lease_value &Lease) {
+  return nlohmann::json{{"run", Lease.Run},
+                        {"count", Lease.Count},
+                        {"sent_by", Lease.SentBy.count()}}
+      .dump();
+}
+
+lease_value decodeLease(const std::optional<std::string> &Text) {
+  auto Json = nlohmann::json::parse(Text.value_or(""), nullptr, false);
+  try {
+    return {Json.at("run").get<std::string>(), Json.at("count").get<uint64_t>(),
+            std::chrono::milliseconds(Json.at("sent_by").get<int64_t>())};
+  } catch (const nlohmann::json::exception &) {
+    return {};
+  }
+}
+
+void lease_watch::observe(const row_batch &Batch, bool IsSteady) {
+  bool IsFirst = StoreTime.count() == 0;
+  bool WasAway =
+      IsFirst ? !IsSteady : Batch.StoreTime - StoreTime > LongestPause;
+  if (WasAway)
     GraceUntil = Batch.StoreTime + LeaseReturnGrace;
   StoreTime = Batch.StoreTime;
   std::map<std::string, seen> Now;
@@ -20,15 +42,19 @@
     bool Unchanged =
         Before != Seen.end() && Before->second.Version == Row.Version;
     seen &Next = Now[Row.Id.Key];
-    Next = Unchanged ? Before->second : seen{Row.Version, StoreTime, false};
-    Next.IsTakenOver |= Row.Value == TakenOverLease;
+    lease_value Lease = decodeLease(Row.Value);
+    Next = Unchanged ? Before->second
+                     : seen{Row.Version, StoreTime, Lease.SentBy, false};
+    Next.IsTakenOver |= Lease.Run.empty();
   }
   Seen = std::move(Now);
 }
 
 bool lease_watch::hasLapsed(const seen &Row) const {
-  return StoreTime >= GraceUntil &&
-         StoreTime - Row.Since >= LeaseLength + LeaseMargin;
+  auto Ago = StoreTime - Row.Since;
+  if (Row.SentBy.count() > 0)
+    Ago = std::max(Ago, StoreTime - Row.SentBy);
+  return StoreTime >= GraceUntil && Ago >= LeaseLength + LeaseMargin;
 }
 
 std::set<std::string> lease_watch::lapsed() const {
--- a/src/dragonflyvane/core/ownership/host_lease.hpp
+++ b/src/dragonflyvane/core/ownership/host_lease.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/core/store.hpp"
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 
@@ -23,6 +24,21 @@
 /// What a takeover writes in place of the holder's value.
 inline constexpr const char *TakenOverLease = "{}";
 
+/// The row of a lease.
+struct lease_value {
+  /// The run of the daemon that holds it; empty after a takeover.
+  std::string Run;
+  /// Differs for each renewal of a run.
+  uint64_t Count = 0;
+  /// The latest that the store's clock can have shown when the renewal was
+  /// sent; zero if the holder did not know.
+  std::chrono::milliseconds SentBy{0};
+};
+
+std::string encodeLease(const lease_value &Lease);
+/// A text that is no lease counts as taken over.
+lease_value decodeLease(const std::optional<std::string> &Text);
+
 /// The holder's view.
 class host_lease {
 public:
@@ -38,11 +54,13 @@
 };
 
 /// The view of one who may take over: a lease has lapsed when its row did not
-/// change for the whole length and margin, by the store's own clock.
+/// change for the whole length and margin, or its last renewal was sent longer
+/// ago than that, by the store's own clock.
 class lease_watch {
 public:
-  /// The lease rows as the store showed them.
-  void observe(const row_batch &Batch);
+  /// The lease rows as the store showed them. `IsSteady` tells whether the
+  /// store was there for the observer all the while before a first look.
+  void observe(const row_batch &Batch, bool IsSteady);
   std::set<std::string> lapsed() const;
   /// Whether the host may be given keys: its lease has not lapsed, and it has
   /// renewed it since it was last taken over.
@@ -51,12 +69,13 @@
   void onTakeOver(const std::string &Holder);
   /// The version that a takeover has to name as its condition.
   row_version versionOf(const std::string &Holder) const;
-  void clear() { Seen.clear(); }
+  void clear() { *this = {}; }
 
 private:
   struct seen {
     row_version Version = 0;
     std::chrono::milliseconds Since{0};
+    std::chrono::milliseconds SentBy{0};
     bool IsTakenOver = false;
   };
   bool hasLapsed(const seen &Row) const;
--- a/src/dragonflyvane/core/store.hpp
+++ b/src/dragonflyvane/core/store.hpp
@@ -85,6 +85,8 @@
   transaction_outcome Outcome = transaction_outcome::Unknown;
   /// After a commit: the version of the written rows.
   row_version Revision = 0;
+  /// The store's own clock at that moment; zero if there was no answer.
+  std::chrono::milliseconds StoreTime{0};
   /// After a conflict: the rows of the conditions as they are now.
   std::vector<stored_row> Current;
   /// Why there was no answer.
--- a/src/dragonflyvane/net/store_codec.cpp
+++ b/src/dragonflyvane/net/store_codec.cpp
@@ -124,6 +124,7 @@
 http_response encodeEnd(const transaction_result &Result) {
   return respond({{"outcome", static_cast<int>(Result.Outcome)},
                   {"revision", Result.Revision},
+                  {"time", Result.StoreTime.count()},
                   {"rows", toJson(Result.Current)},
                   {"error", Result.Error}});
 }
@@ -150,6 +151,8 @@
   try {
     json Body = json::parse(Response.Body);
     Result.Revision = Body.at("revision").get<row_version>();
+    Result.StoreTime =
+        std::chrono::milliseconds(Body.at("time").get<int64_t>());
     Result.Current = toRows(Body.at("rows"));
     Result.Error = Body.at("error").get<std::string>();
     Result.Outcome =
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -3,8 +3,6 @@
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
 
-#include <nlohmann/json.hpp>
-
 #include <random>
 
 namespace dragonflyvane {
@@ -25,6 +23,8 @@
 /// noticed before its neighbours miss a change.
 constexpr std::chrono::milliseconds CollectorRenewalPeriod{800};
 constexpr std::chrono::milliseconds CollectorPatience{5};
+/// A longer one means that the store was out of reach.
+constexpr std::chrono::milliseconds LongestRenewalGap{3000};
 /// Renewals are spread by this part of their period.
 constexpr double RenewalSpread = 0.15;
 /// After so many conflicts in a row a change is left to the next occasion.
@@ -185,18 +185,16 @@
 
 // The lease.
 
-std::string cluster_sync::leaseValue() const {
-  return nlohmann::json{{"run", Run}, {"count", RenewalCount}}.dump();
-}
-
 void cluster_sync::renew(std::chrono::milliseconds Patience) {
   ++RenewalCount;
   store_transaction Transaction;
   Transaction.Conditions = Parts.Orders.conditions();
   Transaction.Conditions.push_back({leaseRow(Parts.Host), LeaseVersion});
-  Transaction.Writes.push_back({leaseRow(Parts.Host), leaseValue()});
-  Transaction.Patience = Patience;
   time_point SentAt = Parts.Clock.now();
+  Transaction.Writes.push_back(
+      {leaseRow(Parts.Host),
+       encodeLease({Run, RenewalCount, StoreClock.latest(SentAt)})});
+  Transaction.Patience = Patience;
   Parts.Store.transact(Transaction,
                        [this, SentAt](const transaction_result &Result) {
                          onRenewed(SentAt, Result);
@@ -205,6 +203,9 @@
 
 void cluster_sync::onRenewed(time_point SentAt,
                              const transaction_result &Result) {
+  time_point Now = Parts.Clock.now();
+  if (Result.StoreTime.count() > 0)
+    StoreClock.onAnswer(Result.StoreTime, SentAt, Now);
   if (Result.Outcome == transaction_outcome::Conflict) {
     onLeaseConflict(Result);
     // At once, since one round of conflicts brings everything up to date.
@@ -219,6 +220,9 @@
   }
   LeaseVersion = Result.Revision;
   Lease.renewed(SentAt);
+  if (Now - LastRenewed > LongestRenewalGap)
+    SteadySince = Now;
+  LastRenewed = Now;
   Parts.Orders.confirm(SentAt);
   if (!IsClaimed) {
     IsClaimed = true;
@@ -247,10 +251,7 @@
   for (const stored_row &Row : Result.Current) {
     if (Row.Id != leaseRow(Parts.Host) || Row.Version == LeaseVersion)
       continue;
-    std::string Holder;
-    auto Json = nlohmann::json::parse(Row.Value.value_or(""), nullptr, false);
-    if (Json.is_object())
-      Holder = Json.value("run", "");
+    std::string Holder = decodeLease(Row.Value).Run;
     LeaseVersion = Row.Version;
     // An own renewal whose answer was lost changes nothing.
     if (Holder == Run)
@@ -285,6 +286,12 @@
       });
 }
 
+bool cluster_sync::isSteady() const {
+  time_point Now = Parts.Clock.now();
+  return Now - LastRenewed <= LongestRenewalGap &&
+         Now - SteadySince >= LeaseReturnGrace;
+}
+
 void cluster_sync::readLeases(store::read_callback Callback) {
   Parts.Store.read(row_kind::Lease, std::move(Callback));
 }
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
 #include "dragonflyvane/core/configuration/order_book.hpp"
 #include "dragonflyvane/core/ownership/host_lease.hpp"
+#include "dragonflyvane/core/ownership/store_clock.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/core/store.hpp"
 
@@ -65,6 +66,8 @@
   void transact(const store_transaction &Transaction,
                 store::transaction_callback Done);
   void readLeases(store::read_callback Callback);
+  /// Whether renewals have succeeded without a gap for a while.
+  bool isSteady() const;
 
   /// The version of the newest cluster row that this daemon has seen.
   row_version newest() const { return Newest; }
@@ -96,7 +99,6 @@
   void onRenewed(time_point SentAt, const transaction_result &Result);
   void onLeaseConflict(const transaction_result &Result);
   void readMapAfterClaim(row_version ClaimedAt);
-  std::string leaseValue() const;
 
   void runChange(const map_change &Change, int Tries);
   void writeHostRow();
@@ -115,6 +117,9 @@
   timer NewsCheck;
   bool CheckingNews = false;
   host_lease Lease;
+  store_clock StoreClock;
+  time_point LastRenewed{};
+  time_point SteadySince{};
   std::string Run;
   std::mt19937_64 Random;
   uint64_t RenewalCount = 0;
--- a/src/dragonflyvane/node/ownership_trial_test.cpp
+++ b/src/dragonflyvane/node/ownership_trial_test.cpp
@@ -141,3 +141,12 @@
   CHECK(!Trial.server(1).tokenOf(16384));
   CHECK(Trial.ownedPart() == 1.0);
 }
+
+TEST_CASE("the keys of a lost steward are served again as soon as its lease "
+          "has lapsed") {
+  ownership_trial Trial(7, 6);
+  Trial.runFor(StartTime);
+  Trial.isolate(0, true);
+  Trial.runFor(std::chrono::milliseconds(7500));
+  CHECK(Trial.ownedPart() == 1.0);
+}
--- a/src/dragonflyvane/node/steward.cpp
+++ b/src/dragonflyvane/node/steward.cpp
@@ -15,7 +15,7 @@
 constexpr std::chrono::milliseconds PlanDelay{10};
 /// A steward that has not been heard of for so long is replaced; each weaker
 /// host waits a little longer.
-constexpr std::chrono::milliseconds OfficeTimeout{2500};
+constexpr std::chrono::milliseconds OfficeTimeout{2100};
 /// While hosts start for the first time, the strongest is to be known.
 constexpr std::chrono::milliseconds VacancyTime{1000};
 constexpr std::chrono::milliseconds OfficeStep{400};
@@ -113,6 +113,7 @@
         (Before.empty() ? duration{0} : duration{LeaseLength + LeaseMargin});
     Pool.clear();
     Leases.clear();
+    readLeases();
   });
 }
 
@@ -135,7 +136,7 @@
     ReadingLeases = false;
     if (Result.Outcome != read_outcome::Answered || !isActive())
       return;
-    Leases.observe(Result.Batch);
+    Leases.observe(Result.Batch, Parts.Sync.isSteady());
     takeOverLapsed();
   });
 }
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -65,6 +65,7 @@
 
 transaction_result fake_store::apply(const store_transaction &Transaction) {
   transaction_result Result;
+  Result.StoreTime = storeTime();
   bool Holds = true;
   for (const row_condition &Condition : Transaction.Conditions) {
     auto Found = Rows.find(Condition.Id);
