Log lines that were dropped are counted right, and none is longer than a pipe takes

Cause: found while writing the test of a reader that does not read: the count of dropped lines was reset by a line that was dropped itself, and a line longer than 4,096 bytes (loads of 45 hosts) could wait for its reader for ever, since poll says only that a pipe has room for so much. Change: the count is reset by a line that was written; fields end at 1,500 bytes, and a line that is still too long counts as dropped. Tests: log_test, with standard output as a pipe that is read late.

--- a/src/dragonflyvane/net/log.cpp
+++ b/src/dragonflyvane/net/log.cpp
@@ -12,6 +12,7 @@
 #include <nlohmann/json.hpp>
 
 #include <chrono>
+#include <climits>
 #include <ctime>
 #include <poll.h>
 #include <unistd.h>
@@ -23,6 +24,8 @@
 /// Lines about requests: so many a second, and so many at once.
 constexpr double RequestLinesPerSecond = 20;
 constexpr double RequestLinesBurst = 60;
+/// Bytes of a field; a line has to fit into what a pipe takes at once.
+constexpr size_t LongestField = 1500;
 
 uint64_t &droppedLines() {
   static uint64_t Count = 0;
@@ -36,8 +39,12 @@
   void consume(const boost::log::record_view &, const std::string &Text) {
     pollfd Output{STDOUT_FILENO, POLLOUT, 0};
     std::string Line = Text + "\n";
-    bool HasRoom = poll(&Output, 1, 0) == 1 && (Output.revents & POLLOUT) != 0;
-    if (!HasRoom || write(STDOUT_FILENO, Line.data(), Line.size()) < 0)
+    // A pipe that has room takes this much without waiting.
+    bool HasRoom = Line.size() <= PIPE_BUF && poll(&Output, 1, 0) == 1 &&
+                   (Output.revents & POLLOUT) != 0;
+    if (HasRoom && write(STDOUT_FILENO, Line.data(), Line.size()) > 0)
+      droppedLines() = 0;
+    else
       ++droppedLines();
   }
 };
@@ -93,6 +100,14 @@
 
 namespace {
 
+int64_t shorten(int64_t Value) { return Value; }
+
+std::string shorten(const std::string &Value) {
+  if (Value.size() <= LongestField)
+    return Value;
+  return Value.substr(0, LongestField) + "...";
+}
+
 void writeLine(log_level Level, const std::string &Message,
                std::initializer_list<log_field> Fields, uint64_t Omitted) {
   static severity_logger Logger;
@@ -101,12 +116,12 @@
                                  {"host", hostName()},
                                  {"message", Message}};
   for (const log_field &Field : Fields)
-    std::visit([&](const auto &Value) { Line[Field.Name] = Value; },
+    std::visit([&](const auto &Value) { Line[Field.Name] = shorten(Value); },
                Field.Value);
   if (Omitted > 0)
     Line["lines_left_out"] = Omitted;
-  if (uint64_t Dropped = std::exchange(droppedLines(), 0))
-    Line["lines_dropped"] = Dropped;
+  if (droppedLines() > 0)
+    Line["lines_dropped"] = droppedLines();
   BOOST_LOG_SEV(Logger, Level)
       << Line.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
