A restarted daemon leaves its row until its server's heartbeat comes

Cause: a daemon that started again beside a living server wrote first that it had no server, then that it had one. Change: the row of the run before stands until the first heartbeat, for 3.5 s at most; a first start writes its row with the first heartbeat. Collectors that fail are left alone for 4 s at most (16).

--- a/src/dragonflyvane/core/cluster/collectors.cpp
+++ b/src/dragonflyvane/core/cluster/collectors.cpp
@@ -37,6 +37,7 @@
   std::sort(Hosts.begin(), Hosts.end());
   Hosts.resize(std::min(Hosts.size(), MostCollectors));
   std::vector<std::string> Names;
+  Names.reserve(Hosts.size());
   for (auto &[Share, Name] : Hosts)
     Names.push_back(std::move(Name));
   return Names;
--- a/src/dragonflyvane/core/ownership/assignment_test.cpp
+++ b/src/dragonflyvane/core/ownership/assignment_test.cpp
@@ -109,6 +109,7 @@
 
 TEST_CASE("hot keys elsewhere are moved while an older move still waits") {
   std::vector<candidate> All;
+  All.reserve(4);
   for (int I = 0; I < 4; ++I)
     All.push_back({"h" + std::to_string(I), {"i", I}, 6});
   ownership_map Map;
--- a/src/dragonflyvane/node/ownership_keeper.cpp
+++ b/src/dragonflyvane/node/ownership_keeper.cpp
@@ -7,6 +7,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds TickPeriod{200};
+/// A daemon that has just started waits so long for its backend server, and
+/// leaves the row of the run before as it is.
+constexpr std::chrono::milliseconds FirstHeartbeatTime{3500};
 
 } // namespace
 
@@ -19,6 +22,7 @@
           {Parts.Settings.Host, Parts.Loop, Parts.Clock, Sync, Parts.Orders}) {}
 
 void ownership_keeper::start() {
+  StartedAt = Parts.Clock.now();
   announce();
   Sync.start();
   Tick = Parts.Loop.every(TickPeriod, [this] { tick(); });
@@ -71,6 +75,9 @@
 }
 
 void ownership_keeper::announce() {
+  bool IsNew = Parts.Clock.now() - StartedAt < FirstHeartbeatTime;
+  if (IsNew && Server.standing() == server_standing::None)
+    return;
   host_info Info;
   Info.PeerAddress = toString(Parts.Settings.Peer);
   Info.FailureDomain = Parts.Settings.FailureDomain;
--- a/src/dragonflyvane/node/ownership_keeper.hpp
+++ b/src/dragonflyvane/node/ownership_keeper.hpp
@@ -64,6 +64,7 @@
   local_server Server;
   steward Steward;
   std::optional<host_info> Announced;
+  time_point StartedAt{};
   timer Tick;
 };
 
--- a/src/dragonflyvane/node/ownership_trial_test.cpp
+++ b/src/dragonflyvane/node/ownership_trial_test.cpp
@@ -150,3 +150,18 @@
   Trial.runFor(std::chrono::milliseconds(7500));
   CHECK(Trial.ownedPart() == 1.0);
 }
+
+TEST_CASE("rolling restarts of daemons beside living servers move no keys") {
+  ownership_trial Trial(7, 6);
+  Trial.runFor(StartTime);
+  auto Before = Trial.server(2).tokenOf(30000);
+  REQUIRE(Before);
+  Trial.killDaemon(2);
+  Trial.runFor(std::chrono::milliseconds(500));
+  Trial.startDaemon(2);
+  for (int Second = 0; Second < 4; ++Second) {
+    Trial.runFor(std::chrono::seconds(1));
+    CHECK(Trial.server(2).tokenOf(30000) == Before);
+    CHECK(Trial.standingSeen(2) == server_standing::Ready);
+  }
+}
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/relayed_store.cpp
@@ -14,7 +14,7 @@
 constexpr std::chrono::milliseconds DirectPause{2000};
 /// How long a peer that could not help is left alone; twice as long each time.
 constexpr std::chrono::milliseconds FirstPause{1000};
-constexpr int MostDoublings = 4;
+constexpr int MostDoublings = 2;
 constexpr std::chrono::milliseconds RelayTimeout{1000};
 constexpr std::chrono::milliseconds WatchMargin{1000};
 /// Who was asked within this collects the calls of others.
--- a/tests/ownership_trial.cpp
+++ b/tests/ownership_trial.cpp
@@ -161,6 +161,12 @@
   return Grant;
 }
 
+server_standing ownership_trial::standingSeen(int I) const {
+  const host &Other = Hosts[I == 0 ? 1 : 0];
+  const host_info *Info = Other.Keeper->view().host(nameOf(I));
+  return Info ? Info->Standing : server_standing::None;
+}
+
 const ownership_map *ownership_trial::map() const {
   for (const host &Host : Hosts)
     if (Host.Keeper)
--- a/tests/ownership_trial.hpp
+++ b/tests/ownership_trial.hpp
@@ -67,6 +67,8 @@
   fake_server &server(int Host) { return *Hosts[Host].Server; }
   fake_store &rows() { return Store; }
   const ownership_map *map() const;
+  /// How others see the backend server of a host.
+  server_standing standingSeen(int Host) const;
   /// A line for each host, for a trial that ends badly.
   std::string describe() const;
   std::string nameOf(int Host) const { return "host" + std::to_string(Host); }
