A release holds only under the lease of the run that wrote it

A daemon wrote that its server had released a range; the store applied the write 2 s late; meanwhile the daemon had been restarted and had granted the range again. That a released range is never granted again under its token was known only to the run that had ended. Ruled out: the lease's new clock (the leases in the trace were held rightly). Change: a release names the host's lease row as a condition. A new run claims that row before it grants anything, so a late write of the run before fails.

--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
 
+#include <algorithm>
 #include <random>
 
 namespace dragonflyvane {
@@ -356,15 +357,26 @@
   Changing[Change.Service] = true;
   store_transaction Transaction = Change.Also;
   Transaction.Conditions.push_back({mapRow(Change.Service), Map.Version});
+  if (Change.UnderLease)
+    Transaction.Conditions.push_back({leaseRow(Parts.Host), LeaseVersion});
   Transaction.Writes.push_back(
       {mapRow(Change.Service), encodeMap(Map.Content)});
   transact(Transaction,
            [this, Change, Tries](const transaction_result &Result) {
              Changing[Change.Service] = false;
              if (Result.Outcome == transaction_outcome::Conflict &&
-                 Tries < MostConflicts)
+                 Tries < MostConflicts && knowsLease(Result))
                runChange(Change, Tries + 1);
            });
 }
 
+/// False if a conflict shows a newer lease than is known: a renewal is on its
+/// way, or another run holds it; either will be told.
+bool cluster_sync::knowsLease(const transaction_result &Result) const {
+  return std::none_of(
+      Result.Current.begin(), Result.Current.end(), [&](const stored_row &Row) {
+        return Row.Id == leaseRow(Parts.Host) && Row.Version != LeaseVersion;
+      });
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -29,6 +29,9 @@
   std::function<bool(ownership_map &, uint64_t Token)> Edit;
   /// Further conditions and writes of the same transaction.
   store_transaction Also;
+  /// It holds only under the lease as this run has it: a write that the store
+  /// applies late must not speak for a run that has ended.
+  bool UnderLease = false;
 };
 
 /// Used on the event loop's thread.
@@ -101,6 +104,7 @@
   void readMapAfterClaim(row_version ClaimedAt);
 
   void runChange(const map_change &Change, int Tries);
+  bool knowsLease(const transaction_result &Result) const;
   void writeHostRow();
   void noteWatched(const row_batch &Batch);
   bool applyRow(const stored_row &Row);
--- a/src/dragonflyvane/node/ownership_keeper.cpp
+++ b/src/dragonflyvane/node/ownership_keeper.cpp
@@ -104,7 +104,8 @@
                [this](ownership_map &Map, uint64_t Token) {
                  return freeIn(Map, Token);
                },
-               {}});
+               {},
+               true});
 }
 
 bool ownership_keeper::freeIn(ownership_map &Map, uint64_t Token) {
--- a/src/dragonflyvane/node/ownership_trial_test.cpp
+++ b/src/dragonflyvane/node/ownership_trial_test.cpp
@@ -165,3 +165,21 @@
     CHECK(Trial.standingSeen(2) == server_standing::Ready);
   }
 }
+
+TEST_CASE("a release that the store applies late does not outlive its daemon") {
+  // The write is 0.6 to 6 s late; some seeds hit the time of the next grant.
+  for (uint64_t Seed = 1; Seed <= 60; ++Seed) {
+    CAPTURE(Seed);
+    ownership_trial Trial(Seed, 5);
+    Trial.runFor(StartTime);
+    Trial.server(2).drain();
+    Trial.runFor(std::chrono::milliseconds(1300));
+    Trial.rows().setLoss(1, true);
+    Trial.runFor(std::chrono::milliseconds(30 * Seed));
+    Trial.rows().setLoss(0, false);
+    Trial.startDaemon(2);
+    Trial.runFor(std::chrono::seconds(8));
+    CHECK(Trial.report().TwoOwners == 0);
+    CHECK(Trial.report().TokensNotRisen == 0);
+  }
+}
