One collector for a failure domain; without it hosts call the store themselves

Change: the only collector is the strongest host; if it fails, the next choice is the host's own way. Tests: collectors_test, relayed_store_test (the next choice after a collector).

--- a/src/dragonflyvane/core/cluster/collectors.cpp
+++ b/src/dragonflyvane/core/cluster/collectors.cpp
@@ -6,8 +6,9 @@
 
 namespace {
 
-/// A failure domain has a first collector and one that stands in for it.
-constexpr size_t MostCollectors = 2;
+/// With a second one a host could be blind twice in a row, for longer than a
+/// change of the configuration may take; without, it calls the store itself.
+constexpr size_t MostCollectors = 1;
 
 /// Hosts in this order take on work for others.
 std::pair<double, std::string> strength(const std::string &Name,
