A destroyed peer client calls nothing back

Cause: ~peer_client ended the open calls as ConnectionLost. Ruled out: another order of members, since Peers are used by Store and Router, which outlive or predecede each other in a cycle of uses. Change: the client drops its calls before it closes the connections, as the HTTP client does. Measured: the new test failed (one call back) and passes.

--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -52,6 +52,8 @@
   }
 
   void closeAll() {
+    // Without their calls, the closed streams call nothing back.
+    Calls.clear();
     for (auto &[Peer, Channel] : Channels)
       if (Channel.Connection)
         Channel.Connection->close("shutting down");
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -21,8 +21,7 @@
   /// A call whose response body exceeds `MaxBodyBytes` ends as
   /// `ConnectionLost`.
   peer_client(event_loop &Loop, size_t MaxBodyBytes);
-  /// Closes all connections. Calls that were sent end as `ConnectionLost`;
-  /// calls that wait for a connection are not called back.
+  /// Closes all connections; open calls are not called back.
   ~peer_client();
   peer_client(const peer_client &) = delete;
   peer_client &operator=(const peer_client &) = delete;
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -160,3 +160,26 @@
   CHECK(Result.Outcome == call_outcome::NotSent);
   CHECK(Requests == 0);
 }
+
+// A daemon that stops destroys its peer client after the objects that wait for
+// calls of it.
+TEST_CASE("a call that is open when its client is destroyed is not called "
+          "back") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  exchange_pointer Open;
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       Open = Exchange;
+                       Loop.stop();
+                     });
+  int Results = 0;
+  {
+    peer_client Client(Loop, MaxBodyBytes);
+    Client.send(Listen, makeRequest("GET", ""), LongTimeout,
+                [&](const call_result &) { ++Results; });
+    Loop.run();
+    REQUIRE(Open);
+  }
+  CHECK(Results == 0);
+}
