Route priorities order the requests of one workspace priority; stand-in for grants by call

Cause: a workspace's priority replaced the route's. Change: priorityOf puts the workspace's priority first and the route's second.

--- a/src/dragonflyvane/core/ownership/call_grants.cpp
+++ b/src/dragonflyvane/core/ownership/call_grants.cpp
@@ -12,8 +12,9 @@
 constexpr std::chrono::milliseconds MinExtension{500};
 /// Time between two calls about a range if the first one failed.
 constexpr std::chrono::milliseconds RetryDelay{150};
-/// The same if the server refused the call as malformed.
-constexpr std::chrono::milliseconds RejectedRetryDelay{1000};
+/// The same if the server refused the call as malformed, or if the call waits for
+/// the next heartbeat, which ends the delay.
+constexpr std::chrono::milliseconds LongRetryDelay{1000};
 /// The maximum number of remembered releases, and of remembered refused ranges;
 /// a move needs only the newest ones.
 constexpr size_t MaxRemembered = 256;
@@ -195,11 +196,12 @@
     return keepNewest(Refused);
   case key_call_outcome::Rejected:
     removeHoldsOf(CallId);
-    return defer(Range, Now + RejectedRetryDelay);
+    return defer(Range, Now + LongRetryDelay);
   case key_call_outcome::NotSent:
   case key_call_outcome::ConnectionRefused:
     removeHoldsOf(CallId);
-    return defer(Range, Now + RetryDelay);
+    return defer(Range, Now + (Call.Call.IsRepeated ? LongRetryDelay
+                                                    : RetryDelay));
   case key_call_outcome::Unknown:
     return defer(Range, Now + RetryDelay);
   }
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/active_request.hpp"
 
+#include "dragonflyvane/core/admission/request_priority.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <charconv>
@@ -15,10 +16,6 @@
 /// After this many attempts that no backend server has run, the request is not
 /// retried.
 constexpr uint32_t MaxRefusals = 3;
-/// Priority of calls between backend servers, which are requests without a
-/// caller key on routes that allow anonymous requests. Requests of callers wait
-/// for the results of these calls, so the calls go first.
-constexpr int InternalPriority = -1;
 /// An attempt starts only if at least this much time is left.
 constexpr std::chrono::milliseconds MinTimeLeft{20};
 /// Lower bound of the `Retry-After` of refusals.
@@ -103,7 +100,7 @@
   Deadline = StartedAt + Timeout;
   HostWaitDeadline = StartedAt + Timeout * HostWaitPercent / 100;
   Metadata.Route = Route.Name;
-  Metadata.Priority = Route.Priority;
+  Metadata.Priority = priorityOf({}, Route);
   Metadata.OriginService = Router.Deps.Settings.LocalService;
   Metadata.Point = toNumber<key_point>(Request.Headers.find(Names.KeyPoint));
 }
@@ -115,8 +112,8 @@
   removeInternal(Request.Headers);
   Request.Headers.remove("expect");
   if (Config->Workspaces.empty() || (Route.AllowsAnonymous && !Key)) {
-    Metadata.Priority =
-        Route.AllowsAnonymous ? InternalPriority : Route.Priority;
+    if (Route.AllowsAnonymous)
+      Metadata.Priority = InternalPriority;
     return true;
   }
   if (Router.Deps.OperatorState.confirmationAge(Router.Deps.Clock.now()) >
@@ -133,9 +130,8 @@
     return false;
   }
   Metadata.Workspace = Found->second;
-  const workspace &Workspace = Config->Workspaces.at(Metadata.Workspace);
-  if (Workspace.Priority >= 0)
-    Metadata.Priority = Workspace.Priority;
+  Metadata.Priority =
+      priorityOf(Config->Workspaces.at(Metadata.Workspace), Route);
   return true;
 }
 
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -145,6 +145,9 @@
     return;
   if (IsGrant && IsAccepted)
     HighestGrantedToken = Call.Range.Token;
+  // A repeated grant that found no open connection waits for a heartbeat.
+  if (Result.Outcome == key_call_outcome::NotSent && Call.IsRepeated)
+    return;
   writeLog(IsAccepted ? log_level::Info : log_level::Warning,
            IsGrant ? "keys granted by call" : "keys released by call",
            {{"step", IsGrant ? "grant" : "release"},
