Hosts join the cluster through a relay, also at the first start of a fleet

Cause (large site, 295 hosts): at its start every host claimed its lease and wrote its row itself. 590 transactions queued at a store that applies 200 a second; calls timed out after 0.6 and 1 s, counted as a broken path, moved to peers and were repeated, and every host watched the store directly while hundreds of rows changed. Change: a host reads the cluster's rows first. With a relay known it goes on through that relay, and its claim and its row are batched. Without one (the first start) it waits for a random time that is shorter the larger its CPU share is; the first hosts publish their rows at once and relay for the others. For 0.8 s after its start a host keeps to a relay that is starting as well. A host needs no row of its own to use a relay. Ruled out: rows in several parts of the store, since a renewal names the operators' rows, and a transaction stays within one part. The tests of relayed_store look at hosts that have run for a second, since the first 0.8 s differ now.

--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/cluster_sync.hpp"
 
+#include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
 
@@ -13,11 +14,20 @@
 /// Maximum time for which one watch waits for a change.
 constexpr std::chrono::milliseconds WatchWait{20'000};
 constexpr std::chrono::milliseconds ReadRetryDelay{250};
+/// At the first start of a fleet no relay is known. Hosts then wait for a
+/// random time of up to this, divided by their CPU share, so that a few strong
+/// hosts write their rows first and relay for the others.
+constexpr std::chrono::milliseconds FirstStartSpread{100};
+constexpr std::chrono::milliseconds MaxFirstStartDelay{1000};
+/// Maximum delay of the first writes of a host, in which the relay batches them
+/// with those of other hosts.
+constexpr std::chrono::milliseconds StartBatchDelay{40};
 /// The watch has stalled if it has not delivered a version this long after a
 /// peer reported that version or this daemon wrote it.
 constexpr std::chrono::milliseconds MaxWatchLag{800};
 constexpr std::chrono::milliseconds RenewalRetryDelay{250};
 constexpr std::chrono::milliseconds HostRowRetryDelay{400};
+constexpr std::chrono::milliseconds HostRowBatchDelay{20};
 /// Maximum delay of a routine renewal, in which the relay batches it with those
 /// of other hosts.
 constexpr std::chrono::milliseconds RenewalBatchDelay{400};
@@ -45,10 +55,34 @@
     : Deps(std::move(Dependencies)), RunId(randomRunId()),
       Random(std::hash<std::string>{}(Deps.Host)) {}
 
-void cluster_sync::start() {
+void cluster_sync::start() { readAll(ClusterSubscription); }
+
+void cluster_sync::continueStart() {
+  if (hasRelay() || Stage == start_stage::AwaitingRelay)
+    return joinCluster();
+  Stage = start_stage::AwaitingRelay;
+  double Fraction = std::uniform_real_distribution<double>(0, 1)(Random);
+  auto Spread = std::chrono::duration_cast<duration>(
+      FirstStartSpread / std::max(Deps.CpuShare, 0.01));
+  duration Delay = std::chrono::duration_cast<duration>(
+      std::min<duration>(Spread, MaxFirstStartDelay) * Fraction);
+  StartTimer = Deps.Loop.after(Delay, [this] { readAll(ClusterSubscription); });
+}
+
+bool cluster_sync::hasRelay() const {
+  return !relayCandidatesOf(View, Deps.FailureDomain).empty();
+}
+
+void cluster_sync::joinCluster() {
+  Stage = start_stage::Joining;
   readAll(OperatorSubscription);
-  readAll(ClusterSubscription);
-  renew(std::chrono::milliseconds(0));
+  writeHostRow();
+  watch(ClusterSubscription);
+}
+
+void cluster_sync::claimLease() {
+  Stage = start_stage::Renewing;
+  renew(StartBatchDelay);
 }
 
 time_point cluster_sync::grantDeadline() const {
@@ -71,12 +105,17 @@
 
 void cluster_sync::onReadResult(subscription &Subscription, time_point SentAt,
                                 const read_result &Result) {
+  bool IsOperatorRead = Subscription.Kind == row_kind::Operator;
+  // The claim depends on the versions of the operators' rows, but does not wait
+  // for them if they cannot be read.
+  if (IsOperatorRead && Stage == start_stage::Joining)
+    StartTimer = Deps.Loop.after(duration{0}, [this] { claimLease(); });
   if (Result.Outcome != read_outcome::Succeeded)
     return retryRead(Subscription, Result.Error);
   onStoreResponse(Subscription);
   Subscription.Revision = Result.Batch.Revision;
   Subscription.IsLoaded = true;
-  if (Subscription.Kind == row_kind::Operator) {
+  if (IsOperatorRead) {
     Deps.OperatorState.applyAll(Result.Batch);
     if (Deps.OperatorState.config())
       Deps.OperatorState.confirm(SentAt);
@@ -87,6 +126,10 @@
       applyRow(Row);
   }
   Deps.OnChange();
+  bool IsStarting = Stage == start_stage::ReadingCluster ||
+                    Stage == start_stage::AwaitingRelay;
+  if (!IsOperatorRead && IsStarting)
+    return continueStart();
   writeHostRow();
   watch(Subscription);
 }
@@ -314,22 +357,35 @@
 
 void cluster_sync::publishHostInfo(const host_info &Info) {
   DesiredHostInfo = Info;
+  IsHostInfoProvisional = false;
+  writeHostRow();
+}
+
+void cluster_sync::publishProvisionalHostInfo(const host_info &Info) {
+  DesiredHostInfo = Info;
+  IsHostInfoProvisional = true;
   writeHostRow();
 }
 
 void cluster_sync::writeHostRow() {
-  if (!DesiredHostInfo || IsHostWriteInFlight || !ClusterSubscription.IsLoaded)
+  bool HasJoined =
+      Stage == start_stage::Joining || Stage == start_stage::Renewing;
+  if (!DesiredHostInfo || IsHostWriteInFlight || !HasJoined ||
+      !ClusterSubscription.IsLoaded)
     return;
   auto Row = View.hosts().find(Deps.Host);
   bool Exists = Row != View.hosts().end();
   if (Exists && Row->second.Content == *DesiredHostInfo)
     return;
+  if (IsHostInfoProvisional && (Exists || hasRelay()))
+    return;
   IsHostWriteInFlight = true;
   store_transaction Transaction;
   Transaction.Conditions.push_back(
       {hostRow(Deps.Host), Exists ? Row->second.Version : 0});
   Transaction.Writes.push_back(
       {hostRow(Deps.Host), encodeHost(*DesiredHostInfo)});
+  Transaction.MaxBatchDelay = HostRowBatchDelay;
   transact(Transaction, [this](const transaction_result &Result) {
     IsHostWriteInFlight = false;
     if (Result.Outcome == transaction_outcome::Committed ||
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -44,6 +44,9 @@
   /// Constructor arguments; the references must outlive the object.
   struct dependencies {
     std::string Host;
+    std::string FailureDomain;
+    /// CPU time that the daemon may use, in processor cores.
+    double CpuShare = 1;
     scheduler &Loop;
     const clock_source &Clock;
     store &Store;
@@ -73,6 +76,10 @@
   /// Sets the content of the host's row; the write is retried until the store
   /// has it.
   void publishHostInfo(const host_info &Info);
+  /// Sets the content of the host's row until `publishHostInfo` is called. It
+  /// is written only if there is no row of this host, and no host yet that
+  /// relays for its failure domain.
+  void publishProvisionalHostInfo(const host_info &Info);
   /// Starts an update of a map. Drops it while another update of the same map
   /// is in flight or all cluster rows are being read; the caller requests it
   /// again on the next change or tick.
@@ -109,6 +116,13 @@
     timer RetryTimer;
   };
 
+  /// Decides, once the cluster rows are read, whether the host may go on to
+  /// write. Lets hosts without a relay wait at the first start of a fleet.
+  void continueStart();
+  /// Reads the operators' rows and then claims the lease.
+  void joinCluster();
+  void claimLease();
+
   void readAll(subscription &Subscription);
   void onReadResult(subscription &Subscription, time_point SentAt,
                     const read_result &Result);
@@ -126,6 +140,7 @@
   void tryMapUpdate(const map_update &Update, int Attempt);
   bool isLeaseVersionCurrent(const transaction_result &Result) const;
   void writeHostRow();
+  bool hasRelay() const;
   void recordWatchedVersions(const row_batch &Batch);
   bool applyRow(const stored_row &Row);
   void applyRows(const std::vector<stored_row> &Rows);
@@ -141,6 +156,10 @@
   /// from a peer or from this host's own write.
   timer WatchLagTimer;
   bool IsWatchLagCheckPending = false;
+  /// How far the start has come.
+  enum class start_stage { ReadingCluster, AwaitingRelay, Joining, Renewing };
+  start_stage Stage = start_stage::ReadingCluster;
+  timer StartTimer;
   host_lease Lease;
   store_clock StoreClock;
   time_point LastRenewedAt{};
@@ -162,6 +181,7 @@
   /// For each service, whether an update of its map is in flight.
   std::map<std::string, bool> UpdatesInFlight;
   std::optional<host_info> DesiredHostInfo;
+  bool IsHostInfoProvisional = false;
   bool IsHostWriteInFlight = false;
   timer HostRetryTimer;
   timer MapRetryTimer;
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -33,7 +33,8 @@
 
 ownership_manager::ownership_manager(dependencies Dependencies)
     : Deps(std::move(Dependencies)),
-      Sync({Deps.Settings.Host, Deps.Loop, Deps.Clock, Deps.Store,
+      Sync({Deps.Settings.Host, Deps.Settings.FailureDomain,
+            Deps.Settings.CpuShare, Deps.Loop, Deps.Clock, Deps.Store,
             Deps.OperatorState, [this] { onClusterChange(); }, Deps.IsRelay}),
       Server(Deps.Settings, Deps.Clock),
       Coordinator({Deps.Settings.Host, Deps.Loop, Deps.Clock, Sync,
@@ -160,9 +161,6 @@
 }
 
 void ownership_manager::publishHostInfo() {
-  bool IsStarting = Deps.Clock.now() - StartedAt < FirstHeartbeatTimeout;
-  if (IsStarting && Server.availability() == server_availability::None)
-    return;
   host_info Info;
   Info.PeerAddress = toString(Deps.Settings.PeerEndpoint);
   Info.FailureDomain = Deps.Settings.FailureDomain;
@@ -171,6 +169,9 @@
   Server.writeTo(Info);
   if (Info == PublishedInfo)
     return;
+  bool IsStarting = Deps.Clock.now() - StartedAt < FirstHeartbeatTimeout;
+  if (IsStarting && Server.availability() == server_availability::None)
+    return Sync.publishProvisionalHostInfo(Info);
   PublishedInfo = Info;
   writeLog(log_level::Info, "backend server availability changed",
            {{"step", "server"},
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -140,6 +140,25 @@
   CHECK(returnWithStalledWatches(Defects).DualOwners > 0);
 }
 
+// All daemons of a large fleet start at the same moment, and the store applies
+// transactions one after another. Claims and host rows of all hosts made a
+// queue that was longer than the time-outs of the calls, and the retries kept
+// it long.
+TEST_CASE(
+    "a fleet that starts or restarts at once does not overload the store") {
+  constexpr int HostCount = 120;
+  ownership_simulation Simulation(3, HostCount);
+  Simulation.fakeStore().setWriteTime(std::chrono::milliseconds(5));
+  Simulation.runFor(StartupTime);
+  CHECK(Simulation.leaseCount() == HostCount);
+  CHECK(Simulation.fakeStore().calls() < 6 * HostCount);
+  int CallsBefore = Simulation.fakeStore().calls();
+  Simulation.restartAllDaemons();
+  Simulation.runFor(std::chrono::seconds(3));
+  CHECK(Simulation.leaseCount() == HostCount);
+  CHECK(Simulation.fakeStore().calls() - CallsBefore < 3 * HostCount);
+}
+
 TEST_CASE(
     "a host that is disconnected from the store calls it through a peer") {
   ownership_simulation Simulation(7, 5);
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/relayed_store.cpp
@@ -16,6 +16,8 @@
 /// failure in a row doubles the time, at most `MaxBackoffDoublings` times.
 constexpr std::chrono::milliseconds InitialBackoff{1000};
 constexpr int MaxBackoffDoublings = 2;
+/// For this long after its start, a host keeps to its relay after a failure.
+constexpr std::chrono::milliseconds RelayStartupTime{800};
 constexpr std::chrono::milliseconds PeerCallTimeout{1000};
 /// Added to the maximum wait of a watch for the timeout of the call.
 constexpr std::chrono::milliseconds WatchTimeoutMargin{1000};
@@ -34,7 +36,7 @@
 } // namespace
 
 relayed_store::relayed_store(dependencies Dependencies)
-    : Deps(std::move(Dependencies)),
+    : Deps(std::move(Dependencies)), StartedAt(Deps.Clock.now()),
       Random(std::hash<std::string>{}(Deps.Host)) {}
 
 bool relayed_store::isRelay() const {
@@ -49,12 +51,14 @@
 
 std::optional<relayed_store::relay> relayed_store::chooseRelay() {
   const cluster_view *View = Deps.View();
-  if (!View || !View->host(Deps.Host))
+  if (!View)
     return std::nullopt;
   for (const std::string &Name : relayCandidatesOf(*View, Deps.FailureDomain)) {
     if (Name == Deps.Host && isDirectPathAvailable())
       return std::nullopt;
-    if (Name != Deps.Host && !isBackedOff(Name))
+    // A fleet that restarts at once finds its relays starting as well.
+    bool IsStarting = Deps.Clock.now() - StartedAt < RelayStartupTime;
+    if (Name != Deps.Host && (IsStarting || !isBackedOff(Name)))
       return relay{Name, parseEndpoint(View->host(Name)->PeerAddress)};
   }
   if (isDirectPathAvailable())
--- a/src/dragonflyvane/node/relayed_store.hpp
+++ b/src/dragonflyvane/node/relayed_store.hpp
@@ -97,6 +97,7 @@
   void callDirect(const store_call &Call, const exchange_pointer &Exchange);
 
   dependencies Deps;
+  time_point StartedAt;
   /// The direct path is not tried before this time.
   time_point DirectRetryAt{};
   std::map<std::string, backoff> Backoffs;
--- a/src/dragonflyvane/node/relayed_store_test.cpp
+++ b/src/dragonflyvane/node/relayed_store_test.cpp
@@ -53,6 +53,8 @@
         Host.Store.serve(Exchange);
       });
     }
+    // All hosts have been running for a while.
+    Loop.runFor(seconds(1));
   }
   ~domain() { Loop.clear(); }
 
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -144,6 +144,7 @@
 }
 
 void fake_store_client::read(row_kind Kind, read_callback Callback) {
+  ++Store.Calls;
   auto Once = once<read_result>(std::move(Callback), {});
   if (!canReachStore())
     return;
@@ -156,6 +157,7 @@
 void fake_store_client::watch(row_kind Kind, row_version After,
                               std::chrono::milliseconds Wait,
                               read_callback Callback) {
+  ++Store.Calls;
   auto Respond = [this, Alive = Alive, Callback](const read_result &Result) {
     if (!*Alive)
       return;
@@ -184,6 +186,7 @@
 
 void fake_store_client::transact(const store_transaction &Transaction,
                                  transaction_callback Callback) {
+  ++Store.Calls;
   transaction_result Unknown;
   Unknown.Error = "no response";
   auto Once = once<transaction_result>(std::move(Callback), Unknown);
@@ -191,6 +194,18 @@
     return;
   bool IsLost = Store.chance(Store.LossProbability);
   duration Delay = Store.delay();
+  time_point Now = Store.Loop.now();
+  duration Queued = std::max(Store.WritesDoneAt, Now) - Now;
+  if (Queued > fake_store::MaxWriteQueue) {
+    transaction_result Refused;
+    Refused.Outcome = transaction_outcome::NotCommitted;
+    return Store.Loop.postDelayed(Delay, [Once, Refused, Alive = Alive] {
+      if (*Alive)
+        Once(Refused);
+    });
+  }
+  Store.WritesDoneAt = Now + Queued + Store.WriteTime;
+  Delay += Queued + Store.WriteTime;
   if (IsLost && Store.DelaysLostWrites)
     Delay = std::chrono::duration_cast<duration>(
         MaxWriteDelay *
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -46,12 +46,20 @@
   /// Sets the latency of calls; the delay of each call is random, from half of
   /// the latency to twice the latency.
   void setLatency(duration Value) { Latency = Value; }
+  /// Lets the store apply transactions one after another, each of them for this
+  /// time. A transaction that would wait for longer than `MaxWriteQueue` is not
+  /// committed.
+  void setWriteTime(duration Value) { WriteTime = Value; }
+  /// The longest wait of a transaction behind others.
+  static constexpr std::chrono::milliseconds MaxWriteQueue{1000};
   /// Drops pending watches; their callbacks are never called.
   void dropWatches() { Watches.clear(); }
   /// Compacts the history: new watches from older revisions end with
   /// `HistoryCompacted`.
   void compactHistory() { CompactedRevision = Revision; }
   const std::map<row_id, stored_row> &rows() const { return Rows; }
+  /// Returns the number of reads, watches and transactions of all clients.
+  int calls() const { return Calls; }
   bool isDown() const { return Down; }
 
 private:
@@ -85,6 +93,10 @@
   double LossProbability = 0;
   bool DelaysLostWrites = false;
   duration Latency = std::chrono::milliseconds(5);
+  duration WriteTime{0};
+  /// When the store has applied all transactions that it has received.
+  time_point WritesDoneAt{};
+  int Calls = 0;
 };
 
 /// The store as a single daemon accesses it. No callback runs after the client
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -1,5 +1,7 @@
 #include "ownership_simulation.hpp"
 
+#include <algorithm>
+
 namespace dragonflyvane {
 
 namespace {
@@ -192,6 +194,21 @@
   Hosts[I].Client.reset();
 }
 
+void ownership_simulation::restartAllDaemons() {
+  int Count = static_cast<int>(Hosts.size());
+  for (int I = 0; I < Count; ++I)
+    killDaemon(I);
+  for (int I = 0; I < Count; ++I)
+    startDaemon(I);
+}
+
+int ownership_simulation::leaseCount() const {
+  return static_cast<int>(
+      std::count_if(Hosts.begin(), Hosts.end(), [](const host &Host) {
+        return Host.Ownership && Host.Ownership->sync().holdsLease();
+      }));
+}
+
 void ownership_simulation::freeze(int I, bool Value) {
   Hosts[I].Frozen = Value;
   Peers.setFrozen(Hosts[I].Settings.PeerEndpoint, Value);
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -87,6 +87,11 @@
 
   /// Returns the backend server of a host.
   fake_server &server(int Host) { return *Hosts[Host].Server; }
+  /// Ends the daemons of all hosts at once and starts them again; backend
+  /// servers keep running.
+  void restartAllDaemons();
+  /// Returns the number of running daemons that hold their lease.
+  int leaseCount() const;
   /// Returns the store that all hosts share.
   fake_store &fakeStore() { return Store; }
   /// Returns the map as a running daemon sees it; null if there is none.
