--- a/cmake/dragonflyvane_options.cmake
+++ b/cmake/dragonflyvane_options.cmake
@@ -9,6 +9,11 @@
 
 add_library(dragonflyvane_options INTERFACE)
 target_compile_options(dragonflyvane_options INTERFACE -Wall -Wextra -Werror)
+if(DRAGONFLYVANE_SANITIZE)
+  target_compile_options(dragonflyvane_options INTERFACE
+    -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
+  target_link_options(dragonflyvane_options INTERFACE -fsanitize=address,undefined)
+endif()
 target_compile_definitions(dragonflyvane_options INTERFACE BOOST_LOG_DYN_LINK)
 target_include_directories(dragonflyvane_options INTERFACE
   ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
--- a/tests/fake_server.cpp
+++ b/tests/fake_server.cpp
@@ -41,8 +41,8 @@
       Options.Loop.now().time_since_epoch());
   int64_t Error = 0;
   if (Random() % ClockErrorInterval == 0)
-    Error = static_cast<int64_t>(Random() % (2 * MaxClockErrorMs)) -
-            MaxClockErrorMs;
+    Error = std::uniform_int_distribution<int64_t>(-MaxClockErrorMs,
+                                                   MaxClockErrorMs)(Random);
   return std::max<int64_t>(1, Now.count() + Error);
 }
 
@@ -128,7 +128,8 @@
   Holds = std::move(Kept);
 }
 
-void fake_server::receiveCall(const key_call &Call, result_callback Callback) {
+void fake_server::receiveCall(const key_call &Call,
+                              const result_callback &Callback) {
   if (!Up)
     return Callback({key_call_outcome::ConnectionRefused, "", ""});
   if (Call.Instance != Incarnation.Instance)
--- a/tests/fake_server.hpp
+++ b/tests/fake_server.hpp
@@ -55,7 +55,7 @@
   /// Receives a call that grants or releases keys. The call or its response may
   /// be lost, and the call may be applied seconds after its arrival; `Callback`
   /// is not called then.
-  void receiveCall(const key_call &Call, result_callback Callback);
+  void receiveCall(const key_call &Call, const result_callback &Callback);
   /// Ends the loss and the delay of calls.
   void endCallFaults() { HasCallFaults = false; }
   bool isUp() const { return Up; }
