--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -51,15 +51,15 @@
 void local_server::selectGrantWay(const grant_context &Context) {
   if (!Context.GrantWay)
     return;
-  bool IsByCall = std::holds_alternative<call_grants>(Grants);
-  if (IsByCall == (*Context.GrantWay == grant_way::Call))
+  bool WasByCall = std::holds_alternative<call_grants>(Grants);
+  if (WasByCall == (*Context.GrantWay == grant_way::Call))
     return;
-  if (IsByCall)
+  if (WasByCall)
     Grants = heartbeat_grants(MaxHold, Clock.now());
   else
     Grants = call_grants(MaxHold, Clock.now());
-  // The next owner of a range needs no time to prepare if it is called.
-  Policy.setPlannedReleaseDelay(IsByCall ? HeartbeatInterval + MoveMargin
+  // Unlike with heartbeats, the next owner of a range can be granted it at once.
+  Policy.setPlannedReleaseDelay(WasByCall ? HeartbeatInterval + MoveMargin
                                          : std::chrono::milliseconds(0));
 }
 
