The coordinator renews the incarnations of replaced servers in one write

Change: the coordinator assigns the ranges of a replaced server to its new incarnation, all in one write; the daemon releases them itself only 1.5 s later. The host row that names the new incarnation is the proof that the old one has ended.

--- a/src/dragonflyvane/core/ownership/assignment.cpp
+++ b/src/dragonflyvane/core/ownership/assignment.cpp
@@ -182,6 +182,22 @@
   return Changed;
 }
 
+bool renewIncarnations(ownership_map &Map,
+                       const std::vector<candidate> &Candidates,
+                       const plan_options &Options) {
+  bool Changed = false;
+  for (owned_range &Range : Map.Ranges) {
+    const candidate *Owner = findCandidate(Candidates, Range.Owner);
+    if (!Owner || Range.Incarnation == Owner->Incarnation)
+      continue;
+    Range.Incarnation = Owner->Incarnation;
+    Range.Token = Options.Token;
+    Range.Handover.clear();
+    Changed = true;
+  }
+  return Changed;
+}
+
 bool planMoves(ownership_map &Map, const std::vector<candidate> &Candidates) {
   if (Candidates.empty())
     return false;
--- a/src/dragonflyvane/core/ownership/assignment.hpp
+++ b/src/dragonflyvane/core/ownership/assignment.hpp
@@ -34,6 +34,13 @@
                          const std::vector<candidate> &Candidates,
                          const plan_options &Options);
 
+/// Assigns each range of a candidate whose backend server has been replaced to
+/// the server's new incarnation, which holds nothing yet. Returns whether the
+/// map changed.
+bool renewIncarnations(ownership_map &Map,
+                       const std::vector<candidate> &Candidates,
+                       const plan_options &Options);
+
 /// Plans moves of ranges away from hosts that are not candidates, and cancels
 /// planned moves to such hosts. Returns whether the map changed.
 bool planMoves(ownership_map &Map, const std::vector<candidate> &Candidates);
--- a/src/dragonflyvane/core/ownership/assignment_test.cpp
+++ b/src/dragonflyvane/core/ownership/assignment_test.cpp
@@ -132,6 +132,21 @@
   CHECK(Map != Before);
 }
 
+// After a restart of all backend servers, each daemon wrote the map itself, and
+// the writes conflicted.
+TEST_CASE("ranges of replaced servers stay at their hosts, in one change") {
+  ownership_map Map = firstMap(4);
+  std::vector<candidate> Replaced = candidates(4);
+  for (candidate &C : Replaced)
+    C.Incarnation.StartedAtMs += 1000;
+  CHECK(renewIncarnations(Map, Replaced, {9, 0.2}));
+  for (const owned_range &Range : Map.Ranges)
+    CHECK(Range.Token == 9);
+  CHECK(Map.find(0).Owner == "host0");
+  CHECK(Map.find(0).Incarnation == Replaced[0].Incarnation);
+  CHECK(!renewIncarnations(Map, Replaced, {11, 0.2}));
+}
+
 // A released range whose next owner was not ready counted twice for that owner.
 // Then no host was below its share, and the rest was split into single points.
 TEST_CASE("unowned ranges are not split into tiny parts") {
--- a/src/dragonflyvane/node/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster_coordinator.cpp
@@ -213,6 +213,7 @@
          plan_options Options;
          Options.Token = Token;
          bool Changed = assignUnownedRanges(Map, Candidates, Options);
+         Changed |= renewIncarnations(Map, Candidates, Options);
          Changed |= planMoves(Map, Candidates);
          if (!MayBalance || Changed)
            return Changed;
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -25,6 +25,11 @@
 /// A repeated grant may open a connection only this soon after a heartbeat, so
 /// that the server can hardly have been replaced meanwhile.
 constexpr std::chrono::milliseconds MaxConnectDelay{30};
+/// For this long after a server was replaced, its daemon leaves it to the
+/// coordinator to assign the ranges to the new incarnation. After a restart of
+/// a fleet the coordinator does so in one write, not each daemon in one of its
+/// own.
+constexpr std::chrono::milliseconds IncarnationRenewalTime{1500};
 /// A server that missed this number of heartbeats may have been replaced by one
 /// whose clock shows an earlier time.
 constexpr int SilentHeartbeats = 2;
@@ -58,13 +63,15 @@
     Grants = heartbeat_grants(MaxHold, Clock.now());
   else
     Grants = call_grants(MaxHold, Clock.now());
-  // Unlike with heartbeats, the next owner of a range can be granted it at once.
+  // Unlike with heartbeats, the next owner of a range can be granted it at
+  // once.
   Policy.setPlannedReleaseDelay(WasByCall ? HeartbeatInterval + MoveMargin
-                                         : std::chrono::milliseconds(0));
+                                          : std::chrono::milliseconds(0));
 }
 
 void local_server::startIncarnation() {
   Availability = server_availability::Ready;
+  IncarnationSince = Clock.now();
   LeavingSince = {};
   Policy.startIncarnation(incarnation());
   std::visit([&](auto &Method) { Method.startIncarnation(Clock.now()); },
@@ -203,12 +210,19 @@
 local_server::releasableRanges(const grant_context &Context) const {
   if (!Context.Map)
     return {};
-  return std::visit(
+  std::vector<releasable_range> Releasable = std::visit(
       [&](const auto &Method) {
         return dragonflyvane::releasableRanges(Policy, Method, *Context.Map,
                                                Clock.now());
       },
       Grants);
+  bool IsReplaced = Clock.now() - IncarnationSince < IncarnationRenewalTime;
+  if (IsReplaced && !mustReleaseAll(Context))
+    std::erase_if(Releasable, [this](const releasable_range &Entry) {
+      return Entry.Range.Incarnation != incarnation() &&
+             Entry.Range.NextOwner.empty();
+    });
+  return Releasable;
 }
 
 void local_server::writeTo(host_info &Info) const {
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -125,6 +125,7 @@
   /// heartbeat that follows a missed connection: if the server was replaced,
   /// the earlier connections broke before this heartbeat was sent.
   time_point ReconnectUntil{};
+  time_point IncarnationSince{};
   /// The first and the last refusal of the current series.
   time_point FirstRefusal{};
   time_point LastRefusal{};
