--- a/src/dragonflyvane/core/admission/request_priority.hpp
+++ b/src/dragonflyvane/core/admission/request_priority.hpp
@@ -8,7 +8,8 @@
 
 namespace dragonflyvane {
 
-/// Number of route priorities that are told apart within one workspace priority.
+/// Number of route priorities that are told apart within one workspace
+/// priority.
 inline constexpr int RoutePriorityLevels = 100;
 
 /// Priority of calls between backend servers, which are requests without a
@@ -20,8 +21,8 @@
 /// the most urgent. The priority of the workspace goes first, then that of the
 /// route. A workspace without a priority has that of the route.
 inline int priorityOf(const workspace &Workspace, const route &Route) {
-  int First =
-      Workspace.Priority >= 0 ? Workspace.Priority : std::max(0, Route.Priority);
+  int First = Workspace.Priority >= 0 ? Workspace.Priority
+                                      : std::max(0, Route.Priority);
   int Second = std::clamp(Route.Priority, 0, RoutePriorityLevels - 1);
   return First * RoutePriorityLevels + Second;
 }
--- a/src/dragonflyvane/core/cluster/store_relays.cpp
+++ b/src/dragonflyvane/core/cluster/store_relays.cpp
@@ -8,9 +8,9 @@
 
 /// A host that loses several relays in a row can miss a change of the
 /// configuration for longer than such a change may take, so a small failure
-/// domain has one relay, and its hosts call the store themselves without it. The
-/// direct calls of a large failure domain would overload the store, so it has a
-/// further relay for each of this number of hosts.
+/// domain has one relay, and its hosts call the store themselves without it.
+/// The direct calls of a large failure domain would overload the store, so it
+/// has a further relay for each of this number of hosts.
 constexpr size_t HostsPerFurtherRelay = 20;
 constexpr size_t MaxRelayCandidates = 3;
 
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -203,8 +203,8 @@
   CHECK(Results == 0);
 }
 
-// One malformed message ended the whole process: an exception of a handler or of
-// a callback left the event loop, or crossed the frames of nghttp2.
+// One malformed message ended the whole process: an exception of a handler or
+// of a callback left the event loop, or crossed the frames of nghttp2.
 TEST_CASE("an exception of a handler or a callback ends no process") {
   event_loop Loop;
   endpoint PeerListen{"127.0.0.1", freePort()};
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -459,8 +459,8 @@
     return tryMapUpdate(Update, Attempt);
   UpdatesInFlight[Update.Service] = true;
   double Fraction = std::uniform_real_distribution<double>(0, 1)(Random);
-  auto Delay = std::chrono::duration_cast<duration>(MaxConflictDelay *
-                                                    Attempt * Fraction);
+  auto Delay = std::chrono::duration_cast<duration>(MaxConflictDelay * Attempt *
+                                                    Fraction);
   MapRetryTimers[Update.Service] =
       Deps.Loop.after(Delay, [this, Update, Attempt] {
         UpdatesInFlight[Update.Service] = false;
