Log and count what a backend server says about itself in its responses

The dispatcher reads both from genuine responses of the current incarnation; nothing decides by them yet.

--- a/src/dragonflyvane/core/header_names.hpp
+++ b/src/dragonflyvane/core/header_names.hpp
@@ -31,6 +31,11 @@
   /// From backend servers: the number of running requests, of waiting requests
   /// and of slots, and the slowness of the machine in percent.
   std::string Load = "X-Load";
+  /// From backend servers: the requests per second that the server takes from
+  /// all hosts together, a decimal number.
+  std::string RateLimit = "X-Rate-Limit";
+  /// From backend servers: `1` if the server leaves.
+  std::string Leaving = "X-Leaving";
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -53,6 +53,8 @@
       "lease_seconds_left", {},
       std::max(0.0, secondsOf(Deps.Ownership.sync().grantDeadline() - Now)));
   Metrics.set("door_busy", {}, Deps.Dispatcher.load().Busy);
+  Metrics.set("server_rate_limit", {},
+              Deps.Ownership.server().condition().RateLimit.value_or(-1));
   Metrics.set("steward", {}, Deps.Ownership.coordinator().isActive() ? 1 : 0);
   for (const auto &[Service, Map] : Deps.Ownership.view().maps())
     Metrics.set("map_version", {{"service", Service}},
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -62,14 +62,16 @@
                    this->Platform.SendKeyCall,
                    [this] { Dispatcher.dispatchWaiting(); }}),
         Guard(Clock),
-        Dispatcher(
-            {Loop, Clock, Client, Ownership.server(), Guard, OperatorState,
-             this->Platform.Names, Metrics, Pacer,
-             [this](const std::string &Service, key_point Point) {
-               return Ownership.isOwner(Service, Point);
-             },
-             [this] { Ownership.onRefusedConnection(); },
-             [this](key_point Point) { Ownership.onKeyRefused(Point); }}),
+        Dispatcher({Loop, Clock, Client, Ownership.server(), Guard,
+                    OperatorState, this->Platform.Names, Metrics, Pacer,
+                    [this](const std::string &Service, key_point Point) {
+                      return Ownership.isOwner(Service, Point);
+                    },
+                    [this] { Ownership.onRefusedConnection(); },
+                    [this](key_point Point) { Ownership.onKeyRefused(Point); },
+                    [this](const server_condition &Condition) {
+                      Ownership.onServerCondition(Condition);
+                    }}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -221,6 +221,7 @@
   Entry.SentAt = Deps.Clock.now();
   Entry.Incarnation = Deps.Server.incarnation();
   ++Running;
+  Deps.Metrics.count("server_requests_total");
   call_options Options;
   Options.Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
       Entry.Deadline - Entry.SentAt);
@@ -260,6 +261,7 @@
   auto Point = Entry.Metadata.Point;
   bool WasKeyRefused = Point && Result.Outcome == call_outcome::Completed &&
                        Result.Response.Status == MisdirectedRequest;
+  observeCondition(Entry, Result);
   finish(Id, classifyResult(Entry, std::move(Result)));
   if (WasRefused && IsSameIncarnation)
     Deps.OnRefusedConnection();
@@ -268,6 +270,22 @@
   dispatchWaiting();
 }
 
+void dispatcher::observeCondition(const entry &Entry,
+                                  const call_result &Result) {
+  if (Result.Outcome != call_outcome::Completed ||
+      Entry.Incarnation != Deps.Server.incarnation())
+    return;
+  const header_list &Headers = Result.Response.Headers;
+  bool IsGenuine =
+      Headers.find(Deps.Names.Signature) || Headers.find(Deps.Names.NotRun);
+  if (!IsGenuine)
+    return;
+  const server_condition &Known = Deps.Server.condition();
+  server_condition Latest = conditionAfter(Known, Headers, Deps.Names);
+  if (Latest != Known)
+    Deps.OnCondition(Latest);
+}
+
 bool dispatcher::isFromServer(const http_response &Response) const {
   return Response.Headers.find(Deps.Names.Signature) &&
          !Response.Headers.find("content-encoding");
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/dispatcher.hpp
@@ -55,6 +55,9 @@
     /// Called when the current incarnation of the server refused a request
     /// because it does not hold the key point.
     std::function<void(key_point)> OnKeyRefused;
+    /// Called when a response of the current incarnation of the server shows
+    /// another condition.
+    std::function<void(const server_condition &)> OnCondition;
   };
 
   /// Starts the periodic check for timeouts and crashes.
@@ -116,6 +119,8 @@
   /// Sets the header fields that backend servers expect.
   http_request makeServerRequest(const entry &Entry) const;
   void onResult(dispatch_id Id, call_result Result);
+  /// Learns the condition of the server from its response to a request.
+  void observeCondition(const entry &Entry, const call_result &Result);
   /// Decides whether the server responded, has not run the request, or may have
   /// run it.
   forward_result classifyResult(const entry &Entry, call_result Result) const;
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -73,6 +73,7 @@
   Availability = server_availability::Ready;
   IncarnationSince = Clock.now();
   LeavingSince = {};
+  Condition = {};
   Policy.startIncarnation(incarnation());
   std::visit([&](auto &Method) { Method.startIncarnation(Clock.now()); },
              Grants);
@@ -165,6 +166,10 @@
     Policy.observe(*Context.Map, mustReleaseAll(Context), Now);
 }
 
+void local_server::onCondition(const server_condition &Latest) {
+  Condition = Latest;
+}
+
 void local_server::onLeave(const server_incarnation &Leaving) {
   bool IsCurrent = Leaving.Instance == incarnation().Instance &&
                    (Leaving.StartedAtMs == 0 ||
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
 #define DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
 
+#include "dragonflyvane/core/admission/server_condition.hpp"
 #include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/host_info.hpp"
@@ -48,6 +49,9 @@
   /// Called when the server refused a request because it does not hold its key
   /// point.
   void onKeyRefused(key_point Point);
+  /// Called when a response of the current incarnation has shown another
+  /// condition.
+  void onCondition(const server_condition &Condition);
   /// Called when the server announces that it leaves.
   void onLeave(const server_incarnation &Incarnation);
   /// Called when the server refused a connection. Marks a ready server as down
@@ -65,6 +69,8 @@
   const server_incarnation &incarnation() const {
     return Incarnations.current();
   }
+  /// What the current incarnation has said about itself in its responses.
+  const server_condition &condition() const { return Condition; }
   /// Where the server accepts requests.
   const endpoint &address() const { return Address; }
   /// Number of requests that the server runs at the same time.
@@ -117,6 +123,7 @@
   std::string Service;
   endpoint Address;
   uint32_t Slots = 0;
+  server_condition Condition;
   time_point LastHeartbeatAt{};
   /// Whether a call since the latest heartbeat could not be sent. The daemon
   /// starts without a connection.
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -2,6 +2,10 @@
 
 #include "dragonflyvane/net/log.hpp"
 
+#include <cmath>
+#include <iomanip>
+#include <sstream>
+
 namespace dragonflyvane {
 
 namespace {
@@ -10,6 +14,25 @@
 /// A daemon that has just started waits this long for the first heartbeat of
 /// its backend server. Until then it keeps the host's row of its previous run.
 constexpr std::chrono::milliseconds FirstHeartbeatTimeout{3500};
+/// A limit is logged again if it has changed by this fraction.
+constexpr double LoggedLimitChange = 0.25;
+
+/// Returns the limit with two decimal places, or `none`.
+std::string formatRateLimit(const std::optional<double> &Limit) {
+  if (!Limit)
+    return "none";
+  std::ostringstream Text;
+  Text << std::fixed << std::setprecision(2) << *Limit;
+  return Text.str();
+}
+
+/// Whether a limit that was logged as `Logged` is worth another line.
+bool isNotableChange(const std::optional<double> &Logged,
+                     const std::optional<double> &Limit) {
+  if (!Logged || !Limit)
+    return Logged != Limit;
+  return std::abs(*Limit - *Logged) > *Logged * LoggedLimitChange;
+}
 
 std::string formatKeyCallOutcome(key_call_outcome Outcome) {
   switch (Outcome) {
@@ -62,6 +85,23 @@
   makeDueCalls();
 }
 
+void ownership_manager::onServerCondition(const server_condition &Condition) {
+  logCondition(Condition);
+  Server.onCondition(Condition);
+}
+
+void ownership_manager::logCondition(const server_condition &Condition) {
+  bool BeginsToLeave = Condition.IsLeaving && !Server.condition().IsLeaving;
+  if (!BeginsToLeave && !isNotableChange(LoggedRateLimit, Condition.RateLimit))
+    return;
+  LoggedRateLimit = Condition.RateLimit;
+  writeLog(log_level::Info, "backend server condition changed",
+           {{"step", "server"},
+            {"instance", Server.incarnation().Instance},
+            {"rate_limit", formatRateLimit(Condition.RateLimit)},
+            {"leaving", Condition.IsLeaving ? "yes" : "no"}});
+}
+
 void ownership_manager::onRefusedConnection() {
   Server.onRefusedConnection();
   publishHostInfo();
--- a/src/dragonflyvane/node/ownership_manager.hpp
+++ b/src/dragonflyvane/node/ownership_manager.hpp
@@ -52,6 +52,9 @@
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat);
   /// Handles the announcement of the local backend server that it is leaving.
   void onLeave(const server_incarnation &Incarnation);
+  /// Handles another condition of the local backend server, which its latest
+  /// response has shown.
+  void onServerCondition(const server_condition &Condition);
   /// Handles a connection that the local backend server refused.
   void onRefusedConnection();
   /// Handles a request that the local backend server refused because it does
@@ -79,6 +82,8 @@
   grant_context grantContextOf(const std::string &Service) const;
   void onClusterChange();
   void publishHostInfo();
+  /// Logs a notable change of the condition.
+  void logCondition(const server_condition &Condition);
   void releaseRanges();
   /// Makes the calls to the local backend server that are due.
   void makeDueCalls();
@@ -96,6 +101,8 @@
   cluster_coordinator Coordinator;
   /// Content of the host's row as last passed to `Sync`.
   std::optional<host_info> PublishedInfo;
+  /// The rate limit of the local backend server in its latest log line.
+  std::optional<double> LoggedRateLimit;
   time_point StartedAt{};
   /// The highest token that a call has granted.
   uint64_t HighestGrantedToken = 0;
