Incident LIMIT reproduced by a test without network, known to fail

The dispatcher sends through functions that it is given, so that a test can take the place of the backend server on a manual clock; nothing else changes.

--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -62,16 +62,24 @@
                    this->Platform.SendKeyCall,
                    [this] { Dispatcher.dispatchWaiting(); }}),
         Guard(Clock),
-        Dispatcher({Loop, Clock, Client, Ownership.server(), Guard,
-                    OperatorState, this->Platform.Names, Metrics, Pacer,
-                    [this](const std::string &Service, key_point Point) {
-                      return Ownership.isOwner(Service, Point);
-                    },
-                    [this] { Ownership.onRefusedConnection(); },
-                    [this](key_point Point) { Ownership.onKeyRefused(Point); },
-                    [this](const server_condition &Condition) {
-                      Ownership.onServerCondition(Condition);
-                    }}),
+        Dispatcher(
+            {Loop, Clock,
+             [&Client](const endpoint &Server, const http_request &Request,
+                       call_options Options, http_client::callback Callback) {
+               return Client.send(Server, Request, std::move(Options),
+                                  std::move(Callback));
+             },
+             [&Client](call_id Call) { Client.cancel(Call); },
+             Ownership.server(), Guard, OperatorState, this->Platform.Names,
+             Metrics, Pacer,
+             [this](const std::string &Service, key_point Point) {
+               return Ownership.isOwner(Service, Point);
+             },
+             [this] { Ownership.onRefusedConnection(); },
+             [this](key_point Point) { Ownership.onKeyRefused(Point); },
+             [this](const server_condition &Condition) {
+               Ownership.onServerCondition(Condition);
+             }}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -138,7 +138,7 @@
   std::erase(AwaitingGrant, Id);
   if (Found->second.IsRunning) {
     --Running;
-    Deps.Client.cancel(Found->second.Call);
+    Deps.CancelCall(Found->second.Call);
   }
   Entries.erase(Found);
   dispatchWaiting();
@@ -235,7 +235,7 @@
       auto Echo = Response.Headers.find(Name);
       return !Echo || *Echo == RequestId;
     };
-  Entry.Call = Deps.Client.send(
+  Entry.Call = Deps.Send(
       Deps.Server.address(), makeServerRequest(Entry), std::move(Options),
       [this, Id](call_result Result) { onResult(Id, std::move(Result)); });
 }
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/dispatcher.hpp
@@ -12,7 +12,7 @@
 #include "dragonflyvane/core/ownership/assignment.hpp"
 #include "dragonflyvane/core/ownership/point_sample.hpp"
 #include "dragonflyvane/core/rate/token_bucket.hpp"
-#include "dragonflyvane/net/event_loop.hpp"
+#include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/node/crash_guard.hpp"
@@ -38,9 +38,14 @@
 
   /// The objects that the dispatcher uses; they must outlive it.
   struct dependencies {
-    event_loop &Loop;
+    scheduler &Loop;
     const clock_source &Clock;
-    http_client &Client;
+    /// Sends a request to the backend server.
+    std::function<call_id(const endpoint &, const http_request &, call_options,
+                          http_client::callback)>
+        Send;
+    /// Cancels a request that `Send` has sent.
+    std::function<void(call_id)> CancelCall;
     const local_server &Server;
     crash_guard &CrashGuard;
     const operator_state &OperatorState;
--- /dev/null
+++ b/src/dragonflyvane/node/dispatcher_test.cpp
@@ -0,0 +1,123 @@
+#include "dragonflyvane/node/dispatcher.hpp"
+
+#include "manual_scheduler.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// A dispatcher whose backend server of a service without keys responds after
+/// 20 ms with the header fields in `ServerHeaders`.
+struct dispatcher_fixture {
+  dispatcher_fixture() { sendHeartbeat(1000); }
+
+  void sendHeartbeat(int64_t StartedAtMs) {
+    heartbeat Heartbeat;
+    Heartbeat.Incarnation = {"i-1", StartedAtMs};
+    Heartbeat.Service = "desk";
+    Heartbeat.Address = "127.0.0.1:9";
+    Heartbeat.Slots = 6;
+    Heartbeat.Sequence = ++Sequence;
+    Server.onHeartbeat(Heartbeat, {});
+  }
+
+  call_id receive(const http_request &Request, call_options Options,
+                  http_client::callback Callback) {
+    if (!Options.MaySend()) {
+      Loop.post([Callback] { Callback({call_outcome::NotSent, {}, ""}); });
+      return ++LastCall;
+    }
+    Arrivals.push_back(Loop.now());
+    call_result Result;
+    Result.Outcome = call_outcome::Completed;
+    Result.Response.Headers = ServerHeaders;
+    Result.Response.Headers.add(Names.Signature, "s");
+    Result.Response.Headers.add(Names.RequestId,
+                                *Request.Headers.find(Names.RequestId));
+    Loop.postDelayed(milliseconds(20),
+                     [Callback, Result] { Callback(Result); });
+    return ++LastCall;
+  }
+
+  void submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1) {
+    forward_metadata Metadata;
+    Metadata.Service = "desk";
+    Metadata.Route = "peek";
+    Metadata.Priority = Priority;
+    Metadata.TimeLeft = TimeLeft;
+    Metadata.SoftTimeLeft = TimeLeft;
+    http_request Request;
+    Request.Headers.add(Names.RequestId, std::to_string(++LastRequest));
+    Dispatcher.submit(Metadata, Request, [this](const forward_result &Result) {
+      Results.push_back(Result);
+    });
+  }
+
+  /// Submits a request every 5 ms.
+  void submitFor(duration Span) {
+    for (duration Elapsed{0}; Elapsed < Span; Elapsed += milliseconds(5)) {
+      submit();
+      Loop.runFor(milliseconds(5));
+    }
+  }
+
+  /// The largest number of arrivals from `From` on within 4 s.
+  size_t mostArrivalsIn4s(time_point From) const {
+    size_t Most = 0;
+    for (size_t I = 0; I < Arrivals.size(); ++I) {
+      size_t End = I;
+      while (End < Arrivals.size() && Arrivals[End] < Arrivals[I] + seconds(4))
+        ++End;
+      if (Arrivals[I] >= From)
+        Most = std::max(Most, End - I);
+    }
+    return Most;
+  }
+
+  header_names Names;
+  header_list ServerHeaders;
+  std::vector<time_point> Arrivals;
+  std::vector<forward_result> Results;
+  manual_scheduler Loop;
+  settings Settings;
+  local_server Server{Settings, Loop.clock()};
+  crash_guard Guard{Loop.clock()};
+  operator_state OperatorState{{},
+                               [](const stored_row &) { return std::nullopt; }};
+  metrics Metrics;
+  bulk_pacer Link{Loop, Loop.clock(), 1e9};
+  uint64_t Sequence = 0;
+  call_id LastCall = 0;
+  int LastRequest = 0;
+  dispatcher Dispatcher{
+      {Loop, Loop.clock(),
+       [this](const endpoint &, const http_request &Request,
+              call_options Options, http_client::callback Callback) {
+         return receive(Request, std::move(Options), std::move(Callback));
+       },
+       [](call_id) {}, Server, Guard, OperatorState, Names, Metrics, Link,
+       [](const std::string &, key_point) { return true; }, [] {},
+       [](key_point) {},
+       [this](const server_condition &Condition) {
+         Server.onCondition(Condition);
+       }}};
+};
+
+} // namespace
+
+// Guards against a backend server that gets more requests than the limit that
+// it has named (incident LIMIT). Pattern: lasting overload by many callers.
+TEST_CASE("a server gets no more requests than the limit that it names" *
+          doctest::should_fail()) {
+  dispatcher_fixture Fixture;
+  Fixture.submitFor(seconds(1));
+  Fixture.ServerHeaders.add(Fixture.Names.RateLimit, "8");
+  Fixture.submitFor(milliseconds(500));
+  time_point Known = Fixture.Loop.now();
+  Fixture.submitFor(seconds(12));
+  CHECK(Fixture.mostArrivalsIn4s(Known) <= 4 * 8 + 5);
+}
