Moves of keys and the choice of hosts count the limits of servers

Change: load reports carry the limit; the rebalancer shares out what a limit keeps from one server over the others, and by what each can process if there is more than all can. The load that goes back with each result says how long a request would wait for a token, which counts as time in the choice of a host.

--- a/src/dragonflyvane/core/ownership/load_rebalancer.cpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.cpp
@@ -20,9 +20,12 @@
 constexpr double MinSpeed = 0.35;
 constexpr double MaxSpeed = 2;
 /// A span whose rate is below this fraction of the receiver's fair rate is not
-/// worth a move.
+/// worth a move, unless it takes its owner closer to its rate limit.
 constexpr double MinSpanFraction = 0.12;
 constexpr int MaxMovesPerPlan = 12;
+/// The fraction of its rate limit that a server is planned for. The rest takes
+/// up the changes of the load between two plans.
+constexpr double LimitUse = 0.85;
 
 } // namespace
 
@@ -44,7 +47,12 @@
     if (Found != Loads.end() && Found->second.ProcessingTime > 0)
       Speed = std::clamp(MeanProcessingTime / Found->second.ProcessingTime,
                          MinSpeed, MaxSpeed);
-    Candidates.push_back({C.Host, C.Capacity * Speed, 0, 0, {}});
+    host_load Candidate;
+    Candidate.Host = C.Host;
+    Candidate.Capacity = C.Capacity * Speed;
+    if (Found != Loads.end() && Found->second.RateLimit)
+      Candidate.MaxRate = *Found->second.RateLimit * LimitUse;
+    Candidates.push_back(std::move(Candidate));
   }
   for (const auto &[Host, Load] : Loads)
     for (key_point Point : Load.Sample)
@@ -66,8 +74,6 @@
 std::vector<load_rebalancer::host_load>
 load_rebalancer::hostLoadsIn(const ownership_map &Map) const {
   std::vector<host_load> HostLoads = Candidates;
-  double Rate = 0;
-  double Capacity = 0;
   for (const weighted_point &Point : Points) {
     const owned_range &Range = Map.find(Point.Point);
     const std::string &Host =
@@ -81,24 +87,67 @@
         HostLoad.Points.back().Rate += Point.Rate;
       else
         HostLoad.Points.push_back(Point);
-      Rate += Point.Rate;
     }
   }
-  for (const host_load &HostLoad : HostLoads)
-    Capacity += HostLoad.Capacity;
-  for (host_load &HostLoad : HostLoads)
-    HostLoad.FairRate = Rate * HostLoad.Capacity / Capacity;
+  assignFairRates(HostLoads);
   return HostLoads;
 }
 
+double load_rebalancer::processableRate(const host_load &HostLoad) const {
+  double Rate = HostLoad.Capacity / MeanProcessingTime;
+  return HostLoad.MaxRate ? std::min(Rate, *HostLoad.MaxRate) : Rate;
+}
+
+void load_rebalancer::assignFairRates(std::vector<host_load> &HostLoads) const {
+  double Rate = 0;
+  double Processable = 0;
+  for (const host_load &HostLoad : HostLoads) {
+    Rate += HostLoad.Rate;
+    Processable += processableRate(HostLoad);
+  }
+  if (Rate <= Processable || Processable <= 0)
+    return assignByCapacity(HostLoads, Rate);
+  for (host_load &HostLoad : HostLoads)
+    HostLoad.FairRate = Rate * processableRate(HostLoad) / Processable;
+}
+
+void load_rebalancer::assignByCapacity(std::vector<host_load> &HostLoads,
+                                       double Rate) {
+  std::vector<host_load *> Sharing;
+  for (host_load &HostLoad : HostLoads)
+    Sharing.push_back(&HostLoad);
+  while (!Sharing.empty()) {
+    double Capacity = 0;
+    for (const host_load *HostLoad : Sharing)
+      Capacity += HostLoad->Capacity;
+    for (host_load *HostLoad : Sharing)
+      HostLoad->FairRate = Rate * HostLoad->Capacity / Capacity;
+    auto FirstLimited = std::stable_partition(
+        Sharing.begin(), Sharing.end(), [](const host_load *HostLoad) {
+          return !HostLoad->MaxRate || HostLoad->FairRate <= *HostLoad->MaxRate;
+        });
+    if (FirstLimited == Sharing.end())
+      return;
+    for (auto It = FirstLimited; It != Sharing.end(); ++It) {
+      (*It)->FairRate = *(*It)->MaxRate;
+      Rate -= (*It)->FairRate;
+    }
+    Sharing.erase(FirstLimited, Sharing.end());
+  }
+}
+
+bool load_rebalancer::isOverloaded(const host_load &HostLoad) const {
+  if (HostLoad.Rate <= HostLoad.FairRate * OverloadFactor)
+    return false;
+  bool IsAboveLimit = HostLoad.MaxRate && HostLoad.Rate > *HostLoad.MaxRate;
+  return IsAboveLimit || HostLoad.Rate * MeanProcessingTime >
+                             HostLoad.Capacity * BusyUtilization;
+}
+
 bool load_rebalancer::isUneven(const std::vector<host_load> &HostLoads) const {
   return std::any_of(
       HostLoads.begin(), HostLoads.end(), [&](const host_load &HostLoad) {
-        bool IsOverloaded =
-            HostLoad.Rate > HostLoad.FairRate * OverloadFactor &&
-            HostLoad.Rate * MeanProcessingTime >
-                HostLoad.Capacity * BusyUtilization;
-        return IsOverloaded ||
+        return isOverloaded(HostLoad) ||
                HostLoad.Rate < HostLoad.FairRate * UnderloadFraction;
       });
 }
@@ -123,7 +172,9 @@
                                    host_load &To) {
   double MaxRate = std::min(From.Rate - From.FairRate, To.FairRate - To.Rate);
   point_span Span = findSpan(From.Points, MaxRate);
-  if (Span.Rate < To.FairRate * MinSpanFraction)
+  bool RelievesLimit = From.MaxRate && From.FairRate <= *From.MaxRate;
+  double MinRate = RelievesLimit ? 0 : To.FairRate * MinSpanFraction;
+  if (Span.Rate <= 0 || Span.Rate < MinRate)
     return false;
   Map.splitBefore(Span.First);
   Map.splitBefore(Span.Last + 1);
--- a/src/dragonflyvane/core/ownership/load_rebalancer.hpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -31,6 +32,8 @@
   double Utilization = 0;
   /// The mean processing time of a request in seconds; zero if not known.
   double ProcessingTime = 0;
+  /// The requests per second that the server takes; none if it names no limit.
+  std::optional<double> RateLimit = std::nullopt;
 };
 
 /// Plans moves from one snapshot of the load of all candidates.
@@ -57,6 +60,8 @@
   struct host_load {
     std::string Host;
     double Capacity = 0;
+    /// The rate that the server may be planned for; none without a rate limit.
+    std::optional<double> MaxRate;
     double Rate = 0;
     double FairRate = 0;
     std::vector<weighted_point> Points;
@@ -70,6 +75,15 @@
 
   /// Returns the load of each candidate once all planned moves are done.
   std::vector<host_load> hostLoadsIn(const ownership_map &Map) const;
+  /// The requests per second that the server of a candidate can process.
+  double processableRate(const host_load &HostLoad) const;
+  /// Shares out the rate of all candidates. If there is more than all servers
+  /// together can process, each gets the same multiple of what it can.
+  void assignFairRates(std::vector<host_load> &HostLoads) const;
+  /// Shares out a rate by capacity. What a rate limit keeps from one candidate
+  /// is shared out over the others.
+  static void assignByCapacity(std::vector<host_load> &HostLoads, double Rate);
+  bool isOverloaded(const host_load &HostLoad) const;
   /// Returns whether a candidate is overloaded or underloaded.
   bool isUneven(const std::vector<host_load> &HostLoads) const;
   /// Returns the span with the highest rate that does not exceed `MaxRate`.
--- a/src/dragonflyvane/core/ownership/load_rebalancer_test.cpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer_test.cpp
@@ -78,6 +78,39 @@
   CHECK(ratesAfter(Map, Loads)[nameOf(0)] < 45);
 }
 
+// Guards against keys that stay on a server which names a limit (incident
+// LIMIT). Pattern: a few limited servers beside others with room.
+TEST_CASE("the load beyond a server's rate limit moves to servers with room") {
+  std::map<std::string, load_report> Loads;
+  for (int I = 0; I < Hosts; ++I) {
+    std::vector<key_point> Sample;
+    for (key_point J = 0; J < 40; ++J)
+      Sample.push_back(I * 16384 + J * 400);
+    Loads[nameOf(I)] = report(30, Sample);
+  }
+  Loads[nameOf(0)].RateLimit = 10;
+  Loads[nameOf(1)].RateLimit = 0;
+  ownership_map Map = evenMap();
+  REQUIRE(load_rebalancer(candidates(), Loads).plan(Map));
+  auto Rates = ratesAfter(Map, Loads);
+  CHECK(Rates[nameOf(0)] <= 10);
+  CHECK(Rates[nameOf(1)] == doctest::Approx(0));
+  CHECK(Rates[nameOf(2)] == doctest::Approx(Rates[nameOf(3)]).epsilon(0.15));
+}
+
+// Guards against moves without end between servers none of which has room.
+TEST_CASE("nothing moves when all servers are at their rate limits") {
+  std::map<std::string, load_report> Loads;
+  for (int I = 0; I < Hosts; ++I) {
+    key_point First = I * 16384;
+    Loads[nameOf(I)] = report(30, {First, First + 900, First + 9000});
+    Loads[nameOf(I)].RateLimit = 20;
+  }
+  ownership_map Map = evenMap();
+  CHECK(!load_rebalancer(candidates(), Loads).plan(Map));
+  CHECK(Map == evenMap());
+}
+
 TEST_CASE("a single hot key stays, and keys beside it move") {
   std::map<std::string, load_report> Loads;
   std::vector<key_point> Sample(30, 7000);
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -351,7 +351,9 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Costs.meanProcessingTime()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              Deps.Link.backlog())};
+              Deps.Link.backlog()),
+          std::chrono::duration_cast<std::chrono::milliseconds>(
+              Allowance.delayOf(Queue.size(), Deps.Clock.now()))};
 }
 
 std::chrono::milliseconds dispatcher::retryAfter() const {
@@ -411,6 +413,7 @@
                        Seconds / std::max(1U, Deps.Server.slots());
   Report.ProcessingTime =
       std::chrono::duration<double>(Costs.meanProcessingTime()).count();
+  Report.RateLimit = Deps.Server.condition().RateLimit;
   Report.Sample = Sample.points(Now);
   ReportedAt = Now;
   Arrivals = 0;
--- a/src/dragonflyvane/node/forwarding.cpp
+++ b/src/dragonflyvane/node/forwarding.cpp
@@ -20,7 +20,8 @@
 constexpr const char *CodeField = "x-dragonflyvane-code";
 constexpr const char *ReachedField = "x-dragonflyvane-reached";
 constexpr const char *RetryAfterField = "x-dragonflyvane-retry-ms";
-/// `BUSY,SLOTS,WORK_MS,LINK_DELAY_MS`.
+/// `BUSY,SLOTS,WORK_MS,LINK_DELAY_MS,TOKEN_DELAY_MS`. Daemons of earlier
+/// versions leave out the last part.
 constexpr const char *LoadField = "x-dragonflyvane-load";
 
 template <typename Number>
@@ -35,7 +36,8 @@
 std::string encodeLoad(const dispatcher_load &Load) {
   return std::to_string(Load.Busy) + "," + std::to_string(Load.Slots) + "," +
          std::to_string(Load.ProcessingTime.count()) + "," +
-         std::to_string(Load.LinkDelay.count());
+         std::to_string(Load.LinkDelay.count()) + "," +
+         std::to_string(Load.TokenDelay.count());
 }
 
 dispatcher_load decodeLoad(const std::optional<std::string> &Text) {
@@ -44,13 +46,16 @@
   unsigned Slots = 0;
   long ProcessingTime = 0;
   long LinkDelay = 0;
-  int FieldCount = Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld", &Busy, &Slots,
-                                 &ProcessingTime, &LinkDelay)
-                        : 0;
-  if (FieldCount != 4)
+  long TokenDelay = 0;
+  int FieldCount =
+      Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld,%ld", &Busy, &Slots,
+                    &ProcessingTime, &LinkDelay, &TokenDelay)
+           : 0;
+  if (FieldCount < 4)
     return Load;
   return {Busy, Slots, std::chrono::milliseconds(ProcessingTime),
-          std::chrono::milliseconds(LinkDelay)};
+          std::chrono::milliseconds(LinkDelay),
+          std::chrono::milliseconds(TokenDelay)};
 }
 
 } // namespace
--- a/src/dragonflyvane/node/forwarding.hpp
+++ b/src/dragonflyvane/node/forwarding.hpp
@@ -58,6 +58,8 @@
   std::chrono::milliseconds ProcessingTime{0};
   /// How long a large response would wait for the link of the host.
   std::chrono::milliseconds LinkDelay{0};
+  /// How long a request would wait for the rate that the backend server takes.
+  std::chrono::milliseconds TokenDelay{0};
 };
 
 /// The result of a forwarded request.
--- a/src/dragonflyvane/node/forwarding_test.cpp
+++ b/src/dragonflyvane/node/forwarding_test.cpp
@@ -30,11 +30,13 @@
   ServerResult.Outcome = forward_outcome::Answered;
   ServerResult.Reached = true;
   ServerResult.Response.Status = 503;
-  ServerResult.Load = {7, 9, milliseconds(60), milliseconds(40)};
+  ServerResult.Load = {7, 9, milliseconds(60), milliseconds(40),
+                       milliseconds(90)};
   forward_result Decoded = decodeResult(encodeResult(ServerResult));
   CHECK(Decoded.Outcome == forward_outcome::Answered);
   CHECK(Decoded.Load.Busy == 7);
   CHECK(Decoded.Load.LinkDelay == milliseconds(40));
+  CHECK(Decoded.Load.TokenDelay == milliseconds(90));
   CHECK(Decoded.Response.Headers.all().empty());
   forward_result Refusal;
   Refusal.Code = "queue-full";
--- a/src/dragonflyvane/node/host_selector.cpp
+++ b/src/dragonflyvane/node/host_selector.cpp
@@ -9,7 +9,7 @@
 
 /// Time during which an unreachable host is avoided.
 constexpr std::chrono::milliseconds UnreachableBackoff{400};
-/// The busy slots and the link delay of older load reports are ignored.
+/// The busy slots and the delays of older load reports are ignored.
 constexpr std::chrono::milliseconds MaxLoadAge{600};
 /// Assumed processing time of a request on a host that has not reported it.
 constexpr double DefaultProcessingTimeMs = 50;
@@ -78,6 +78,8 @@
   double Waiting = std::max(0.0, Busy + 1 - Slots);
   if (IsLarge && IsFresh)
     PenaltyMs += static_cast<double>(State.Load.LinkDelay.count());
+  if (IsFresh)
+    PenaltyMs += static_cast<double>(State.Load.TokenDelay.count());
   // The term for busy slots spreads requests over hosts without a queue.
   return ProcessingTimeMs * (1 + Waiting / Slots + 0.3 * Busy / Slots) +
          PenaltyMs;
--- a/src/dragonflyvane/node/host_selector_test.cpp
+++ b/src/dragonflyvane/node/host_selector_test.cpp
@@ -30,9 +30,11 @@
   }
 
   void reportLoad(const std::string &Name, uint32_t Busy,
-                  milliseconds LinkDelay) {
+                  milliseconds LinkDelay,
+                  milliseconds TokenDelay = milliseconds(0)) {
     HostSelector.onSent(Name);
-    HostSelector.onFinished(Name, {Busy, 6, milliseconds(50), LinkDelay});
+    HostSelector.onFinished(Name,
+                            {Busy, 6, milliseconds(50), LinkDelay, TokenDelay});
   }
 
   /// Number of requests, out of 200, for which the host is picked.
@@ -90,3 +92,13 @@
                                    {"own", "near", "far-1", "far-2"}));
   CHECK_FALSE(Selector.HostSelector.pick("unknown", Large, {}));
 }
+
+// Guards against requests that are sent to a server at its rate limit while
+// others have room. Pattern: part of the servers without keys are limited.
+TEST_CASE("hosts whose servers are at their rate limit are avoided") {
+  host_selector_fixture Fixture;
+  Fixture.reportLoad("own", 0, milliseconds(0), milliseconds(300));
+  Fixture.reportLoad("near", 0, milliseconds(0), milliseconds(300));
+  CHECK(Fixture.countPicks("own", Small) + Fixture.countPicks("near", Small) <
+        60);
+}
--- a/src/dragonflyvane/node/peer_messages.cpp
+++ b/src/dragonflyvane/node/peer_messages.cpp
@@ -53,14 +53,17 @@
 } // namespace
 
 http_request encodeReport(const report_message &Message) {
-  return makeMessage("report", {{"host", Message.Host},
-                                {"rate", Message.Load.Rate},
-                                {"use", Message.Load.Utilization},
-                                {"work", Message.Load.ProcessingTime},
-                                {"sample", Message.Load.Sample},
-                                {"newest", Message.NewestVersion},
-                                {"crashes", toJson(Message.Crashes)},
-                                {"answered", Message.RequestsWithResponse}});
+  json Body = {{"host", Message.Host},
+               {"rate", Message.Load.Rate},
+               {"use", Message.Load.Utilization},
+               {"work", Message.Load.ProcessingTime},
+               {"sample", Message.Load.Sample},
+               {"newest", Message.NewestVersion},
+               {"crashes", toJson(Message.Crashes)},
+               {"answered", Message.RequestsWithResponse}};
+  if (Message.Load.RateLimit)
+    Body["limit"] = *Message.Load.RateLimit;
+  return makeMessage("report", Body);
 }
 
 std::optional<report_message> decodeReport(const http_request &Request) {
@@ -74,6 +77,8 @@
     Message.Load.Utilization = Body->at("use").get<double>();
     Message.Load.ProcessingTime = Body->at("work").get<double>();
     Message.Load.Sample = Body->at("sample").get<std::vector<key_point>>();
+    if (Body->contains("limit"))
+      Message.Load.RateLimit = Body->at("limit").get<double>();
     Message.NewestVersion = Body->at("newest").get<row_version>();
     Message.Crashes = toCrashes(Body->at("crashes"));
     Message.RequestsWithResponse =
