A server that says in a response that it leaves is leaving

Cause: leaving was learned from heartbeats and leave calls alone. Change: the field sets the same state as a heartbeat does, so keys move away, new, waiting and retried requests are refused or go elsewhere once the drain timeout nears, and a new incarnation starts afresh. The test 'a server that says in a response that it leaves ...' failed before: the server stayed ready and got requests to the end.

--- a/src/dragonflyvane/node/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_test.cpp
@@ -174,3 +174,20 @@
   Fixture.submitFor(seconds(2));
   CHECK(!Fixture.Server.condition().RateLimit);
 }
+
+// Guards against requests that reach a server which says only in its responses
+// that it leaves: new ones, waiting ones and those on open connections.
+TEST_CASE("a server that says in a response that it leaves gets no requests "
+          "after the drain timeout") {
+  dispatcher_fixture Fixture;
+  Fixture.ServerHeaders.add(Fixture.Names.Leaving, "1");
+  Fixture.submitFor(milliseconds(100));
+  CHECK(Fixture.Server.availability() == server_availability::Leaving);
+  time_point DrainEnd = Fixture.Loop.now() + Fixture.Settings.DrainTimeout;
+  Fixture.submitFor(seconds(4));
+  CHECK(Fixture.Arrivals.back() < DrainEnd);
+  CHECK(Fixture.Results.back().Code == "server-leaving-or-down");
+  Fixture.sendHeartbeat(2000);
+  Fixture.submitFor(milliseconds(100));
+  CHECK(Fixture.Arrivals.back() > DrainEnd);
+}
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -168,6 +168,8 @@
 
 void local_server::onCondition(const server_condition &Latest) {
   Condition = Latest;
+  if (Condition.IsLeaving)
+    onLeave(incarnation());
 }
 
 void local_server::onLeave(const server_incarnation &Leaving) {
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -88,6 +88,8 @@
 void ownership_manager::onServerCondition(const server_condition &Condition) {
   logCondition(Condition);
   Server.onCondition(Condition);
+  publishHostInfo();
+  makeDueCalls();
 }
 
 void ownership_manager::logCondition(const server_condition &Condition) {
