What is known of a server's condition travels with requests and results

What callers would see: after a restart of the daemon beside a limited or leaving server, requests of other hosts reach it beyond its limit, or after the drain timeout, until its first response. A restart excuses the restarted host, not the others, which are bound since they passed on a response with the field. Cause: only the daemon beside the server knew its condition, in memory. Weighed: a row in the store (a write for each change of the limit, and a read before the first dispatch), asking peers at the start (a host that is cut off then answers nothing). Chosen: each request router keeps the condition that came with the last result, and sends it along with each request; so whoever is bound binds the daemon, before the dispatch. A report counts for its incarnation only, and a limit only until the first own response.

--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -212,6 +212,8 @@
         "link-full",
         std::chrono::duration_cast<std::chrono::milliseconds>(TransferTime));
   TargetHost = Host;
+  Metadata.ServerCondition =
+      Router.Conditions.reportFor(Host, Router.Deps.Clock.now());
   Metadata.IsLocal = Host == Router.Deps.Settings.Host;
   if (Metadata.IsLocal) {
     Router.HostSelector.onSent(Host);
@@ -264,6 +266,11 @@
                                               forward_result Result) {
   LocalDispatch = 0;
   Router.HostSelector.onFinished(Host, Result.Load);
+  // Any report holds, but only a response shows that there is nothing to
+  // report.
+  if (Result.ServerCondition || Result.Outcome == forward_outcome::Answered)
+    Router.Conditions.observe(Host, Result.ServerCondition,
+                              Router.Deps.Clock.now());
   if (IsDone)
     return;
   TriedHosts.insert(Host);
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -79,6 +79,9 @@
              [this](key_point Point) { Ownership.onKeyRefused(Point); },
              [this](const server_condition &Condition) {
                Ownership.onServerCondition(Condition);
+             },
+             [this](const condition_report &Report) {
+               Ownership.onReportedCondition(Report);
              }}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -78,6 +78,8 @@
   dispatch_id Id = ++LastId;
   time_point Now = Deps.Clock.now();
   ++Arrivals;
+  if (Metadata.ServerCondition)
+    Deps.OnReportedCondition(*Metadata.ServerCondition);
   if (Metadata.Point)
     Sample.record(*Metadata.Point, Now);
   entry &Entry = Entries[Id];
@@ -295,7 +297,7 @@
     return;
   const server_condition &Known = Deps.Server.condition();
   server_condition Latest = conditionAfter(Known, Headers, Deps.Names);
-  if (Latest != Known)
+  if (Latest != Known || !Deps.Server.hasResponded())
     Deps.OnCondition(Latest);
 }
 
@@ -368,6 +370,7 @@
   callback Callback = std::move(Found->second.Callback);
   Entries.erase(Found);
   Result.Load = load();
+  Result.ServerCondition = Deps.Server.conditionReport(Deps.Clock.now());
   Callback(std::move(Result));
 }
 
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/dispatcher.hpp
@@ -61,8 +61,10 @@
     /// because it does not hold the key point.
     std::function<void(key_point)> OnKeyRefused;
     /// Called when a response of the current incarnation of the server shows
-    /// another condition.
+    /// another condition, or its first one.
     std::function<void(const server_condition &)> OnCondition;
+    /// Called with the condition of the server that a peer knows.
+    std::function<void(const condition_report &)> OnReportedCondition;
   };
 
   /// Starts the periodic check for timeouts and crashes.
--- a/src/dragonflyvane/node/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_test.cpp
@@ -43,13 +43,15 @@
     return ++LastCall;
   }
 
-  void submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1) {
+  void submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1,
+              const std::optional<condition_report> &Known = std::nullopt) {
     forward_metadata Metadata;
     Metadata.Service = "desk";
     Metadata.Route = "peek";
     Metadata.Priority = Priority;
     Metadata.TimeLeft = TimeLeft;
     Metadata.SoftTimeLeft = TimeLeft;
+    Metadata.ServerCondition = Known;
     http_request Request;
     Request.Headers.add(Names.RequestId, std::to_string(++LastRequest));
     Dispatcher.submit(Metadata, Request, [this](const forward_result &Result) {
@@ -104,6 +106,9 @@
        [](key_point) {},
        [this](const server_condition &Condition) {
          Server.onCondition(Condition);
+       },
+       [this](const condition_report &Report) {
+         Server.onReportedCondition(Report);
        }}};
 };
 
@@ -191,3 +196,43 @@
   Fixture.submitFor(milliseconds(100));
   CHECK(Fixture.Arrivals.back() > DrainEnd);
 }
+
+// Guards against a daemon that forgets with a restart what its peers, who go on
+// to send through it, are still bound by.
+TEST_CASE("a restarted daemon keeps to the limit that its peers know") {
+  dispatcher_fixture Fixture;
+  condition_report Known{Fixture.Server.incarnation(), 4, {}};
+  for (int I = 0; I < 200; ++I) {
+    Fixture.submit(milliseconds(400), 1, Known);
+    Fixture.Loop.runFor(milliseconds(5));
+    Fixture.ServerHeaders.set(Fixture.Names.RateLimit, "4");
+  }
+  CHECK(Fixture.Arrivals.size() <= 4);
+}
+
+TEST_CASE("a restarted daemon sends nothing to a server that has been leaving "
+          "for the drain timeout, as its peers know") {
+  dispatcher_fixture Fixture;
+  condition_report Known{Fixture.Server.incarnation(), {}, milliseconds(2500)};
+  Fixture.submit(milliseconds(400), 1, Known);
+  Fixture.Loop.runFor(milliseconds(500));
+  CHECK(Fixture.Arrivals.empty());
+  CHECK(Fixture.Server.availability() == server_availability::Leaving);
+}
+
+TEST_CASE("what peers know of an earlier incarnation does not bind the next") {
+  dispatcher_fixture Fixture;
+  condition_report Known{{"i-1", 500}, 0, milliseconds(2500)};
+  Fixture.submit(milliseconds(400), 1, Known);
+  CHECK(Fixture.Arrivals.size() == 1);
+  CHECK(!Fixture.Server.condition().RateLimit);
+}
+
+// Guards against a limit that two daemons report to each other after its end.
+TEST_CASE("a response outweighs the limit that peers report") {
+  dispatcher_fixture Fixture;
+  Fixture.submitFor(milliseconds(50));
+  condition_report Known{Fixture.Server.incarnation(), 1, {}};
+  Fixture.submit(milliseconds(400), 1, Known);
+  CHECK(!Fixture.Server.condition().RateLimit);
+}
--- a/src/dragonflyvane/node/forwarding.cpp
+++ b/src/dragonflyvane/node/forwarding.cpp
@@ -24,6 +24,20 @@
 /// versions leave out the last part.
 constexpr const char *LoadField = "x-dragonflyvane-load";
 
+/// A `condition_report`, in requests and in results.
+constexpr const char *ConditionField = "x-dragonflyvane-server-condition";
+
+std::optional<condition_report> findCondition(const header_list &Headers) {
+  auto Text = Headers.find(ConditionField);
+  return Text ? decodeConditionReport(*Text) : std::nullopt;
+}
+
+void addCondition(const std::optional<condition_report> &Report,
+                  header_list &Headers) {
+  if (Report)
+    Headers.add(ConditionField, encodeConditionReport(*Report));
+}
+
 template <typename Number>
 Number toNumber(const std::optional<std::string> &Text, Number Default) {
   if (!Text)
@@ -71,6 +85,7 @@
   Headers.add(PriorityField, std::to_string(Metadata.Priority));
   Headers.add(TimeLeftField, std::to_string(Metadata.TimeLeft.count()));
   Headers.add(SoftTimeLeftField, std::to_string(Metadata.SoftTimeLeft.count()));
+  addCondition(Metadata.ServerCondition, Headers);
 }
 
 std::optional<forward_metadata> extractMetadata(header_list &Headers) {
@@ -89,6 +104,7 @@
   Metadata.TimeLeft = std::chrono::milliseconds(toNumber<int64_t>(TimeLeft, 0));
   Metadata.SoftTimeLeft = std::chrono::milliseconds(toNumber<int64_t>(
       Headers.find(SoftTimeLeftField), Metadata.TimeLeft.count()));
+  Metadata.ServerCondition = findCondition(Headers);
   removeInternal(Headers);
   return Metadata;
 }
@@ -107,6 +123,7 @@
     Response.Headers.add(RetryAfterField,
                          std::to_string(Result.RetryAfter.count()));
   Response.Headers.add(LoadField, encodeLoad(Result.Load));
+  addCondition(Result.ServerCondition, Response.Headers);
   return Response;
 }
 
@@ -123,6 +140,7 @@
   Result.RetryAfter = std::chrono::milliseconds(
       toNumber<int64_t>(Response.Headers.find(RetryAfterField), 0));
   Result.Load = decodeLoad(Response.Headers.find(LoadField));
+  Result.ServerCondition = findCondition(Response.Headers);
   removeInternal(Response.Headers);
   Result.Response = std::move(Response);
   return Result;
--- a/src/dragonflyvane/node/forwarding.hpp
+++ b/src/dragonflyvane/node/forwarding.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 #include "dragonflyvane/core/refusal.hpp"
+#include "dragonflyvane/node/condition_report.hpp"
 
 #include <chrono>
 #include <optional>
@@ -35,6 +36,8 @@
   /// Whether the request was received by the host of the dispatcher; not sent
   /// to peers.
   bool IsLocal = false;
+  /// What the request router knows of the condition of the backend server.
+  std::optional<condition_report> ServerCondition = std::nullopt;
 };
 
 /// How a forwarded request ended.
@@ -74,6 +77,9 @@
   /// Time after which the request is likely to be admitted; 0 if unknown.
   std::chrono::milliseconds RetryAfter{0};
   dispatcher_load Load;
+  /// The condition of the backend server; none if it has neither a limit nor
+  /// leaves.
+  std::optional<condition_report> ServerCondition;
 };
 
 /// Adds the metadata as header fields that only daemons use.
--- a/src/dragonflyvane/node/forwarding_test.cpp
+++ b/src/dragonflyvane/node/forwarding_test.cpp
@@ -7,9 +7,16 @@
 
 TEST_CASE(
     "metadata survives a round trip through headers and is then removed") {
-  forward_metadata Metadata{"desk",  77, "ferry",           "origin",
-                            "route", -1, milliseconds(300), milliseconds(150),
-                            false};
+  forward_metadata Metadata{"desk",
+                            77,
+                            "ferry",
+                            "origin",
+                            "route",
+                            -1,
+                            milliseconds(300),
+                            milliseconds(150),
+                            false,
+                            condition_report{{"i-1", 7}, 2.5, {}}};
   header_list Headers;
   Headers.add("X-Other", "1");
   writeMetadata(Metadata, Headers);
@@ -21,6 +28,7 @@
   CHECK(Decoded->Priority == -1);
   CHECK(Decoded->TimeLeft == milliseconds(300));
   CHECK(Decoded->SoftTimeLeft == milliseconds(150));
+  CHECK(Decoded->ServerCondition == Metadata.ServerCondition);
   CHECK(Headers.all().size() == 1);
   CHECK(!extractMetadata(Headers));
 }
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -74,6 +74,7 @@
   IncarnationSince = Clock.now();
   LeavingSince = {};
   Condition = {};
+  HasResponded = false;
   Policy.startIncarnation(incarnation());
   std::visit([&](auto &Method) { Method.startIncarnation(Clock.now()); },
              Grants);
@@ -98,7 +99,7 @@
   if (Availability == server_availability::Down)
     Availability = server_availability::Ready;
   if (Heartbeat.State == server_state::Draining)
-    onLeave(incarnation());
+    onLeave(incarnation(), Now);
   updateOwnership(Context);
   if (auto *Method = std::get_if<call_grants>(&Grants))
     Method->retryAtOnce();
@@ -168,18 +169,42 @@
 
 void local_server::onCondition(const server_condition &Latest) {
   Condition = Latest;
+  HasResponded = true;
   if (Condition.IsLeaving)
-    onLeave(incarnation());
+    onLeave(incarnation(), Clock.now());
 }
 
-void local_server::onLeave(const server_incarnation &Leaving) {
+void local_server::onReportedCondition(const condition_report &Report) {
+  if (Report.Incarnation != incarnation())
+    return;
+  if (!HasResponded && Report.RateLimit)
+    Condition.RateLimit = Report.RateLimit;
+  if (Report.LeavingFor)
+    onLeave(Report.Incarnation, Clock.now() - *Report.LeavingFor);
+}
+
+std::optional<condition_report>
+local_server::conditionReport(time_point Now) const {
+  condition_report Report;
+  Report.Incarnation = incarnation();
+  Report.RateLimit = Condition.RateLimit;
+  if (Availability == server_availability::Leaving)
+    Report.LeavingFor = std::chrono::duration_cast<std::chrono::milliseconds>(
+        Now - LeavingSince);
+  if (!Report.RateLimit && !Report.LeavingFor)
+    return std::nullopt;
+  return Report;
+}
+
+void local_server::onLeave(const server_incarnation &Leaving,
+                           time_point Since) {
   bool IsCurrent = Leaving.Instance == incarnation().Instance &&
                    (Leaving.StartedAtMs == 0 ||
                     Leaving.StartedAtMs == incarnation().StartedAtMs);
   if (!IsCurrent || Availability == server_availability::Leaving)
     return;
   Availability = server_availability::Leaving;
-  LeavingSince = Clock.now();
+  LeavingSince = Since;
 }
 
 void local_server::onRefusedConnection() {
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -10,6 +10,7 @@
 #include "dragonflyvane/core/ownership/heartbeat_grants.hpp"
 #include "dragonflyvane/core/ownership/incarnation_tracker.hpp"
 #include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/node/condition_report.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #include <optional>
@@ -49,11 +50,15 @@
   /// Called when the server refused a request because it does not hold its key
   /// point.
   void onKeyRefused(key_point Point);
-  /// Called when a response of the current incarnation has shown another
-  /// condition.
+  /// Called with the condition that a response of the current incarnation
+  /// shows.
   void onCondition(const server_condition &Condition);
-  /// Called when the server announces that it leaves.
-  void onLeave(const server_incarnation &Incarnation);
+  /// Called with the condition that a peer knows. The limit counts only until
+  /// this daemon has seen a response of the incarnation itself.
+  void onReportedCondition(const condition_report &Report);
+  /// Called when the server announces that it leaves, or when it becomes known
+  /// that it has been leaving since `Since`.
+  void onLeave(const server_incarnation &Incarnation, time_point Since);
   /// Called when the server refused a connection. Marks a ready server as down
   /// and ends its grants if it has refused connections for more than a
   /// heartbeat interval without sending a heartbeat.
@@ -71,6 +76,11 @@
   }
   /// What the current incarnation has said about itself in its responses.
   const server_condition &condition() const { return Condition; }
+  /// Whether this daemon has seen a response of the current incarnation.
+  bool hasResponded() const { return HasResponded; }
+  /// The condition to report to peers; none if the server has neither a limit
+  /// nor leaves.
+  std::optional<condition_report> conditionReport(time_point Now) const;
   /// Where the server accepts requests.
   const endpoint &address() const { return Address; }
   /// Number of requests that the server runs at the same time.
@@ -124,6 +134,7 @@
   endpoint Address;
   uint32_t Slots = 0;
   server_condition Condition;
+  bool HasResponded = false;
   time_point LastHeartbeatAt{};
   /// Whether a call since the latest heartbeat could not be sent. The daemon
   /// starts without a connection.
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -80,7 +80,7 @@
 }
 
 void ownership_manager::onLeave(const server_incarnation &Incarnation) {
-  Server.onLeave(Incarnation);
+  Server.onLeave(Incarnation, Deps.Clock.now());
   publishHostInfo();
   makeDueCalls();
 }
@@ -92,6 +92,12 @@
   makeDueCalls();
 }
 
+void ownership_manager::onReportedCondition(const condition_report &Report) {
+  Server.onReportedCondition(Report);
+  publishHostInfo();
+  makeDueCalls();
+}
+
 void ownership_manager::logCondition(const server_condition &Condition) {
   bool BeginsToLeave = Condition.IsLeaving && !Server.condition().IsLeaving;
   if (!BeginsToLeave && !isNotableChange(LoggedRateLimit, Condition.RateLimit))
--- a/src/dragonflyvane/node/ownership_manager.hpp
+++ b/src/dragonflyvane/node/ownership_manager.hpp
@@ -52,9 +52,11 @@
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat);
   /// Handles the announcement of the local backend server that it is leaving.
   void onLeave(const server_incarnation &Incarnation);
-  /// Handles another condition of the local backend server, which its latest
-  /// response has shown.
+  /// Handles the condition that the latest response of the local backend server
+  /// shows.
   void onServerCondition(const server_condition &Condition);
+  /// Handles the condition of the local backend server that a peer knows.
+  void onReportedCondition(const condition_report &Report);
   /// Handles a connection that the local backend server refused.
   void onRefusedConnection();
   /// Handles a request that the local backend server refused because it does
--- a/src/dragonflyvane/node/request_router.hpp
+++ b/src/dragonflyvane/node/request_router.hpp
@@ -68,6 +68,7 @@
 
   dependencies Deps;
   host_selector HostSelector;
+  known_conditions Conditions;
   /// Estimated from the times and sizes of the responses to callers.
   route_costs Costs;
   std::map<std::string, retry_budget> RetryBudgets;
