A leaving server stays leaving after a restart of its daemon

What callers would see: a server that has announced its leaving once, and sends heartbeats as if ready, gets keys and requests again after a restart of the daemon beside it. Cause: the daemon knew it in memory only, and then published the server as ready. Change: the daemon takes it up from its host's row, which it leaves as it is until the first heartbeat. The row names the incarnation, so the next one is not bound. Since when is not known, so the drain timeout counts as over.

--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -73,6 +73,7 @@
 std::optional<grant>
 ownership_manager::onHeartbeat(const heartbeat &Heartbeat) {
   auto Grant = Server.onHeartbeat(Heartbeat, grantContextOf(Heartbeat.Service));
+  recallLeaving();
   publishHostInfo();
   releaseRanges();
   makeDueCalls();
@@ -147,7 +148,18 @@
   return Context;
 }
 
+void ownership_manager::recallLeaving() {
+  const host_info *Published = view().host(Deps.Settings.Host);
+  if (!Published || Published->Availability != server_availability::Leaving ||
+      Server.availability() == server_availability::Leaving)
+    return;
+  // It is not known since when, so the drain timeout counts as over.
+  Server.onLeave(Published->Incarnation,
+                 Deps.Clock.now() - Deps.Settings.DrainTimeout);
+}
+
 void ownership_manager::onClusterChange() {
+  recallLeaving();
   releaseRanges();
   makeDueCalls();
   Coordinator.onClusterChange();
--- a/src/dragonflyvane/node/ownership_manager.hpp
+++ b/src/dragonflyvane/node/ownership_manager.hpp
@@ -84,6 +84,9 @@
   grant_context grantContextOf(const std::string &Service) const;
   void onClusterChange();
   void publishHostInfo();
+  /// Takes up from the host's row that the server is leaving, which an earlier
+  /// run of the daemon learned.
+  void recallLeaving();
   /// Logs a notable change of the condition.
   void logCondition(const server_condition &Condition);
   void releaseRanges();
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -234,3 +234,22 @@
     CHECK(Simulation.report().NonIncreasingTokens == 0);
   }
 }
+
+// Guards against a server that has announced once that it leaves, and is used
+// again after a restart of its daemon.
+TEST_CASE("a server that leaves is not ready again after a restart of its "
+          "daemon") {
+  ownership_simulation Simulation(1, 3);
+  Simulation.runFor(StartupTime);
+  Simulation.ownership(1).onLeave(Simulation.server(1).incarnation());
+  Simulation.runFor(std::chrono::seconds(2));
+  Simulation.killDaemon(1);
+  Simulation.startDaemon(1);
+  for (int I = 0; I < 10; ++I) {
+    Simulation.runFor(std::chrono::milliseconds(500));
+    CHECK(Simulation.observedAvailability(1) == server_availability::Leaving);
+  }
+  CHECK(Simulation.ownership(1).server().availability() ==
+        server_availability::Leaving);
+  CHECK(!Simulation.ownership(1).server().acceptsRequests(Simulation.now()));
+}
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -85,11 +85,15 @@
   /// Watches of the host deliver nothing; its other calls work.
   void stallWatches(int Host, bool Value);
 
+  /// Returns the running daemon's ownership of keys on a host.
+  ownership_manager &ownership(int Host) { return *Hosts[Host].Ownership; }
   /// Returns the backend server of a host.
   fake_server &server(int Host) { return *Hosts[Host].Server; }
   /// Ends the daemons of all hosts at once and starts them again; backend
   /// servers keep running.
   void restartAllDaemons();
+  /// Returns the time by the manual clock.
+  time_point now() const { return Loop.now(); }
   /// Returns the number of running daemons that hold their lease.
   int leaseCount() const;
   /// Returns the store that all hosts share.
