Log in which era the store responds

The logs could not show which return of the store a response belongs to. The adapter decodes the era; restorable_store, between the coalesced calls and the adapter, notices when it rises. Nothing decides by it yet.

--- a/src/dragonflyvane/core/store.hpp
+++ b/src/dragonflyvane/core/store.hpp
@@ -18,6 +18,10 @@
 /// exist.
 using row_version = uint64_t;
 
+/// The number of times that the store has come back from an older copy. What
+/// was written since that copy is lost then, and versions are given out again.
+using store_era = uint64_t;
+
 /// The kind of a row. Rows of the same kind are read and watched together.
 enum class row_kind {
   /// Written by operators: the configuration and evacuations.
@@ -49,6 +53,8 @@
   row_version Revision = 0;
   std::chrono::milliseconds StoreTime{0};
   std::vector<stored_row> Rows;
+  /// The era of the store in which it responded.
+  store_era Era = 0;
 };
 
 /// Requires that a row has this version; 0 requires that it does not exist.
@@ -92,6 +98,8 @@
   /// The time of the response in milliseconds by the store's own clock; zero if
   /// the store did not respond.
   std::chrono::milliseconds StoreTime{0};
+  /// The era of the store in which it responded; none if it did not respond.
+  std::optional<store_era> Era = std::nullopt;
   /// After a conflict: the current rows that the conditions refer to.
   std::vector<stored_row> Current;
   /// The reason if the store did not respond.
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -10,6 +10,7 @@
 #include "dragonflyvane/node/peer_messages.hpp"
 #include "dragonflyvane/node/relayed_store.hpp"
 #include "dragonflyvane/node/request_router.hpp"
+#include "dragonflyvane/node/restorable_store.hpp"
 
 #include <cmath>
 
@@ -47,7 +48,8 @@
         OperatorState(this->Platform.OperatorRows,
                       this->Platform.DecodeOperatorRow),
         Peers(Loop, MaxPeerBodyBytes), Pacer(Loop, Clock, Settings.LinkRate),
-        CoalescingStore(this->Platform.Store, Loop, Clock),
+        RestorableStore(this->Platform.Store),
+        CoalescingStore(RestorableStore, Loop, Clock),
         Store({Settings.Host, Settings.FailureDomain, CoalescingStore,
                [this](const endpoint &Peer, http_request Request,
                       std::chrono::milliseconds Timeout,
@@ -288,6 +290,7 @@
   operator_state OperatorState;
   peer_client Peers;
   bulk_pacer Pacer;
+  restorable_store RestorableStore;
   coalescing_store CoalescingStore;
   relayed_store Store;
   ownership_manager Ownership;
