--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -65,12 +65,14 @@
 
 namespace {
 
-void checkRandomFaults(grant_way GrantWay) {
+void checkRandomFaults(grant_way GrantWay, simulation_defects Faults = {}) {
   uint64_t First = environmentNumber("DRAGONFLYVANE_FIRST_SEED", 1);
   uint64_t Count = environmentNumber("DRAGONFLYVANE_SEEDS", 20);
   for (uint64_t Seed = First; Seed < First + Count; ++Seed) {
     CAPTURE(Seed);
-    simulation_report Report = runSimulation(Seed, {}, GrantWay);
+    simulation_report Report = runSimulation(Seed, Faults, GrantWay);
+    CHECK(Report.ConfigRegressions == 0);
+    CHECK(Report.OutdatedConfigs == 0);
     CHECK(Report.DualOwners == 0);
     CHECK(Report.NonIncreasingTokens == 0);
     CHECK(Report.StaleGrants == 0);
@@ -93,6 +95,55 @@
   checkRandomFaults(grant_way::Call);
 }
 
+namespace {
+
+simulation_defects storeReturns() {
+  simulation_defects Faults;
+  Faults.StoreReturns = true;
+  return Faults;
+}
+
+} // namespace
+
+// Guards against state that is ordered, conditioned or cached by versions that
+// go back with the store: tokens, leases, maps and configurations.
+TEST_CASE("returns of the store from older copies, among random faults, never "
+          "cause two owners, and all keys get owners again" *
+          doctest::should_fail()) {
+  checkRandomFaults(grant_way::Heartbeat, storeReturns());
+}
+
+TEST_CASE("returns of the store from older copies, among random faults of "
+          "calls, never cause two owners" *
+          doctest::should_fail()) {
+  checkRandomFaults(grant_way::Call, storeReturns());
+}
+
+// Guards against a fleet that serves nothing after the store has come back from
+// an older copy (incident CONFIG), without any other fault.
+TEST_CASE("leases hold through a return of the store from an older copy, and a "
+          "later change is in force soon" *
+          doctest::should_fail()) {
+  ownership_simulation Simulation(1, 5);
+  Simulation.runFor(StartupTime);
+  for (int I = 0; I < 3; ++I) {
+    Simulation.changeConfiguration();
+    Simulation.runFor(std::chrono::seconds(3));
+    Simulation.restoreStore();
+    Simulation.runFor(std::chrono::seconds(2));
+    CHECK(Simulation.leaseCount() == 5);
+    CHECK(Simulation.ownedFraction() == 1.0);
+    Simulation.changeConfiguration();
+    Simulation.runFor(std::chrono::seconds(2));
+    CHECK(Simulation.report().OutdatedConfigs == 0);
+    CHECK(Simulation.report().ConfigRegressions == 0);
+  }
+  Simulation.runFor(RecoveryTime);
+  CHECK(Simulation.ownedFraction() == 1.0);
+  CHECK(Simulation.report().DualOwners == 0);
+  CHECK(Simulation.report().NonIncreasingTokens == 0);
+}
+
 TEST_CASE("the checks detect each defect") {
   constexpr uint64_t MaxSeed = 300;
   simulation_defects IgnoredMapConditions;
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -32,7 +32,7 @@
 }
 
 row_batch fake_store::snapshot(row_kind Kind) const {
-  row_batch Batch{Revision, storeTime(), {}};
+  row_batch Batch{Revision, storeTime(), {}, Era};
   for (const auto &[Id, Row] : Rows)
     if (Id.Kind == Kind && Row.Value)
       Batch.Rows.push_back(Row);
@@ -40,9 +40,48 @@
 }
 
 void fake_store::write(const row_id &Id, std::optional<std::string> Value) {
+  auto Known = Rows.find(Id);
+  std::optional<stored_row> Before;
+  if (Known != Rows.end())
+    Before = Known->second;
+  UndoLog.push_back({Loop.now(), Id, Before, Revision - 1});
   Rows[Id] = {Id, Revision, std::move(Value)};
 }
 
+void fake_store::restore(duration Age, duration RewriteDelay) {
+  std::map<row_id, stored_row> Before = Rows;
+  while (!UndoLog.empty() && UndoLog.back().At > Loop.now() - Age) {
+    undo_entry Entry = UndoLog.back();
+    UndoLog.pop_back();
+    Rows.erase(Entry.Id);
+    if (Entry.Row)
+      Rows[Entry.Id] = *Entry.Row;
+    Revision = Entry.Revision;
+  }
+  ++Era;
+  CompactedRevision = std::min(CompactedRevision, Revision);
+  for (watch &Watch : std::exchange(Watches, {}))
+    Watch.Callback({});
+  Loop.postDelayed(RewriteDelay, [this, Before, Copied = Revision] {
+    rewriteOperatorRows(Before, Copied);
+  });
+}
+
+void fake_store::rewriteOperatorRows(const std::map<row_id, stored_row> &Before,
+                                     row_version Copied) {
+  for (const auto &[Id, Row] : Before) {
+    auto Found = Rows.find(Id);
+    bool IsWrittenSince = Found != Rows.end() && Found->second.Version > Copied;
+    bool IsLost = Found == Rows.end() || Found->second.Value != Row.Value;
+    if (Id.Kind != row_kind::Operator || IsWrittenSince || !IsLost)
+      continue;
+    if (Row.Value)
+      put(Id, *Row.Value);
+    else
+      erase(Id);
+  }
+}
+
 void fake_store::put(const row_id &Id, std::string Value) {
   ++Revision;
   write(Id, std::move(Value));
@@ -69,6 +108,7 @@
 transaction_result fake_store::apply(const store_transaction &Transaction) {
   transaction_result Result;
   Result.StoreTime = storeTime();
+  Result.Era = Era;
   bool Holds = true;
   for (const row_condition &Condition : Transaction.Conditions) {
     auto Found = Rows.find(Condition.Id);
@@ -96,7 +136,7 @@
   std::vector<watch> Pending = std::move(Watches);
   Watches.clear();
   for (watch &Watch : Pending) {
-    row_batch Batch{Revision, storeTime(), {}};
+    row_batch Batch{Revision, storeTime(), {}, Era};
     for (const auto &[Id, Row] : Rows)
       if (Id.Kind == Watch.Kind && Row.Version > Watch.After)
         Batch.Rows.push_back(Row);
@@ -177,8 +217,9 @@
   };
   if (!canReachStore())
     return Respond({});
-  if (After < Store.CompactedRevision)
-    return Respond({read_outcome::HistoryCompacted, {}, ""});
+  if (After < Store.CompactedRevision || After > Store.Revision)
+    return Respond(
+        {read_outcome::HistoryCompacted, {0, {}, {}, Store.Era}, ""});
   Store.Watches.push_back({Kind, After, Store.Loop.now() + Wait, Respond});
   Store.Loop.postDelayed(Wait, [Shared = &Store] { Shared->notifyWatches(); });
   Store.notifyWatches();
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -57,6 +57,10 @@
   /// Compacts the history: new watches from older revisions end with
   /// `HistoryCompacted`.
   void compactHistory() { CompactedRevision = Revision; }
+  /// Comes back from a copy of this age: all later writes are lost, versions go
+  /// back, watches break, and the era rises. The operators write their rows
+  /// again after `RewriteDelay`.
+  void restore(duration Age, duration RewriteDelay);
   const std::map<row_id, stored_row> &rows() const { return Rows; }
   /// Returns the number of reads, watches and transactions of all clients.
   int calls() const { return Calls; }
@@ -75,6 +79,18 @@
   duration delay();
   bool chance(double Probability);
 
+  /// A row before a write, and the revision before it.
+  struct undo_entry {
+    time_point At;
+    row_id Id;
+    std::optional<stored_row> Row;
+    row_version Revision = 0;
+  };
+  /// Writes the rows of operators as they were before a return, unless they
+  /// were written since; `Copied` is the revision of the copy.
+  void rewriteOperatorRows(const std::map<row_id, stored_row> &Before,
+                           row_version Copied);
+
   struct watch {
     row_kind Kind;
     row_version After = 0;
@@ -89,6 +105,8 @@
   std::vector<watch> Watches;
   row_version Revision = 10;
   row_version CompactedRevision = 0;
+  store_era Era = 0;
+  std::vector<undo_entry> UndoLog;
   bool Down = false;
   double LossProbability = 0;
   bool DelaysLostWrites = false;
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -26,7 +26,7 @@
     : Random(Seed), Defects(Defects), GrantWay(GrantWay),
       Store(Loop, Seed + 1, Defects.Store), Peers(Loop),
       Hosts(static_cast<size_t>(Count)) {
-  Store.put(ConfigRow, "first");
+  changeConfiguration();
   for (int I = 0; I < Count; ++I) {
     host &Host = Hosts[I];
     Host.Name = nameOf(I);
@@ -88,7 +88,7 @@
     return OperatorRow;
   }
   auto Config = std::make_shared<configuration>();
-  Config->Version = Row.Version;
+  Config->Version = std::stoull(Row.Value.value_or("0"));
   Config->Services["desk"].Keyed = true;
   Config->Services["desk"].GrantWay = GrantWay;
   OperatorRow.Configuration = Config;
@@ -105,8 +105,10 @@
   Host.OperatorState = std::make_unique<operator_state>(
       std::vector<row_id>{ConfigRow, EvacuationRow},
       [this](const stored_row &Row) { return decode(Row); });
-  Host.CoalescingStore =
-      std::make_unique<coalescing_store>(*Host.Client, Loop, Loop.clock());
+  Host.RestorableStore = std::make_unique<restorable_store>(*Host.Client);
+  Host.ConfigVersion = 0;
+  Host.CoalescingStore = std::make_unique<coalescing_store>(
+      *Host.RestorableStore, Loop, Loop.clock());
   Host.Store = std::make_unique<relayed_store>(storeDependencies(Host));
   Host.Ownership =
       std::make_unique<ownership_manager>(ownership_manager::dependencies{
@@ -194,6 +196,7 @@
   Hosts[I].Store.reset();
   Hosts[I].CoalescingStore.reset();
   Hosts[I].OperatorState.reset();
+  Hosts[I].RestorableStore.reset();
   Hosts[I].Client.reset();
 }
 
@@ -322,11 +325,45 @@
     Report.Owned += Owners > 0;
     Report.DualOwners += Owners > 1;
   }
+  checkConfigurations();
   Report.StaleGrants = 0;
   for (const host &Host : Hosts)
     Report.StaleGrants += Host.Server->staleGrants();
 }
 
+void ownership_simulation::changeConfiguration() {
+  Store.put(ConfigRow, std::to_string(++NewestConfig));
+}
+
+void ownership_simulation::checkConfigurations() {
+  for (host &Host : Hosts) {
+    auto Config = Host.OperatorState ? Host.OperatorState->config() : nullptr;
+    if (!Config)
+      continue;
+    Report.ConfigRegressions += Config->Version < Host.ConfigVersion;
+    Host.ConfigVersion = std::max(Host.ConfigVersion, Config->Version);
+  }
+}
+
+const simulation_report &ownership_simulation::report() {
+  Report.OutdatedConfigs = 0;
+  for (const host &Host : Hosts) {
+    auto Config = Host.OperatorState ? Host.OperatorState->config() : nullptr;
+    Report.OutdatedConfigs +=
+        Host.OperatorState && (!Config || Config->Version != NewestConfig);
+  }
+  return Report;
+}
+
+void ownership_simulation::restoreStore() {
+  bool WasDown = Store.isDown();
+  Store.setDown(true);
+  runFor(std::chrono::milliseconds(Random() % 2500));
+  Store.restore(std::chrono::milliseconds(Random() % 12000),
+                std::chrono::milliseconds(Random() % 600));
+  Store.setDown(WasDown);
+}
+
 double ownership_simulation::ownedFraction() {
   int Owned = 0;
   for (key_point Point : CheckedPoints)
@@ -353,6 +390,8 @@
 void ownership_simulation::injectRandomFault() {
   int I = static_cast<int>(Random() % Hosts.size());
   host &Host = Hosts[I];
+  if (Defects.StoreReturns && Random() % 6 == 0)
+    return restoreStore();
   switch (Random() % 17) {
   case 0:
     return killDaemon(I);
@@ -396,7 +435,7 @@
   case 14:
     return freeze(I, !Host.Frozen);
   default:
-    return Store.put(ConfigRow, "next");
+    return changeConfiguration();
   }
 }
 
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/node/coalescing_store.hpp"
 #include "dragonflyvane/node/ownership_manager.hpp"
 #include "dragonflyvane/node/relayed_store.hpp"
+#include "dragonflyvane/node/restorable_store.hpp"
 #include "fake_peers.hpp"
 #include "fake_server.hpp"
 #include "fake_store.hpp"
@@ -18,7 +19,8 @@
 
 namespace dragonflyvane {
 
-/// Rules that a simulation breaks on purpose, to test its checks.
+/// Rules that a simulation breaks on purpose, to test its checks, and further
+/// faults.
 struct simulation_defects {
   fake_store::defect Store = fake_store::defect::None;
   /// Speed of the backend servers' clocks; 0.98 is the slowest that the
@@ -28,6 +30,8 @@
   bool EarlyRelease = false;
   /// Daemons do not exchange the newest cluster versions that they have seen.
   bool NoVersionExchange = false;
+  /// The store also comes back from older copies.
+  bool StoreReturns = false;
 };
 
 /// Counts of violated rules and of checks.
@@ -39,6 +43,10 @@
   int NonIncreasingTokens = 0;
   /// Grants with a lower fencing token than the backend server had seen.
   int StaleGrants = 0;
+  /// Daemons that put a configuration in force after a newer one.
+  int ConfigRegressions = 0;
+  /// Running daemons without the newest configuration at the end.
+  int OutdatedConfigs = 0;
   /// Number of checks, each of one point.
   int Checked = 0;
   /// Number of checks that found an owner.
@@ -57,18 +65,23 @@
 
   /// Advances the clock and checks the rules at every step.
   void runFor(duration Span);
+  /// Lets the store go down for a moment and come back from an older copy.
+  void restoreStore();
   /// Starts or ends one random fault. May advance the clock.
   void injectRandomFault();
   /// Ends all faults, starts killed daemons and restarts all backend servers.
   void healAllFaults();
   /// Returns the counts since the start.
-  const simulation_report &report() const { return Report; }
+  const simulation_report &report();
   /// Returns the fraction of checked points with an owner now.
   double ownedFraction();
   /// Advances the clock and returns the fraction of checked points that had an
   /// owner at some step.
   double ownedFractionWithin(duration Span);
 
+  /// Writes the next configuration.
+  void changeConfiguration();
+
   // Individual faults; a `Value` of true starts the fault, false ends it.
 
   /// Ends a daemon without a graceful shutdown; its backend server keeps
@@ -112,6 +125,7 @@
 
   void restartServer(int Host);
   void check();
+  void checkConfigurations();
   /// Replaces a request for the key point that each daemon sends to its backend
   /// server if it believes that the server holds the point.
   void sendRequests(key_point Point);
@@ -131,10 +145,13 @@
     settings Settings;
     /// These are null while the daemon is not running.
     std::unique_ptr<fake_store_client> Client;
+    std::unique_ptr<restorable_store> RestorableStore;
     std::unique_ptr<coalescing_store> CoalescingStore;
     std::unique_ptr<relayed_store> Store;
     std::unique_ptr<operator_state> OperatorState;
     std::unique_ptr<ownership_manager> Ownership;
+    /// The newest configuration that this run of the daemon had in force.
+    uint64_t ConfigVersion = 0;
     /// Callbacks of the daemon's open calls to its backend server.
     std::vector<std::shared_ptr<fake_server::result_callback>> OpenCalls;
     /// The backend server, which outlives daemons.
@@ -156,6 +173,7 @@
   fake_peers Peers;
   std::vector<host> Hosts;
   simulation_report Report;
+  uint64_t NewestConfig = 0;
   /// Highest fencing token of each checked point, and the incarnation that had
   /// it.
   std::map<key_point, std::pair<uint64_t, server_incarnation>> HighestTokens;
