Versions rise over returns of the store, and an era row guards every write

What callers saw: after the store came back from an older copy no change was in force and every request was refused; with hosts restarted around it, fencing tokens fell. Cause: versions were taken to rise for ever. Rows of the copy, and rows written again, had lower versions than known and were ignored; conditions named versions that the store no longer had, or that it had given out again for other values. Weighed for the order of tokens: (a) the era as the high part of each version; costs nothing, also when every host is new, since each response names the era; (b) a floor learned from servers and hosts: costs a round of calls after each start, and is unknown when every host and server is new; (c) a reserve far ahead, noted in the store: is lost with the copy if it was noted after it. A high part alone does not keep a host that has not heard of the return from writing: the store compares its own versions only. So each transaction has a condition on the era row, which the first writer of an era rewrites; in the first era there is none. What remains: a write between the return and that first rewrite, whose conditions hold by chance. Watches from an earlier era end, as after a compaction; responses of an earlier era are not believed.

--- a/src/dragonflyvane/core/cluster/transaction_batch.cpp
+++ b/src/dragonflyvane/core/cluster/transaction_batch.cpp
@@ -6,9 +6,9 @@
 
 namespace {
 
-/// The largest number of conditions and writes, taken together, that the store
-/// accepts in a transaction.
-constexpr size_t MaxEntries = 100;
+/// The largest number of conditions and writes, taken together, in a
+/// transaction. The store accepts 100; the condition on the era row is added.
+constexpr size_t MaxEntries = 99;
 
 /// Returns the current rows that the conditions of a transaction refer to.
 std::vector<stored_row> conditionRows(const store_transaction &Transaction,
--- a/src/dragonflyvane/core/store.hpp
+++ b/src/dragonflyvane/core/store.hpp
@@ -22,6 +22,23 @@
 /// was written since that copy is lost then, and versions are given out again.
 using store_era = uint64_t;
 
+/// The low bits of a version, which the store gives out; the era is above them.
+/// So versions, and the fencing tokens that are made from them, rise over all
+/// eras, and stay exact as JSON numbers for some thousand eras.
+inline constexpr int VersionBits = 40;
+/// Returns the version that rises over all eras.
+constexpr row_version versionIn(store_era Era, row_version Version) {
+  return Era << VersionBits | Version;
+}
+/// Returns the era of a version.
+constexpr store_era eraOf(row_version Version) {
+  return Version >> VersionBits;
+}
+/// Returns the version as the store gave it out.
+constexpr row_version versionInEra(row_version Version) {
+  return Version & (versionIn(1, 0) - 1);
+}
+
 /// The kind of a row. Rows of the same kind are read and watched together.
 enum class row_kind {
   /// Written by operators: the configuration and evacuations.
--- a/src/dragonflyvane/node/coalescing_store.hpp
+++ b/src/dragonflyvane/node/coalescing_store.hpp
@@ -34,6 +34,9 @@
   /// fail too, since the connection to the store is probably broken.
   void transact(const store_transaction &Transaction,
                 transaction_callback Callback) override;
+  /// Called when the store has come back from an older copy: watches that wait
+  /// for changes of the earlier era fail.
+  void onReturn() { failWatches("store came back from an older copy"); }
 
 private:
   struct coalesced_read {
--- a/tests/fake_server.hpp
+++ b/tests/fake_server.hpp
@@ -65,6 +65,9 @@
   /// Returns the fencing token under which the server runs requests for a key
   /// point now, or nothing if it runs none.
   std::optional<uint64_t> tokenOf(key_point Point) const;
+  /// Whether the server only finishes requests for the key point, and begins no
+  /// new ones.
+  bool isReleasing(key_point Point) const;
   const server_incarnation &incarnation() const { return Incarnation; }
   /// The number of granted ranges that overlapped a hold with a higher token.
   int staleGrants() const { return StaleGrants; }
@@ -78,6 +81,7 @@
     std::optional<time_point> ReleasedAt;
   };
 
+  bool isInForce(const hold &Hold, key_point Point) const;
   void sendHeartbeat();
   void applyGrant(const grant &Grant, time_point SentAt);
   void removeEndedHolds();
