A configuration never goes back, and is confirmed only if the store has it

What callers saw: requests handled by an older configuration after the store came back. Cause: the version of the row decided, and an older copy of it counts as newer in the new era; and a renewal confirmed whatever configuration the store had. Change: the configuration's own version decides; the state is confirmed only while the store has that configuration or a later one. Tests: the last two of operator_state_test, which fail without the change.

--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/core/configuration/operator_state.hpp"
 
 #include <algorithm>
+#include <utility>
 
 namespace dragonflyvane {
 
@@ -14,24 +15,48 @@
     return false;
   KnownVersion = IsDeleted ? 0 : Row.Version;
   if (IsDeleted) {
-    auto Domain = DomainOfRow.find(Row.Id);
-    if (Domain == DomainOfRow.end())
-      return false;
-    Evacuated.erase(Domain->second);
-    return true;
+    if (Row.Id == ConfigRow)
+      StoredConfigVersion = 0;
+    DomainOfRow.erase(Row.Id);
+    return updateEvacuated();
   }
   std::optional<operator_row> OperatorRow = Decode(Row);
   if (!OperatorRow)
     return false;
-  if (OperatorRow->Configuration)
-    Config = OperatorRow->Configuration;
-  if (!OperatorRow->EvacuatedFailureDomain.empty()) {
-    DomainOfRow[Row.Id] = OperatorRow->EvacuatedFailureDomain;
-    Evacuated.insert(OperatorRow->EvacuatedFailureDomain);
+  bool Changed = false;
+  if (OperatorRow->Configuration) {
+    ConfigRow = Row.Id;
+    Changed = applyConfiguration(OperatorRow->Configuration);
   }
+  if (OperatorRow->EvacuatedFailureDomain.empty())
+    return Changed;
+  DomainOfRow[Row.Id] = OperatorRow->EvacuatedFailureDomain;
+  return updateEvacuated() || Changed;
+}
+
+bool operator_state::applyConfiguration(
+    const std::shared_ptr<const configuration> &Latest) {
+  StoredConfigVersion = Latest->Version;
+  if (Config && Latest->Version < Config->Version)
+    return false;
+  Config = Latest;
   return true;
 }
 
+bool operator_state::updateEvacuated() {
+  if (IsSettling)
+    return false;
+  std::set<std::string> Wanted;
+  for (const auto &[Row, Domain] : DomainOfRow)
+    Wanted.insert(Domain);
+  return std::exchange(Evacuated, Wanted) != Wanted;
+}
+
+bool operator_state::setSettling(bool Value) {
+  IsSettling = Value;
+  return updateEvacuated();
+}
+
 bool operator_state::applyAll(const row_batch &Batch) {
   bool Changed = false;
   for (const row_id &Id : Rows) {
@@ -47,6 +72,8 @@
 }
 
 void operator_state::confirm(time_point SentAt) {
+  if (Config && StoredConfigVersion < Config->Version)
+    return;
   ConfirmedAt = std::max(ConfirmedAt, SentAt);
 }
 
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -32,7 +32,9 @@
     std::function<std::optional<operator_row>(const stored_row &)>;
 
 /// The operator rows that are in force at this daemon. The value of a row is
-/// replaced only by a newer version; a deletion applies whatever its version.
+/// replaced only by a newer version; a deletion applies whatever its version. A
+/// configuration is also never replaced by an earlier one, which the store
+/// shows after it has come back from an older copy.
 class operator_state {
 public:
   /// `Rows` are the operator rows whose versions the store has to confirm.
@@ -46,8 +48,13 @@
   /// Returns whether the state changed.
   bool applyAll(const row_batch &Batch);
   /// Records that the store confirmed the known versions in response to a
-  /// request that was sent at `SentAt`.
+  /// request that was sent at `SentAt`. Has no effect while the store has an
+  /// earlier configuration than the one in force.
   void confirm(time_point SentAt);
+  /// Sets whether operators may not have written their rows again since the
+  /// store came back from an older copy. Evacuations then stay as they are.
+  /// Returns whether the state changed.
+  bool setSettling(bool Value);
 
   /// Returns a condition for each row, which holds only while the known version
   /// of the row is current.
@@ -66,9 +73,21 @@
 private:
   std::vector<row_id> Rows;
   operator_row_decoder Decode;
+  /// Brings the evacuations in force in line with the rows, unless settling.
+  /// Returns whether they changed.
+  bool updateEvacuated();
+  /// Returns whether the configuration in force changed.
+  bool applyConfiguration(const std::shared_ptr<const configuration> &Latest);
+
   std::map<row_id, row_version> Versions;
+  /// The failure domain of each row that evacuates one.
   std::map<row_id, std::string> DomainOfRow;
+  bool IsSettling = false;
   std::shared_ptr<const configuration> Config;
+  /// The row that holds the configuration, once known.
+  std::optional<row_id> ConfigRow;
+  /// The version of the configuration that the store has; 0 if it has none.
+  uint64_t StoredConfigVersion = 0;
   std::set<std::string> Evacuated;
   time_point ConfirmedAt{};
 };
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -56,3 +56,45 @@
   State.confirm(Clock.now() - std::chrono::seconds(4));
   CHECK(State.confirmationAge(Clock.now()) == std::chrono::seconds(3));
 }
+
+// Guards against a configuration that goes back because the store has come back
+// from an older copy, and against its confirmation.
+TEST_CASE("an earlier configuration from an older copy is neither put in force "
+          "nor confirmed") {
+  operator_state State({Config, East}, [](const stored_row &Row) {
+    operator_row OperatorRow;
+    auto Document = std::make_shared<configuration>();
+    Document->Version = std::stoull(Row.Value.value_or("0"));
+    OperatorRow.Configuration = Document;
+    return std::optional(OperatorRow);
+  });
+  manual_clock Clock;
+  State.apply({Config, 50, "12"});
+  State.confirm(Clock.now());
+  CHECK(!State.apply({Config, versionIn(1, 40), "11"}));
+  CHECK(State.config()->Version == 12);
+  CHECK(State.conditions()[0].Version == versionIn(1, 40));
+  Clock.advance(std::chrono::seconds(1));
+  State.confirm(Clock.now());
+  CHECK(State.confirmationAge(Clock.now()) == std::chrono::seconds(1));
+  CHECK(State.apply({Config, versionIn(1, 44), "12"}));
+  State.confirm(Clock.now());
+  CHECK(State.confirmationAge(Clock.now()) == duration{0});
+}
+
+// Guards against evacuations that end and begin again while operators write
+// their rows again.
+TEST_CASE("evacuations stay as they are until operators have written again") {
+  operator_state State({Config, East}, &decode);
+  State.apply({East, 7, "{}"});
+  CHECK(!State.setSettling(true));
+  CHECK(!State.applyAll({versionIn(1, 3), {}, {}}));
+  CHECK(State.isEvacuated("east"));
+  State.apply({East, versionIn(1, 5), "{}"});
+  CHECK(!State.setSettling(false));
+  CHECK(State.isEvacuated("east"));
+  State.setSettling(true);
+  State.apply({East, versionIn(1, 6), std::nullopt});
+  CHECK(State.setSettling(false));
+  CHECK(!State.isEvacuated("east"));
+}
