Maps are reconciled after a return of the store

What callers saw: two servers with the same keys after the store came back from an older copy (OWNER), and leases of live hosts lost. Cause: a map of the copy names owners that have given their ranges away; lease rows of the copy look expired, so that every host was taken over at once. Change: a map carries the era in which it was written, so that its lineage orders maps over eras: hosts keep the newest map that they know, write it again, and the newest lineage wins. Until the coordinator settles the map, 5.3 s after it saw the return, when every grant that a lost row may have allowed has ended, nobody changes it, and only hosts that have held their leases throughout go on granting; a host whose lease ended meanwhile, or that starts afresh, waits. No lease counts as expired for that time. Weighed: to start ownership afresh in each era (keys without owner for 5 s), claims of all hosts collected by the coordinator (a message for each host; the newest map says the same).

--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -31,6 +31,12 @@
 
 } // namespace
 
+row_version lineageOf(const ownership_map &Map, row_version RowVersion) {
+  if (Map.RestoredFrom > 0)
+    return Map.RestoredFrom;
+  return versionIn(Map.Era, versionInEra(RowVersion));
+}
+
 row_id hostRow(const std::string &Host) {
   return {row_kind::Cluster, HostPrefix + Host};
 }
@@ -48,13 +54,29 @@
   if (startsWith(Key, HostPrefix))
     return applyRow(Hosts, Key.substr(HostPrefix.size()), Row, &decodeHost);
   if (startsWith(Key, MapPrefix))
-    return applyRow(Maps, Key.substr(MapPrefix.size()), Row, &decodeMap);
+    return applyMap(Key.substr(MapPrefix.size()), Row);
   if (Key != CoordinatorKey || Row.Version <= CoordinatorHost.Version)
     return false;
   CoordinatorHost = {Row.Value.value_or(""), Row.Value ? Row.Version : 0};
   return true;
 }
 
+bool cluster_view::applyMap(const std::string &Service, const stored_row &Row) {
+  auto Known = Maps.find(Service);
+  if (!Row.Value ||
+      (Known != Maps.end() && Row.Version <= Known->second.Version))
+    return false;
+  ownership_map Map = decodeMap(*Row.Value);
+  known_map &Entry = Maps[Service];
+  Entry.Version = Row.Version;
+  Entry.StoredLineage = lineageOf(Map, Row.Version);
+  if (Entry.isStoreBehind())
+    return true;
+  Entry.Lineage = Entry.StoredLineage;
+  Entry.Content = std::move(Map);
+  return true;
+}
+
 void cluster_view::removeMissing(const row_batch &Batch) {
   auto Exists = [&](const row_id &Id) {
     return std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
@@ -62,13 +84,17 @@
   };
   std::erase_if(Hosts,
                 [&](const auto &H) { return !Exists(hostRow(H.first)); });
-  std::erase_if(Maps, [&](const auto &M) { return !Exists(mapRow(M.first)); });
+  for (auto &[Service, Map] : Maps) {
+    if (Exists(mapRow(Service)))
+      continue;
+    Map.Version = 0;
+    Map.StoredLineage = 0;
+  }
   if (!Exists(coordinatorRow()))
     CoordinatorHost = {};
 }
 
-const versioned<ownership_map> *
-cluster_view::map(const std::string &Service) const {
+const known_map *cluster_view::map(const std::string &Service) const {
   auto Found = Maps.find(Service);
   return Found == Maps.end() ? nullptr : &Found->second;
 }
--- a/src/dragonflyvane/core/cluster/cluster_view.hpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.hpp
@@ -17,6 +17,31 @@
   row_version Version = 0;
 };
 
+/// The newest ownership map that is known, and the map that the store has. They
+/// differ after the store has come back from an older copy.
+struct known_map {
+  ownership_map Content;
+  /// The version of the row in the store, for conditions; 0 if there is no row.
+  row_version Version = 0;
+  /// The version under which `Content` was first written. It orders maps over
+  /// all eras: copying a map does not change its lineage.
+  row_version Lineage = 0;
+  /// The lineage of the map that the store has.
+  row_version StoredLineage = 0;
+
+  /// Whether the store has an older map.
+  bool isStoreBehind() const { return StoredLineage < Lineage; }
+  /// Whether the store has this map, written or confirmed in the era of the
+  /// row. Only such a map may be changed.
+  bool isSettled() const {
+    return !isStoreBehind() && Content.RestoredFrom == 0 &&
+           Content.Era == eraOf(Version);
+  }
+};
+
+/// Returns the lineage of a map that was read from a row of this version.
+row_version lineageOf(const ownership_map &Map, row_version RowVersion);
+
 /// Returns the row of a host.
 row_id hostRow(const std::string &Host);
 /// Returns the row of the ownership map of a service.
@@ -27,7 +52,8 @@
 row_id leaseRow(const std::string &Holder);
 
 /// Hosts, ownership maps and the coordinator. An existing row is replaced only
-/// by a newer version of it; the versions of deleted rows are not kept.
+/// by a newer version of it; the versions of deleted rows are not kept. A map
+/// is replaced only by one of the same or a newer lineage.
 class cluster_view {
 public:
   /// Applies a row that was read or watched. Returns whether the view changed.
@@ -35,16 +61,16 @@
   /// the older row.
   bool apply(const stored_row &Row);
   /// Removes the rows that are missing from a batch of all cluster rows.
+  /// Keeps maps that are missing because the store came back from an older
+  /// copy.
   void removeMissing(const row_batch &Batch);
 
   const std::map<std::string, versioned<host_info>> &hosts() const {
     return Hosts;
   }
-  const std::map<std::string, versioned<ownership_map>> &maps() const {
-    return Maps;
-  }
+  const std::map<std::string, known_map> &maps() const { return Maps; }
   /// Returns the ownership map of a service, or null.
-  const versioned<ownership_map> *map(const std::string &Service) const;
+  const known_map *map(const std::string &Service) const;
   /// Returns a host, or null.
   const host_info *host(const std::string &Name) const;
   /// Returns the name of the coordinator, which is empty if there is none, and
@@ -54,8 +80,10 @@
   }
 
 private:
+  bool applyMap(const std::string &Service, const stored_row &Row);
+
   std::map<std::string, versioned<host_info>> Hosts;
-  std::map<std::string, versioned<ownership_map>> Maps;
+  std::map<std::string, known_map> Maps;
   versioned<std::string> CoordinatorHost;
 };
 
--- /dev/null
+++ b/src/dragonflyvane/core/cluster/cluster_view_test.cpp
@@ -0,0 +1,58 @@
+#include "dragonflyvane/core/cluster/cluster_view.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+stored_row mapRowWith(const std::string &Owner, row_version Version,
+                      store_era Era = 0, row_version RestoredFrom = 0) {
+  ownership_map Map;
+  Map.Ranges.front().Owner = Owner;
+  Map.Era = Era;
+  Map.RestoredFrom = RestoredFrom;
+  return {mapRow("desk"), Version, encodeMap(Map)};
+}
+
+std::string ownerIn(const cluster_view &View) {
+  return View.map("desk")->Content.find(0).Owner;
+}
+
+} // namespace
+
+// Guards against an older map that is believed because the store has come back
+// from a copy.
+TEST_CASE("a map from an older copy does not replace a newer one") {
+  cluster_view View;
+  View.apply(mapRowWith("b", 89));
+  CHECK(View.map("desk")->isSettled());
+  View.apply(mapRowWith("a", versionIn(1, 63)));
+  CHECK(ownerIn(View) == "b");
+  CHECK(View.map("desk")->isStoreBehind());
+  CHECK(!View.map("desk")->isSettled());
+  CHECK(View.map("desk")->Version == versionIn(1, 63));
+}
+
+TEST_CASE("among maps that are written again the newest lineage counts") {
+  cluster_view View;
+  View.apply(mapRowWith("a", 63));
+  View.apply(mapRowWith("b", versionIn(1, 70), 1, 89));
+  CHECK(ownerIn(View) == "b");
+  CHECK(!View.map("desk")->isSettled());
+  View.apply(mapRowWith("c", versionIn(1, 71), 1, 80));
+  CHECK(ownerIn(View) == "b");
+  CHECK(View.map("desk")->isStoreBehind());
+  View.apply(mapRowWith("d", versionIn(1, 72), 1));
+  CHECK(ownerIn(View) == "d");
+  CHECK(View.map("desk")->isSettled());
+}
+
+TEST_CASE("a map that the copy does not have is kept, and not settled") {
+  cluster_view View;
+  View.apply(mapRowWith("a", 63));
+  View.removeMissing({versionIn(1, 20), {}, {}});
+  CHECK(ownerIn(View) == "a");
+  CHECK(View.map("desk")->isStoreBehind());
+  CHECK(View.map("desk")->Version == 0);
+}
--- a/src/dragonflyvane/core/ownership/host_lease.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease.cpp
@@ -36,6 +36,10 @@
               : Batch.StoreTime - StoreTime > MaxObservationGap;
   if (StoreWasUnavailable)
     GraceUntil = Batch.StoreTime + StoreRecoveryGrace;
+  // The rows of a copy show renewals that were sent before it was made.
+  if (!IsFirst && eraOf(Batch.Revision) != Era)
+    GraceUntil = Batch.StoreTime + LeaseDuration + LeaseClockMargin;
+  Era = eraOf(Batch.Revision);
   StoreTime = Batch.StoreTime;
   std::map<std::string, tracked_lease> Current;
   for (const stored_row &Row : Batch.Rows) {
--- a/src/dragonflyvane/core/ownership/host_lease.hpp
+++ b/src/dragonflyvane/core/ownership/host_lease.hpp
@@ -102,6 +102,8 @@
   std::map<std::string, tracked_lease> TrackedLeases;
   /// The store's clock at the latest observation; zero before the first.
   std::chrono::milliseconds StoreTime{0};
+  /// The era of the store at the latest observation.
+  store_era Era = 0;
   /// No lease is treated as expired before this time of the store's clock.
   std::chrono::milliseconds GraceUntil{0};
 };
--- a/src/dragonflyvane/core/ownership/host_lease_test.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease_test.cpp
@@ -72,3 +72,19 @@
   Tracker.observe(leases(4, 42'000, Value), true);
   CHECK(Tracker.expired().contains("host1"));
 }
+
+// Guards against the takeover of all hosts when a copy shows renewals that were
+// sent before it was made.
+TEST_CASE("holders have time to renew after the store came back from a copy") {
+  lease_tracker Tracker;
+  std::string Old = encodeLease({"mine", 1, milliseconds(10'000)});
+  Tracker.observe(
+      leases(40, 18'000, encodeLease({"mine", 9, milliseconds(17'900)})), true);
+  Tracker.observe(leases(versionIn(1, 4), 20'000, Old), true);
+  CHECK(Tracker.expired().empty());
+  Tracker.observe(leases(versionIn(1, 4), 22'400, Old), true);
+  CHECK(Tracker.expired().empty());
+  Tracker.observe(leases(versionIn(1, 4), 24'700, Old), true);
+  Tracker.observe(leases(versionIn(1, 4), 25'300, Old), true);
+  CHECK(Tracker.expired().contains("host1"));
+}
--- a/src/dragonflyvane/core/ownership/ownership_map.cpp
+++ b/src/dragonflyvane/core/ownership/ownership_map.cpp
@@ -118,7 +118,12 @@
   json Ranges = json::array();
   for (const owned_range &Range : Map.Ranges)
     Ranges.push_back(encodeRange(Range, Owners));
-  return json{{"owners", Owners.entries()}, {"ranges", Ranges}}.dump();
+  json Document = {{"owners", Owners.entries()}, {"ranges", Ranges}};
+  if (Map.Era > 0)
+    Document["era"] = Map.Era;
+  if (Map.RestoredFrom > 0)
+    Document["restored_from"] = Map.RestoredFrom;
+  return Document.dump();
 }
 
 ownership_map decodeMap(const std::string &Text) {
@@ -132,6 +137,8 @@
         Map.Ranges.back().Last = Range.First - 1;
       Map.Ranges.push_back(std::move(Range));
     }
+    Map.Era = Document.value("era", uint64_t{0});
+    Map.RestoredFrom = Document.value("restored_from", uint64_t{0});
   } catch (const json::exception &Error) {
     throw step_error("ownership map", "", Error.what());
   }
--- a/src/dragonflyvane/core/ownership/ownership_map.hpp
+++ b/src/dragonflyvane/core/ownership/ownership_map.hpp
@@ -55,6 +55,11 @@
 struct ownership_map {
   /// Initially one unowned range over all key points.
   std::vector<owned_range> Ranges = {owned_range{}};
+  /// The era of the store in which the map was written.
+  uint64_t Era = 0;
+  /// The lineage of a map that a host has written again after the store came
+  /// back from an older copy, and that is not settled yet; else 0.
+  uint64_t RestoredFrom = 0;
 
   /// Returns the range that contains the key point.
   const owned_range &find(key_point Point) const;
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -172,7 +172,7 @@
     return Router.HostSelector.pick(
         Metadata.Service, Router.Costs.responseBytesOf(Metadata.Route),
         TriedHosts);
-  const versioned<ownership_map> *Map = Router.Deps.View.map(Metadata.Service);
+  const known_map *Map = Router.Deps.View.map(Metadata.Service);
   if (!Map)
     return std::nullopt;
   const std::string &Owner =
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -96,7 +96,7 @@
 }
 
 http_response admin::showOwners(const std::string &Service) const {
-  const versioned<ownership_map> *Map = Deps.Ownership.view().map(Service);
+  const known_map *Map = Deps.Ownership.view().map(Service);
   if (!Map)
     return jsonResponse(404, "{\"code\":\"no-such-service\"}\n");
   json Ranges = json::array();
--- a/src/dragonflyvane/node/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster_coordinator.cpp
@@ -204,6 +204,7 @@
   bool IsFirst = !Deps.Sync.view().map(Service);
   if (IsFirst && !isCandidateCountStable(Service, Candidates))
     return;
+  Deps.Sync.settleMap(Service);
   time_point Now = Deps.Clock.now();
   bool MayBalance = Now - LastBalance[Service] >= BalancePeriod;
   Deps.Sync.updateMap(
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -47,6 +47,15 @@
 constexpr int MaxConflictRetries = 5;
 /// Maximum delay of such a retry, for each conflict so far.
 constexpr std::chrono::milliseconds MaxConflictDelay{20};
+/// After a return of the store, operators write their rows again within this
+/// time.
+constexpr std::chrono::milliseconds SettlingTime{2000};
+/// Delay before a host writes a lost map again, for each host with a larger CPU
+/// share, so that few hosts write it.
+constexpr std::chrono::milliseconds MapRestoreDelayPerRank{40};
+constexpr size_t MaxMapRestoreRank = 8;
+/// Maximum further delay of hosts beyond that rank.
+constexpr std::chrono::milliseconds MapRestoreSpread{600};
 
 std::string randomRunId() {
   std::random_device Device;
@@ -94,6 +103,124 @@
   return IsMapReadSinceClaim ? Lease.expiresAt() : time_point{};
 }
 
+time_point cluster_sync::grantDeadlineOf(const std::string &Service) const {
+  time_point End = grantDeadline();
+  const known_map *Map = View.map(Service);
+  if (!Map || (Map->isSettled() && eraOf(Map->Version) == Era))
+    return End;
+  if (!IsContinuous)
+    return {};
+  bool IsInStore = !Map->isStoreBehind() && Map->Content.Era == Era;
+  return IsInStore ? End : std::min(End, InheritedGrantsEnd);
+}
+
+// Returns of the store.
+
+bool cluster_sync::isOfEarlierEra(row_version Version) {
+  store_era Observed = eraOf(Version);
+  if (!Era || Observed > *Era)
+    onNewEra(Observed);
+  return Observed < *Era;
+}
+
+void cluster_sync::onNewEra(store_era Latest) {
+  bool IsReturn = Era.has_value();
+  time_point Now = Deps.Clock.now();
+  time_point GrantsEnd = grantDeadlineOf(Deps.Service);
+  Era = Latest;
+  EraSeenAt = Now;
+  if (!IsReturn)
+    return;
+  IsContinuous = GrantsEnd > Now;
+  InheritedGrantsEnd = GrantsEnd;
+  writeLog(log_level::Warning, "reconciling with a store of a new era",
+           {{"step", "store"},
+            {"era", Latest},
+            {"lease", IsContinuous ? "held" : "not held"}});
+  if (!IsContinuous)
+    dropClaim();
+  Deps.OperatorState.setSettling(true);
+  SettlingTimer = Deps.Loop.after(SettlingTime, [this] {
+    if (Deps.OperatorState.setSettling(false))
+      Deps.OnChange();
+  });
+  for (subscription *Subscription :
+       {&OperatorSubscription, &ClusterSubscription})
+    if (Subscription->IsLoaded)
+      readAll(*Subscription);
+}
+
+void cluster_sync::dropClaim() {
+  IsContinuous = false;
+  IsClaimed = false;
+  IsMapReadSinceClaim = false;
+  Lease.onLost();
+}
+
+bool cluster_sync::isQuarantineOver() const {
+  return Era == store_era{0} || (Era && Deps.Clock.now() - EraSeenAt >=
+                                            LeaseDuration + LeaseClockMargin);
+}
+
+void cluster_sync::scheduleMapRestore() {
+  bool IsNeeded =
+      std::any_of(View.maps().begin(), View.maps().end(),
+                  [](const auto &Map) { return Map.second.isStoreBehind(); });
+  if (!IsNeeded || std::exchange(IsMapRestoreScheduled, true))
+    return;
+  size_t Rank = hostRank(View, Deps.Host);
+  duration Delay = MapRestoreDelayPerRank * std::min(Rank, MaxMapRestoreRank);
+  if (Rank >= MaxMapRestoreRank)
+    Delay += std::chrono::duration_cast<duration>(
+        MapRestoreSpread *
+        std::uniform_real_distribution<double>(0, 1)(Random));
+  MapRestoreTimer = Deps.Loop.after(Delay, [this] {
+    IsMapRestoreScheduled = false;
+    restoreMaps();
+  });
+}
+
+void cluster_sync::restoreMaps() {
+  for (const auto &[Service, Map] : View.maps()) {
+    if (!Map.isStoreBehind() || !ClusterSubscription.IsLoaded)
+      continue;
+    writeLog(log_level::Warning, "writing a map again that the store has lost",
+             {{"step", "store"},
+              {"service", Service},
+              {"lineage", Map.Lineage},
+              {"stored", Map.StoredLineage}});
+    ownership_map Restored = Map.Content;
+    Restored.Era = *Era;
+    Restored.RestoredFrom = Map.Lineage;
+    writeMap(Service, Restored);
+  }
+}
+
+void cluster_sync::settleMap(const std::string &Service) {
+  const known_map *Map = View.map(Service);
+  if (!Map || Map->isSettled() || !isQuarantineOver() ||
+      !ClusterSubscription.IsLoaded)
+    return;
+  ownership_map Settled = Map->Content;
+  Settled.Era = *Era;
+  Settled.RestoredFrom = 0;
+  writeMap(Service, Settled);
+}
+
+void cluster_sync::writeMap(const std::string &Service,
+                            const ownership_map &Map) {
+  if (std::exchange(UpdatesInFlight[Service], true))
+    return;
+  store_transaction Transaction;
+  Transaction.Conditions.push_back(
+      {mapRow(Service), View.map(Service)->Version});
+  Transaction.Writes.push_back({mapRow(Service), encodeMap(Map)});
+  transact(Transaction, [this, Service](const transaction_result &) {
+    UpdatesInFlight[Service] = false;
+    scheduleMapRestore();
+  });
+}
+
 // Reads and watches.
 
 void cluster_sync::readAll(subscription &Subscription) {
@@ -117,6 +244,8 @@
     StartTimer = Deps.Loop.after(duration{0}, [this] { claimLease(); });
   if (Result.Outcome != read_outcome::Succeeded)
     return retryRead(Subscription, Result.Error);
+  if (isOfEarlierEra(Result.Batch.Revision))
+    return retryRead(Subscription, "rows of an earlier era");
   onStoreResponse(Subscription);
   Subscription.Revision = Result.Batch.Revision;
   Subscription.IsLoaded = true;
@@ -130,6 +259,7 @@
     for (const stored_row &Row : Result.Batch.Rows)
       applyRow(Row);
   }
+  scheduleMapRestore();
   Deps.OnChange();
   bool IsStarting = Stage == start_stage::ReadingCluster ||
                     Stage == start_stage::AwaitingRelay;
@@ -173,6 +303,11 @@
   }
   if (Result.Outcome != read_outcome::Succeeded)
     return retryRead(Subscription, Result.Error);
+  uint64_t Generation = Subscription.Generation;
+  if (isOfEarlierEra(Result.Batch.Revision))
+    return retryRead(Subscription, "rows of an earlier era");
+  if (Generation != Subscription.Generation)
+    return;
   onStoreResponse(Subscription);
   Subscription.Revision =
       std::max(Subscription.Revision, Result.Batch.Revision);
@@ -238,6 +373,7 @@
     Changed |= applyRow(Row);
   if (!Changed)
     return;
+  scheduleMapRestore();
   Deps.OnChange();
   writeHostRow();
 }
@@ -273,12 +409,17 @@
         Deps.Loop.after(duration{0}, [this] { renew(RetryBatchDelay); });
     return;
   }
-  if (Result.Outcome != transaction_outcome::Committed) {
+  if (Result.Outcome != transaction_outcome::Committed ||
+      isOfEarlierEra(Result.Revision)) {
     RenewalTimer = Deps.Loop.after(jittered(RenewalRetryDelay),
                                    [this] { renew(RetryBatchDelay); });
     return;
   }
   LeaseVersion = Result.Revision;
+  bool IsFirstOfEra = std::exchange(RenewedEra, *Era) != *Era;
+  // Others may have taken over this lease, in rows that the store has lost.
+  if (IsFirstOfEra && !Lease.isHeld(Now))
+    dropClaim();
   Lease.onRenewed(SentAt);
   if (Now - LastRenewedAt > MaxRenewalGap)
     StableSince = Now;
@@ -315,17 +456,21 @@
   for (const stored_row &Row : Result.Current) {
     if (Row.Id != leaseRow(Deps.Host) || Row.Version == LeaseVersion)
       continue;
+    if (Row.Version > 0 && isOfEarlierEra(Row.Version))
+      continue;
     std::string HolderRunId = decodeLease(Row.Value).RunId;
     LeaseVersion = Row.Version;
     // A renewal of this run whose response was lost; the lease is still held.
     if (HolderRunId == RunId)
       continue;
+    // A row of the copy from which the store has come back. Nobody can have
+    // taken over a lease that has not expired.
+    if (RenewedEra != Era && IsContinuous && Lease.isHeld(Deps.Clock.now()))
+      continue;
     if (IsClaimed)
       writeLog(log_level::Warning, "lease lost",
                {{"step", "lease"}, {"holder", HolderRunId}});
-    IsClaimed = false;
-    IsMapReadSinceClaim = false;
-    Lease.onLost();
+    dropClaim();
     Deps.OnChange();
   }
   applyRows(Result.Current);
@@ -337,6 +482,7 @@
         if (!IsClaimed)
           return;
         if (Result.Outcome != read_outcome::Succeeded ||
+            isOfEarlierEra(Result.Batch.Revision) ||
             Result.Batch.Revision < ClaimedAt) {
           MapRetryTimer = Deps.Loop.after(ReadRetryDelay, [this, ClaimedAt] {
             readMapAfterClaim(ClaimedAt);
@@ -430,11 +576,17 @@
 }
 
 void cluster_sync::tryMapUpdate(const map_update &Update, int Attempt) {
-  const versioned<ownership_map> *Current = View.map(Update.Service);
-  versioned<ownership_map> Map =
-      Current ? *Current : versioned<ownership_map>{};
-  if (!Update.Edit(Map.Content, nextToken(Map.Version)))
+  const known_map *Current = View.map(Update.Service);
+  bool MayChange = Current
+                       ? Current->isSettled() && eraOf(Current->Version) == Era
+                       : isQuarantineOver();
+  if (!MayChange)
+    return;
+  known_map Map = Current ? *Current : known_map{};
+  if (!Update.Edit(Map.Content,
+                   nextToken(std::max(Map.Version, versionIn(*Era, 0)))))
     return;
+  Map.Content.Era = *Era;
   UpdatesInFlight[Update.Service] = true;
   store_transaction Transaction = Update.ExtraOperations;
   Transaction.Conditions.push_back({mapRow(Update.Service), Map.Version});
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -45,6 +45,8 @@
   struct dependencies {
     std::string Host;
     std::string FailureDomain;
+    /// The service of the local backend server.
+    std::string Service;
     /// CPU time that the daemon may use, in processor cores.
     double CpuShare = 1;
     scheduler &Loop;
@@ -69,6 +71,10 @@
   /// expiry of the lease, if the map has been read since the lease was claimed,
   /// else a time in the past.
   time_point grantDeadline() const;
+  /// Returns the time at which grants of keys of a service must end. It may be
+  /// earlier while the map of the service is not settled after the store came
+  /// back from an older copy.
+  time_point grantDeadlineOf(const std::string &Service) const;
   /// Whether the host holds its lease and has read the map since it claimed the
   /// lease.
   bool holdsLease() const { return grantDeadline() > Deps.Clock.now(); }
@@ -80,10 +86,16 @@
   /// is written only if there is no row of this host, and no host yet that
   /// relays for its failure domain.
   void publishProvisionalHostInfo(const host_info &Info);
-  /// Starts an update of a map. Drops it while another update of the same map
-  /// is in flight or all cluster rows are being read; the caller requests it
-  /// again on the next change or tick.
+  /// Starts an update of a map. Drops it while the map is not settled, and
+  /// while another update of the same map is in flight or all cluster rows are
+  /// being read; the caller requests it again on the next change or tick.
   void updateMap(const map_update &Update);
+  /// Whether all grants have ended that hosts may have made because of rows
+  /// that a return of the store has lost. Until then no map is made.
+  bool isQuarantineOver() const;
+  /// Settles the map of a service after a return of the store, if it needs that
+  /// and the quarantine is over; until then it must not be changed.
+  void settleMap(const std::string &Service);
   /// Sends a transaction. `OnDone` gets the result after the view has been
   /// updated with it.
   void transact(const store_transaction &Transaction,
@@ -123,6 +135,18 @@
   void joinCluster();
   void claimLease();
 
+  /// Processes the era of a version that the store has sent. Returns whether
+  /// the version is of an earlier era than the known one.
+  bool isOfEarlierEra(row_version Version);
+  /// Starts to reconcile with a store that has come back from an older copy.
+  void onNewEra(store_era Latest);
+  /// Treats the lease as lost, so that a renewal claims it anew.
+  void dropClaim();
+  /// Writes maps again that the store has lost.
+  void scheduleMapRestore();
+  void restoreMaps();
+  void writeMap(const std::string &Service, const ownership_map &Map);
+
   void readAll(subscription &Subscription);
   void onReadResult(subscription &Subscription, time_point SentAt,
                     const read_result &Result);
@@ -180,6 +204,21 @@
   /// this host that other hosts have taken over.
   bool IsMapReadSinceClaim = false;
   timer RenewalTimer;
+  /// The latest era in which the store has responded.
+  std::optional<store_era> Era;
+  time_point EraSeenAt{};
+  /// The era of the last committed renewal.
+  store_era RenewedEra = 0;
+  /// Until this time the host may go on with the grants that it made before the
+  /// store came back, even if its map is not in the store; the past if it made
+  /// none.
+  time_point InheritedGrantsEnd{};
+  /// Whether the host has held its lease without a gap since before the store
+  /// came back, so that nobody can have taken over its ranges.
+  bool IsContinuous = false;
+  timer SettlingTimer;
+  timer MapRestoreTimer;
+  bool IsMapRestoreScheduled = false;
   /// For each service, whether an update of its map is in flight.
   std::map<std::string, bool> UpdatesInFlight;
   /// Delays of updates that conflicted, by service.
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -57,8 +57,9 @@
 ownership_manager::ownership_manager(dependencies Dependencies)
     : Deps(std::move(Dependencies)),
       Sync({Deps.Settings.Host, Deps.Settings.FailureDomain,
-            Deps.Settings.CpuShare, Deps.Loop, Deps.Clock, Deps.Store,
-            Deps.OperatorState, [this] { onClusterChange(); }, Deps.IsRelay}),
+            Deps.Settings.LocalService, Deps.Settings.CpuShare, Deps.Loop,
+            Deps.Clock, Deps.Store, Deps.OperatorState,
+            [this] { onClusterChange(); }, Deps.IsRelay}),
       Server(Deps.Settings, Deps.Clock),
       Coordinator({Deps.Settings.Host, Deps.Loop, Deps.Clock, Sync,
                    Deps.OperatorState}) {}
@@ -124,7 +125,7 @@
 
 bool ownership_manager::isOwner(const std::string &Service,
                                 key_point Point) const {
-  const versioned<ownership_map> *Map = view().map(Service);
+  const known_map *Map = view().map(Service);
   if (!Map)
     return false;
   const owned_range &Range = Map->Content.find(Point);
@@ -134,12 +135,12 @@
 
 grant_context
 ownership_manager::grantContextOf(const std::string &Service) const {
-  const versioned<ownership_map> *Map = view().map(Service);
+  const known_map *Map = view().map(Service);
   grant_context Context;
   Context.Map = Map ? &Map->Content : nullptr;
   Context.IsEvacuated =
       Deps.OperatorState.isEvacuated(Deps.Settings.FailureDomain);
-  Context.LeaseEnd = Sync.grantDeadline();
+  Context.LeaseEnd = Sync.grantDeadlineOf(Service);
   if (auto Config = Deps.OperatorState.config()) {
     auto Found = Config->Services.find(Service);
     if (Found != Config->Services.end())
