A conflict that shows a missing row removes it from the view

What callers saw: keys of a host without owner for good, after a return of the store. Cause: a conflict reports a missing row with version 0, which was ignored as old. The write was repeated at once with the same condition, and a relay sent the transactions that were batched with it again and again, without delay, renewals among them. Without returns the loop lasted until the watch delivered the removal. Change: the row is removed if it is still known with the version that the condition named.

--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -77,6 +77,27 @@
   return true;
 }
 
+bool cluster_view::removeMissingRow(const row_condition &Condition) {
+  const std::string &Key = Condition.Id.Key;
+  if (Condition.Version == 0)
+    return false;
+  for (auto &[Service, Map] : Maps) {
+    if (mapRow(Service) != Condition.Id || Map.Version != Condition.Version)
+      continue;
+    Map.Version = 0;
+    Map.StoredLineage = 0;
+    return true;
+  }
+  if (Key == CoordinatorKey && CoordinatorHost.Version == Condition.Version) {
+    CoordinatorHost = {};
+    return true;
+  }
+  return std::erase_if(Hosts, [&](const auto &Host) {
+           return hostRow(Host.first) == Condition.Id &&
+                  Host.second.Version == Condition.Version;
+         }) > 0;
+}
+
 void cluster_view::removeMissing(const row_batch &Batch) {
   auto Exists = [&](const row_id &Id) {
     return std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
--- a/src/dragonflyvane/core/cluster/cluster_view.hpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.hpp
@@ -60,6 +60,9 @@
   /// Throws `step_error` if the value cannot be decoded; the view then keeps
   /// the older row.
   bool apply(const stored_row &Row);
+  /// Removes a row that a conflict has shown to be missing, if it is still
+  /// known with the version that the condition named. Returns whether it was.
+  bool removeMissingRow(const row_condition &Condition);
   /// Removes the rows that are missing from a batch of all cluster rows.
   /// Keeps maps that are missing because the store came back from an older
   /// copy.
--- a/src/dragonflyvane/core/cluster/cluster_view_test.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view_test.cpp
@@ -56,3 +56,15 @@
   CHECK(View.map("desk")->isStoreBehind());
   CHECK(View.map("desk")->Version == 0);
 }
+
+// Guards against a write that conflicts for ever, because the row that its
+// condition names is gone (a host row, after a return of the store).
+TEST_CASE("a row that a conflict has shown to be missing is removed") {
+  cluster_view View;
+  View.apply({hostRow("a"), 18, encodeHost({})});
+  CHECK(!View.removeMissingRow({hostRow("a"), 17}));
+  CHECK(!View.removeMissingRow({hostRow("a"), 0}));
+  CHECK(View.host("a"));
+  CHECK(View.removeMissingRow({hostRow("a"), 18}));
+  CHECK(!View.host("a"));
+}
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -563,12 +563,21 @@
           if (Transaction.Writes.front().Id.Kind == row_kind::Cluster)
             onClusterVersion(Result.Revision);
         } else if (Result.Outcome == transaction_outcome::Conflict) {
+          removeMissingRows(Transaction, Result);
           applyRows(Result.Current);
         }
         OnDone(Result);
       });
 }
 
+void cluster_sync::removeMissingRows(const store_transaction &Transaction,
+                                     const transaction_result &Result) {
+  for (const stored_row &Row : Result.Current)
+    for (const row_condition &Condition : Transaction.Conditions)
+      if (!Row.Value && Row.Id == Condition.Id)
+        View.removeMissingRow(Condition);
+}
+
 void cluster_sync::updateMap(const map_update &Update) {
   if (UpdatesInFlight[Update.Service] || !ClusterSubscription.IsLoaded)
     return;
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -161,6 +161,9 @@
   void onLeaseConflict(const transaction_result &Result);
   void readMapAfterClaim(row_version ClaimedAt);
 
+  /// Removes the rows from the view that a conflict has shown to be missing.
+  void removeMissingRows(const store_transaction &Transaction,
+                         const transaction_result &Result);
   void tryMapUpdate(const map_update &Update, int Attempt);
   void retryMapUpdate(const map_update &Update, int Attempt);
   duration jittered(duration Mean);
