--- a/src/dragonflyvane/core/ownership/load_rebalancer.cpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.cpp
@@ -114,6 +114,7 @@
 void load_rebalancer::assignByCapacity(std::vector<host_load> &HostLoads,
                                        double Rate) {
   std::vector<host_load *> Sharing;
+  Sharing.reserve(HostLoads.size());
   for (host_load &HostLoad : HostLoads)
     Sharing.push_back(&HostLoad);
   while (!Sharing.empty()) {
--- a/src/dragonflyvane/node/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_test.cpp
@@ -25,8 +25,8 @@
     Server.onHeartbeat(Heartbeat, {});
   }
 
-  call_id receive(const http_request &Request, call_options Options,
-                  http_client::callback Callback) {
+  call_id receive(const http_request &Request, const call_options &Options,
+                  const http_client::callback &Callback) {
     if (!Options.MaySend()) {
       Loop.post([Callback] { Callback({call_outcome::NotSent, {}, ""}); });
       return ++LastCall;
@@ -95,21 +95,22 @@
   uint64_t Sequence = 0;
   call_id LastCall = 0;
   int LastRequest = 0;
-  dispatcher Dispatcher{
-      {Loop, Loop.clock(),
-       [this](const endpoint &, const http_request &Request,
-              call_options Options, http_client::callback Callback) {
-         return receive(Request, std::move(Options), std::move(Callback));
-       },
-       [](call_id) {}, Server, Guard, OperatorState, Names, Metrics, Link,
-       [](const std::string &, key_point) { return true; }, [] {},
-       [](key_point) {},
-       [this](const server_condition &Condition) {
-         Server.onCondition(Condition);
-       },
-       [this](const condition_report &Report) {
-         Server.onReportedCondition(Report);
-       }}};
+  dispatcher Dispatcher{{Loop, Loop.clock(),
+                         [this](const endpoint &, const http_request &Request,
+                                const call_options &Options,
+                                const http_client::callback &Callback) {
+                           return receive(Request, Options, Callback);
+                         },
+                         [](call_id) {}, Server, Guard, OperatorState, Names,
+                         Metrics, Link,
+                         [](const std::string &, key_point) { return true; },
+                         [] {}, [](key_point) {},
+                         [this](const server_condition &Condition) {
+                           Server.onCondition(Condition);
+                         },
+                         [this](const condition_report &Report) {
+                           Server.onReportedCondition(Report);
+                         }}};
 };
 
 } // namespace
