A coordinator renews its lease only together with its role

What callers would see: a rate handed out twice, and two plans for the same keys. Cause: a coordinator that is cut off for less than its lease renews it when it is back; if its watch has stalled, nothing shows it that it was replaced, for up to 20 s. Evidence: 'a coordinator learns with its next renewal that it was replaced' failed; found with a test of the rate pool after a return of the store. Change: the renewal of a coordinator has a condition on the coordinator's row, so a conflict brings the row of its successor. Rows that the conflict shows to be missing are removed as after other transactions.

--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -385,15 +385,20 @@
   store_transaction Transaction;
   Transaction.Conditions = Deps.OperatorState.conditions();
   Transaction.Conditions.push_back({leaseRow(Deps.Host), LeaseVersion});
+  // A coordinator that was replaced must not go on until its watch shows that.
+  const versioned<std::string> &Role = View.coordinatorHost();
+  if (Role.Content == Deps.Host)
+    Transaction.Conditions.push_back({coordinatorRow(), Role.Version});
   time_point SentAt = Deps.Clock.now();
   Transaction.Writes.push_back(
       {leaseRow(Deps.Host),
        encodeLease({RunId, RenewalCount, StoreClock.upperBound(SentAt)})});
   Transaction.MaxBatchDelay = MaxBatchDelay;
-  Deps.Store.transact(Transaction,
-                      [this, SentAt](const transaction_result &Result) {
-                        onRenewed(SentAt, Result);
-                      });
+  Deps.Store.transact(Transaction, [this, SentAt, Transaction](
+                                       const transaction_result &Result) {
+    removeMissingRows(Transaction, Result);
+    onRenewed(SentAt, Result);
+  });
 }
 
 void cluster_sync::onRenewed(time_point SentAt,
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -166,6 +166,48 @@
   }
 }
 
+// Guards against a rate pool that is handed out twice: by the coordinator, and
+// by an earlier one, which the copy names and whose tokens have piled up.
+TEST_CASE(
+    "an earlier coordinator that a return of the store brings back has no "
+    "old tokens") {
+  ownership_simulation Simulation(7, 5);
+  Simulation.runFor(StartupTime);
+  int Earlier = Simulation.coordinator();
+  Simulation.runFor(std::chrono::seconds(9));
+  Simulation.isolate(Earlier, true);
+  Simulation.runFor(std::chrono::seconds(4));
+  REQUIRE(Simulation.coordinator() != Earlier);
+  Simulation.isolate(Earlier, false);
+  Simulation.runFor(std::chrono::seconds(3));
+  CHECK(!Simulation.ownership(Earlier).coordinator().isActive());
+  Simulation.restoreStore(std::chrono::milliseconds(300),
+                          std::chrono::seconds(9));
+  Simulation.runFor(std::chrono::seconds(2));
+  REQUIRE(Simulation.coordinator() == Earlier);
+  duration RetryAfter{0};
+  double Tokens = Simulation.ownership(Earlier).coordinator().takeTokens(
+      "ferry", 1000, RetryAfter);
+  // The pool's half of the rate of 100 a second, since the return at most.
+  CHECK(Tokens <= 50 * 2.3);
+}
+
+// Guards against two coordinators that both hand out tokens and plan: one that
+// was cut off for less than its lease, and whose watch has stalled, and its
+// successor.
+TEST_CASE("a coordinator learns with its next renewal that it was replaced") {
+  ownership_simulation Simulation(7, 5);
+  Simulation.runFor(StartupTime);
+  int Earlier = Simulation.coordinator();
+  Simulation.isolate(Earlier, true);
+  Simulation.runFor(std::chrono::milliseconds(4200));
+  REQUIRE(Simulation.coordinator() != Earlier);
+  Simulation.stallWatches(Earlier, true);
+  Simulation.isolate(Earlier, false);
+  Simulation.runFor(LeaseRenewalPeriod * 5 / 4);
+  CHECK(!Simulation.ownership(Earlier).coordinator().isActive());
+}
+
 // Guards against a daemon that starts afresh and believes the copy, while the
 // owner of the keys, which the copy does not name, goes on.
 TEST_CASE("a host that starts after a return of the store gets no keys that "
--- a/src/dragonflyvane/node/restorable_store.cpp
+++ b/src/dragonflyvane/node/restorable_store.cpp
@@ -112,7 +112,9 @@
                  bool IsOfOtherEra =
                      Result.Outcome == read_outcome::Succeeded &&
                      eraOf(Result.Batch.Revision) != eraOf(After);
-                 Callback(IsOfOtherEra ? Compacted : std::move(Result));
+                 if (IsOfOtherEra)
+                   return Callback(Compacted);
+                 Callback(std::move(Result));
                });
 }
 
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -90,6 +90,8 @@
   auto Config = std::make_shared<configuration>();
   Config->Version = std::stoull(Row.Value.value_or("0"));
   Config->Services["desk"].Keyed = true;
+  Config->Workspaces["ferry"].Rate = 100;
+  Config->Workspaces["ferry"].Burst = 1000;
   Config->Services["desk"].GrantWay = GrantWay;
   OperatorRow.Configuration = Config;
   return OperatorRow;
@@ -209,6 +211,17 @@
     startDaemon(I);
 }
 
+int ownership_simulation::coordinator() const {
+  std::map<std::string, int> Counts;
+  for (const host &Host : Hosts)
+    if (Host.Ownership)
+      ++Counts[Host.Ownership->view().coordinatorHost().Content];
+  for (int I = 0; I < static_cast<int>(Hosts.size()); ++I)
+    if (Counts[nameOf(I)] * 2 > static_cast<int>(Hosts.size()))
+      return I;
+  return -1;
+}
+
 int ownership_simulation::leaseCount() const {
   return static_cast<int>(
       std::count_if(Hosts.begin(), Hosts.end(), [](const host &Host) {
@@ -367,6 +380,12 @@
   Store.setDown(WasDown);
 }
 
+void ownership_simulation::restoreStoreRandomly() {
+  std::chrono::milliseconds Age(Random() % 12000);
+  std::chrono::milliseconds DownTime(Random() % 2500);
+  restoreStore(DownTime, Age);
+}
+
 double ownership_simulation::ownedFraction() {
   int Owned = 0;
   for (key_point Point : CheckedPoints)
@@ -394,8 +413,7 @@
   int I = static_cast<int>(Random() % Hosts.size());
   host &Host = Hosts[I];
   if (Defects.StoreReturns && Random() % 6 == 0)
-    return restoreStore(std::chrono::milliseconds(Random() % 2500),
-                        std::chrono::milliseconds(Random() % 12000));
+    return restoreStoreRandomly();
   switch (Random() % 17) {
   case 0:
     return killDaemon(I);
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -107,6 +107,9 @@
   void restartAllDaemons();
   /// Returns the time by the manual clock.
   time_point now() const { return Loop.now(); }
+  /// Returns the host that the rows which most hosts see name as coordinator;
+  /// -1 if there is none.
+  int coordinator() const;
   /// Returns the number of running daemons that hold their lease.
   int leaseCount() const;
   /// Returns the store that all hosts share.
@@ -124,6 +127,7 @@
   struct host;
 
   void restartServer(int Host);
+  void restoreStoreRandomly();
   void check();
   void checkConfigurations();
   /// Replaces a request for the key point that each daemon sends to its backend
