A rate pool starts empty whenever the coordinator's row has changed

What callers would see: more than a workspace's rate, once after a return of the store. Cause: the row of the copy names an earlier coordinator, whose pool has filled up to the burst while its successor handed out tokens. Evidence: 'an earlier coordinator that a return of the store brings back has no old tokens' failed: 500 tokens at once, where 115 may have come in since. Change: a pool that becomes active under another version of the row starts empty.

--- a/src/dragonflyvane/node/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster_coordinator.cpp
@@ -189,8 +189,13 @@
   }
   // The buckets of a new coordinator fill from now on, not only from the first
   // request for tokens.
-  if (!WasActive)
+  if (!WasActive) {
+    // Another host may have handed out the tokens that have come in meanwhile.
+    row_version RoleVersion = Deps.Sync.view().coordinatorHost().Version;
+    if (std::exchange(PoolRoleVersion, RoleVersion) != RoleVersion)
+      Pool.clear();
     Pool.configure(Config->Workspaces, Deps.Clock.now());
+  }
   WasActive = true;
   for (const auto &[Name, Service] : Config->Services)
     if (Service.Keyed)
--- a/src/dragonflyvane/node/cluster_coordinator.hpp
+++ b/src/dragonflyvane/node/cluster_coordinator.hpp
@@ -85,6 +85,8 @@
   /// Whether this host was active and had a configuration at the last planning.
   bool WasActive = false;
   rate_pool Pool;
+  /// The version of the coordinator's row since which the pool has filled.
+  row_version PoolRoleVersion = 0;
   /// Newest load report of each host, with a smoothed request rate.
   std::map<std::string, load_report> Loads;
   std::map<std::string, candidate_count> CandidateCounts;
