A settled map has new tokens for hosts that have not kept their leases

Cause: the settled map was that of the copy, tokens included. Change: each lease says whether its holder has kept it through the return; the ranges of all others get tokens of the new era when the map is settled. Holders that kept their leases go on with their tokens, so nothing of theirs is warmed again.

--- a/src/dragonflyvane/core/ownership/host_lease.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease.cpp
@@ -13,17 +13,20 @@
 } // namespace
 
 std::string encodeLease(const lease_value &Lease) {
-  return nlohmann::json{{"run", Lease.RunId},
-                        {"count", Lease.Count},
-                        {"sent_by", Lease.LatestSendTime.count()}}
-      .dump();
+  nlohmann::json Json = {{"run", Lease.RunId},
+                         {"count", Lease.Count},
+                         {"sent_by", Lease.LatestSendTime.count()}};
+  if (Lease.KeptIntoEra > 0)
+    Json["kept_into_era"] = Lease.KeptIntoEra;
+  return Json.dump();
 }
 
 lease_value decodeLease(const std::optional<std::string> &Text) {
   auto Json = nlohmann::json::parse(Text.value_or(""), nullptr, false);
   try {
     return {Json.at("run").get<std::string>(), Json.at("count").get<uint64_t>(),
-            std::chrono::milliseconds(Json.at("sent_by").get<int64_t>())};
+            std::chrono::milliseconds(Json.at("sent_by").get<int64_t>()),
+            Json.value("kept_into_era", store_era{0})};
   } catch (const nlohmann::json::exception &) {
     return {};
   }
@@ -50,8 +53,11 @@
     lease_value Lease = decodeLease(Row.Value);
     Entry = IsUnchanged ? Known->second
                         : tracked_lease{Row.Version, StoreTime,
-                                        Lease.LatestSendTime, false};
+                                        Lease.LatestSendTime, false, 0};
     Entry.WasTakenOver |= Lease.RunId.empty();
+    store_era KnownEra =
+        Known == TrackedLeases.end() ? 0 : Known->second.KeptIntoEra;
+    Entry.KeptIntoEra = std::max(KnownEra, Lease.KeptIntoEra);
   }
   TrackedLeases = std::move(Current);
 }
@@ -78,6 +84,12 @@
   return !Found->second.WasTakenOver && !hasExpired(Found->second);
 }
 
+bool lease_tracker::hasKeptLease(const std::string &Holder,
+                                 store_era Era) const {
+  auto Found = TrackedLeases.find(Holder);
+  return Found != TrackedLeases.end() && Found->second.KeptIntoEra == Era;
+}
+
 void lease_tracker::onTakeover(const std::string &Holder) {
   TrackedLeases[Holder].WasTakenOver = true;
 }
--- a/src/dragonflyvane/core/ownership/host_lease.hpp
+++ b/src/dragonflyvane/core/ownership/host_lease.hpp
@@ -38,6 +38,9 @@
   /// The latest time that the store's clock can have shown when the renewal was
   /// sent; zero if the holder had no estimate of the store's clock.
   std::chrono::milliseconds LatestSendTime{0};
+  /// The era of the store into which the holder has kept its lease from the era
+  /// before; 0 if it has not.
+  store_era KeptIntoEra = 0;
 };
 
 /// Encodes the value of a lease row.
@@ -79,6 +82,9 @@
   /// expired and was renewed since the last takeover. A host without a known
   /// lease is eligible.
   bool isEligible(const std::string &Holder) const;
+  /// Returns whether the holder has kept its lease from the era before into
+  /// this one, so that nobody can have taken over its ranges.
+  bool hasKeptLease(const std::string &Holder, store_era Era) const;
   /// Records the start of a takeover. The holder is not eligible until it
   /// renews its lease.
   void onTakeover(const std::string &Holder);
@@ -96,6 +102,8 @@
     /// As in `lease_value`.
     std::chrono::milliseconds LatestSendTime{0};
     bool WasTakenOver = false;
+    /// The latest era of `lease_value::KeptIntoEra`, over all runs.
+    store_era KeptIntoEra = 0;
   };
   bool hasExpired(const tracked_lease &Lease) const;
 
--- a/src/dragonflyvane/node/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster_coordinator.cpp
@@ -209,7 +209,7 @@
   bool IsFirst = !Deps.Sync.view().map(Service);
   if (IsFirst && !isCandidateCountStable(Service, Candidates))
     return;
-  Deps.Sync.settleMap(Service);
+  Deps.Sync.settleMap(Service, Leases);
   time_point Now = Deps.Clock.now();
   bool MayBalance = Now - LastBalance[Service] >= BalancePeriod;
   Deps.Sync.updateMap(
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -196,7 +196,8 @@
   }
 }
 
-void cluster_sync::settleMap(const std::string &Service) {
+void cluster_sync::settleMap(const std::string &Service,
+                             const lease_tracker &Leases) {
   const known_map *Map = View.map(Service);
   if (!Map || Map->isSettled() || !isQuarantineOver() ||
       !ClusterSubscription.IsLoaded)
@@ -204,6 +205,13 @@
   ownership_map Settled = Map->Content;
   Settled.Era = *Era;
   Settled.RestoredFrom = 0;
+  uint64_t Token = nextToken(std::max(Map->Version, versionIn(*Era, 0)));
+  for (owned_range &Range : Settled.Ranges) {
+    if (eraOf(Range.Token) == *Era || Leases.hasKeptLease(Range.Owner, *Era))
+      continue;
+    Range.Token = Token;
+    Range.Handover.clear();
+  }
   writeMap(Service, Settled);
 }
 
@@ -392,7 +400,8 @@
   time_point SentAt = Deps.Clock.now();
   Transaction.Writes.push_back(
       {leaseRow(Deps.Host),
-       encodeLease({RunId, RenewalCount, StoreClock.upperBound(SentAt)})});
+       encodeLease({RunId, RenewalCount, StoreClock.upperBound(SentAt),
+                    IsContinuous ? *Era : 0})});
   Transaction.MaxBatchDelay = MaxBatchDelay;
   Deps.Store.transact(Transaction, [this, SentAt, Transaction](
                                        const transaction_result &Result) {
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -94,8 +94,11 @@
   /// that a return of the store has lost. Until then no map is made.
   bool isQuarantineOver() const;
   /// Settles the map of a service after a return of the store, if it needs that
-  /// and the quarantine is over; until then it must not be changed.
-  void settleMap(const std::string &Service);
+  /// and the quarantine is over; until then it must not be changed. The ranges
+  /// of hosts that have not kept their leases through the return get new
+  /// tokens, since others may have had them, as rows said that the store has
+  /// lost.
+  void settleMap(const std::string &Service, const lease_tracker &Leases);
   /// Sends a transaction. `OnDone` gets the result after the view has been
   /// updated with it.
   void transact(const store_transaction &Transaction,
