--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/cluster_sync.hpp"
 
+#include "dragonflyvane/core/cluster/map_recovery.hpp"
 #include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
@@ -104,40 +105,25 @@
 }
 
 time_point cluster_sync::grantDeadlineOf(const std::string &Service) const {
-  time_point End = grantDeadline();
   const known_map *Map = View.map(Service);
-  if (!Map || (Map->isSettled() && eraOf(Map->Version) == Era))
-    return End;
-  if (!IsContinuous)
-    return {};
-  bool IsInStore = !Map->isStoreBehind() && Map->Content.Era == Era;
-  return IsInStore ? End : std::min(End, InheritedGrantsEnd);
+  return Map ? Eras.grantDeadline(*Map, grantDeadline()) : grantDeadline();
 }
 
 // Returns of the store.
 
 bool cluster_sync::isOfEarlierEra(row_version Version) {
-  store_era Observed = eraOf(Version);
-  if (!Era || Observed > *Era)
-    onNewEra(Observed);
-  return Observed < *Era;
+  if (Eras.isNew(Version))
+    onReturn(Version);
+  return Eras.isOutdated(Version, Deps.Clock.now());
 }
 
-void cluster_sync::onNewEra(store_era Latest) {
-  bool IsReturn = Era.has_value();
-  time_point Now = Deps.Clock.now();
-  time_point GrantsEnd = grantDeadlineOf(Deps.Service);
-  Era = Latest;
-  EraSeenAt = Now;
-  if (!IsReturn)
-    return;
-  IsContinuous = GrantsEnd > Now;
-  InheritedGrantsEnd = GrantsEnd;
+void cluster_sync::onReturn(row_version Version) {
+  Eras.beginEra(Version, grantDeadlineOf(Deps.Service), Deps.Clock.now());
   writeLog(log_level::Warning, "reconciling with a store of a new era",
            {{"step", "store"},
-            {"era", Latest},
-            {"lease", IsContinuous ? "held" : "not held"}});
-  if (!IsContinuous)
+            {"era", Eras.current()},
+            {"lease", Eras.hasKeptLease() ? "kept" : "not kept"}});
+  if (!Eras.hasKeptLease())
     dropClaim();
   Deps.OperatorState.setSettling(true);
   SettlingTimer = Deps.Loop.after(SettlingTime, [this] {
@@ -151,17 +137,12 @@
 }
 
 void cluster_sync::dropClaim() {
-  IsContinuous = false;
+  Eras.onLeaseLost();
   IsClaimed = false;
   IsMapReadSinceClaim = false;
   Lease.onLost();
 }
 
-bool cluster_sync::isQuarantineOver() const {
-  return Era == store_era{0} || (Era && Deps.Clock.now() - EraSeenAt >=
-                                            LeaseDuration + LeaseClockMargin);
-}
-
 void cluster_sync::scheduleMapRestore() {
   bool IsNeeded =
       std::any_of(View.maps().begin(), View.maps().end(),
@@ -189,30 +170,17 @@
               {"service", Service},
               {"lineage", Map.Lineage},
               {"stored", Map.StoredLineage}});
-    ownership_map Restored = Map.Content;
-    Restored.Era = *Era;
-    Restored.RestoredFrom = Map.Lineage;
-    writeMap(Service, Restored);
+    writeMap(Service, restoredMap(Map, Eras.current()));
   }
 }
 
 void cluster_sync::settleMap(const std::string &Service,
                              const lease_tracker &Leases) {
   const known_map *Map = View.map(Service);
-  if (!Map || Map->isSettled() || !isQuarantineOver() ||
-      !ClusterSubscription.IsLoaded)
-    return;
-  ownership_map Settled = Map->Content;
-  Settled.Era = *Era;
-  Settled.RestoredFrom = 0;
-  uint64_t Token = nextToken(std::max(Map->Version, versionIn(*Era, 0)));
-  for (owned_range &Range : Settled.Ranges) {
-    if (eraOf(Range.Token) == *Era || Leases.hasKeptLease(Range.Owner, *Era))
-      continue;
-    Range.Token = Token;
-    Range.Handover.clear();
-  }
-  writeMap(Service, Settled);
+  bool IsDue =
+      Map && !Eras.isSettled(*Map) && Eras.isQuarantineOver(Deps.Clock.now());
+  if (IsDue && ClusterSubscription.IsLoaded)
+    writeMap(Service, settledMap(*Map, Eras.current(), Leases));
 }
 
 void cluster_sync::writeMap(const std::string &Service,
@@ -401,7 +369,7 @@
   Transaction.Writes.push_back(
       {leaseRow(Deps.Host),
        encodeLease({RunId, RenewalCount, StoreClock.upperBound(SentAt),
-                    IsContinuous ? *Era : 0})});
+                    Eras.hasKeptLease() ? Eras.current() : 0})});
   Transaction.MaxBatchDelay = MaxBatchDelay;
   Deps.Store.transact(Transaction, [this, SentAt, Transaction](
                                        const transaction_result &Result) {
@@ -430,7 +398,7 @@
     return;
   }
   LeaseVersion = Result.Revision;
-  bool IsFirstOfEra = std::exchange(RenewedEra, *Era) != *Era;
+  bool IsFirstOfEra = Eras.onRenewed();
   // Others may have taken over this lease, in rows that the store has lost.
   if (IsFirstOfEra && !Lease.isHeld(Now))
     dropClaim();
@@ -479,7 +447,8 @@
       continue;
     // A row of the copy from which the store has come back. Nobody can have
     // taken over a lease that has not expired.
-    if (RenewedEra != Era && IsContinuous && Lease.isHeld(Deps.Clock.now()))
+    if (!Eras.wasRenewed() && Eras.hasKeptLease() &&
+        Lease.isHeld(Deps.Clock.now()))
       continue;
     if (IsClaimed)
       writeLog(log_level::Warning, "lease lost",
@@ -600,16 +569,14 @@
 
 void cluster_sync::tryMapUpdate(const map_update &Update, int Attempt) {
   const known_map *Current = View.map(Update.Service);
-  bool MayChange = Current
-                       ? Current->isSettled() && eraOf(Current->Version) == Era
-                       : isQuarantineOver();
+  bool MayChange = Current ? Eras.isSettled(*Current)
+                           : Eras.isQuarantineOver(Deps.Clock.now());
   if (!MayChange)
     return;
   known_map Map = Current ? *Current : known_map{};
-  if (!Update.Edit(Map.Content,
-                   nextToken(std::max(Map.Version, versionIn(*Era, 0)))))
+  if (!Update.Edit(Map.Content, nextTokenIn(Eras.current(), Map)))
     return;
-  Map.Content.Era = *Era;
+  Map.Content.Era = Eras.current();
   UpdatesInFlight[Update.Service] = true;
   store_transaction Transaction = Update.ExtraOperations;
   Transaction.Conditions.push_back({mapRow(Update.Service), Map.Version});
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -5,6 +5,7 @@
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/cluster/era_tracker.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
 #include "dragonflyvane/core/ownership/host_lease.hpp"
 #include "dragonflyvane/core/ownership/store_clock.hpp"
@@ -90,14 +91,8 @@
   /// while another update of the same map is in flight or all cluster rows are
   /// being read; the caller requests it again on the next change or tick.
   void updateMap(const map_update &Update);
-  /// Whether all grants have ended that hosts may have made because of rows
-  /// that a return of the store has lost. Until then no map is made.
-  bool isQuarantineOver() const;
   /// Settles the map of a service after a return of the store, if it needs that
-  /// and the quarantine is over; until then it must not be changed. The ranges
-  /// of hosts that have not kept their leases through the return get new
-  /// tokens, since others may have had them, as rows said that the store has
-  /// lost.
+  /// and the quarantine is over; until then it must not be changed.
   void settleMap(const std::string &Service, const lease_tracker &Leases);
   /// Sends a transaction. `OnDone` gets the result after the view has been
   /// updated with it.
@@ -142,7 +137,7 @@
   /// the version is of an earlier era than the known one.
   bool isOfEarlierEra(row_version Version);
   /// Starts to reconcile with a store that has come back from an older copy.
-  void onNewEra(store_era Latest);
+  void onReturn(row_version Version);
   /// Treats the lease as lost, so that a renewal claims it anew.
   void dropClaim();
   /// Writes maps again that the store has lost.
@@ -210,18 +205,7 @@
   /// this host that other hosts have taken over.
   bool IsMapReadSinceClaim = false;
   timer RenewalTimer;
-  /// The latest era in which the store has responded.
-  std::optional<store_era> Era;
-  time_point EraSeenAt{};
-  /// The era of the last committed renewal.
-  store_era RenewedEra = 0;
-  /// Until this time the host may go on with the grants that it made before the
-  /// store came back, even if its map is not in the store; the past if it made
-  /// none.
-  time_point InheritedGrantsEnd{};
-  /// Whether the host has held its lease without a gap since before the store
-  /// came back, so that nobody can have taken over its ranges.
-  bool IsContinuous = false;
+  era_tracker Eras;
   timer SettlingTimer;
   timer MapRestoreTimer;
   bool IsMapRestoreScheduled = false;
