The era of a result is noticed before its rows change the view

Cause: the first response of the new era was a conflict; its rows, or rows that it showed to be missing, changed the map in the view first, so that the host found no grants of its own and took its lease as ended. Evidence: two hosts logged 'reconciling with a store of a new era', lease not held, 2 s after their last renewals; 'a host that learns of a return by a conflict keeps its lease' failed with a copy of 12 s. Change: transaction results carry their era through relays, and it is processed first.

--- a/src/dragonflyvane/net/store_call_codec.cpp
+++ b/src/dragonflyvane/net/store_call_codec.cpp
@@ -123,11 +123,14 @@
 }
 
 http_response encodeStoreResult(const transaction_result &Result) {
-  return encodeResponse({{"outcome", static_cast<int>(Result.Outcome)},
-                         {"revision", Result.Revision},
-                         {"time", Result.StoreTime.count()},
-                         {"rows", toJson(Result.Current)},
-                         {"error", Result.Error}});
+  json Body = {{"outcome", static_cast<int>(Result.Outcome)},
+               {"revision", Result.Revision},
+               {"time", Result.StoreTime.count()},
+               {"rows", toJson(Result.Current)},
+               {"error", Result.Error}};
+  if (Result.Era)
+    Body["era"] = *Result.Era;
+  return encodeResponse(Body);
 }
 
 read_result decodeReadResult(const http_response &Response) {
@@ -156,6 +159,8 @@
         std::chrono::milliseconds(Body.at("time").get<int64_t>());
     Result.Current = toRows(Body.at("rows"));
     Result.Error = Body.at("error").get<std::string>();
+    if (Body.contains("era"))
+      Result.Era = Body.at("era").get<store_era>();
     Result.Outcome =
         static_cast<transaction_outcome>(Body.at("outcome").get<int>());
   } catch (const json::exception &Error) {
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -117,6 +117,11 @@
   return Eras.isOutdated(Version, Deps.Clock.now());
 }
 
+void cluster_sync::observeEra(const transaction_result &Result) {
+  if (Result.Era)
+    isOfEarlierEra(versionIn(*Result.Era, 0));
+}
+
 void cluster_sync::onReturn(row_version Version) {
   Eras.beginEra(Version, grantDeadlineOf(Deps.Service), Deps.Clock.now());
   writeLog(log_level::Warning, "reconciling with a store of a new era",
@@ -373,6 +378,7 @@
   Transaction.MaxBatchDelay = MaxBatchDelay;
   Deps.Store.transact(Transaction, [this, SentAt, Transaction](
                                        const transaction_result &Result) {
+    observeEra(Result);
     removeMissingRows(Transaction, Result);
     onRenewed(SentAt, Result);
   });
@@ -538,6 +544,7 @@
   Deps.Store.transact(
       Transaction, [this, Transaction, OnDone = std::move(OnDone)](
                        const transaction_result &Result) {
+        observeEra(Result);
         if (Result.Outcome == transaction_outcome::Committed) {
           std::vector<stored_row> Written;
           for (const row_write &Write : Transaction.Writes)
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -136,6 +136,8 @@
   /// Processes the era of a version that the store has sent. Returns whether
   /// the version is of an earlier era than the known one.
   bool isOfEarlierEra(row_version Version);
+  /// Processes the era of a result, before its rows change the view.
+  void observeEra(const transaction_result &Result);
   /// Starts to reconcile with a store that has come back from an older copy.
   void onReturn(row_version Version);
   /// Treats the lease as lost, so that a renewal claims it anew.
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -142,6 +142,24 @@
   CHECK(Simulation.report().NonIncreasingTokens == 0);
 }
 
+// Guards against a host that takes its lease as ended, because rows of the new
+// era reach it with a conflict, before it knows of the return.
+TEST_CASE("a host that learns of a return by a conflict keeps its lease") {
+  for (int AgeSeconds : {1, 3, 5, 12}) {
+    CAPTURE(AgeSeconds);
+    ownership_simulation Simulation(1, 5);
+    Simulation.runFor(StartupTime);
+    Simulation.stallWatches(1, true);
+    Simulation.restoreStore(duration{0}, std::chrono::seconds(AgeSeconds));
+    ownership_manager &Ownership = Simulation.ownership(1);
+    Ownership.onLeave(Simulation.server(1).incarnation());
+    for (int I = 0; I < 20; ++I) {
+      Simulation.runFor(std::chrono::milliseconds(100));
+      CHECK(Ownership.sync().grantDeadlineOf("desk") > Simulation.now());
+    }
+  }
+}
+
 // Guards against a host that goes on with keys that others have taken over, in
 // rows that the store has lost.
 TEST_CASE("a host whose lease was taken over before a return of the store does "
