A large response that is late anyway is not refused because of the link

What callers saw: after a first server had failed, a download that could still be delivered late was refused with 'link-full'. Cause: the soft deadline less the link's time was checked, whether or not the link was the reason. Change: the link refuses what it alone makes late, and what would miss the deadline; until now the latter was not checked. Test: 'a response that is late anyway ...'.

--- a/src/dragonflyvane/core/admission/bulk_pacer.hpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer.hpp
@@ -103,6 +103,19 @@
   uint64_t Id = 0;
 };
 
+/// Returns whether the link delivers a response too late: after the deadline,
+/// or after a soft deadline that it could meet without the link. A soft
+/// deadline that has passed already is no reason, since the response is late
+/// anyway. The times are those left until the deadlines, negative after them.
+inline bool isLinkTooSlow(duration TransferTime, duration TimeLeft,
+                          duration SoftTimeLeft) {
+  if (TransferTime <= duration{0})
+    return false;
+  bool CouldBeInTime = SoftTimeLeft >= duration{0};
+  return TransferTime > TimeLeft ||
+         (CouldBeInTime && TransferTime > SoftTimeLeft);
+}
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_CORE_ADMISSION_BULK_PACER_HPP
--- a/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
@@ -95,3 +95,14 @@
   bulk_pacer Pacer(Loop, Loop.clock(), 125'000'000);
   CHECK_FALSE(Pacer.isBulk(500'000));
 }
+
+// Guards against a large response that is refused because a first server failed
+// and took its soft deadline, although it could still be delivered late.
+TEST_CASE("a response that is late anyway is not refused because of the link") {
+  CHECK(
+      isLinkTooSlow(milliseconds(300), milliseconds(2000), milliseconds(200)));
+  CHECK(
+      !isLinkTooSlow(milliseconds(300), milliseconds(2000), milliseconds(-50)));
+  CHECK(isLinkTooSlow(milliseconds(300), milliseconds(250), milliseconds(-50)));
+  CHECK(!isLinkTooSlow(milliseconds(0), milliseconds(250), milliseconds(200)));
+}
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -202,12 +202,14 @@
   // The response also crosses the link of this host to the caller.
   duration TransferTime = Router.Deps.Link.transferTime(
       Router.Costs.responseBytesOf(Metadata.Route));
-  if (Route->SoftTimeout.count() > 0)
+  duration SoftTimeLeft = timeLeft();
+  if (Route->SoftTimeout.count() > 0) {
+    SoftTimeLeft = StartedAt + Route->SoftTimeout - Router.Deps.Clock.now();
     Metadata.SoftTimeLeft =
-        std::chrono::duration_cast<std::chrono::milliseconds>(
-            StartedAt + Route->SoftTimeout - TransferTime -
-            Router.Deps.Clock.now());
-  if (TransferTime > duration{0} && Metadata.SoftTimeLeft.count() < 0)
+        std::chrono::duration_cast<std::chrono::milliseconds>(SoftTimeLeft -
+                                                              TransferTime);
+  }
+  if (isLinkTooSlow(TransferTime, timeLeft(), SoftTimeLeft))
     return refuseUnserved(
         "link-full",
         std::chrono::duration_cast<std::chrono::milliseconds>(TransferTime));
