A dispatch under a limit always takes a token

What callers would see: a limited server gets a few requests more than its limit, up to its slots, at moments at which all but a billionth of a token has come in. Cause: the time until a whole token was rounded down to zero, and the bucket then had no token to give. Found by reading; the test 'a request that may be dispatched takes a token' failed (5 dispatches at once).

--- a/src/dragonflyvane/core/admission/dispatch_allowance_test.cpp
+++ b/src/dragonflyvane/core/admission/dispatch_allowance_test.cpp
@@ -88,3 +88,17 @@
   Allowance.update({0, {}}, Start);
   CHECK(dispatchesWithin(Allowance, Start, seconds(20)) == 0);
 }
+
+// Guards against dispatches that take no token, because the time until there is
+// a whole one is too short for the clock.
+TEST_CASE("a request that may be dispatched takes a token") {
+  dispatch_allowance Allowance;
+  Allowance.update({{}, 3}, Start);
+  for (int I = 0; I < 1000; ++I) {
+    time_point Now = Start + I * std::chrono::nanoseconds(333'333'333);
+    int Count = 0;
+    for (; Count < 5 && Allowance.delayOf(0, Now) == duration{0}; ++Count)
+      Allowance.take(Now);
+    CHECK(Count <= 1);
+  }
+}
--- a/src/dragonflyvane/core/rate/token_bucket.hpp
+++ b/src/dragonflyvane/core/rate/token_bucket.hpp
@@ -63,8 +63,10 @@
     if (Missing <= 0)
       return duration{0};
     std::chrono::duration<double> Seconds(Missing / Rate);
-    return Seconds < Never ? std::chrono::duration_cast<duration>(Seconds)
-                           : Never;
+    if (Seconds >= Never)
+      return Never;
+    // A rest too small for the clock is still missing.
+    return std::max(duration{1}, std::chrono::duration_cast<duration>(Seconds));
   }
   /// Longer than anything waits for a token.
   static constexpr duration Never = std::chrono::hours(24);
