--- a/src/dragonflyvane/core/cluster/era_tracker.cpp
+++ b/src/dragonflyvane/core/cluster/era_tracker.cpp
@@ -7,12 +7,11 @@
 
 namespace dragonflyvane {
 
-bool era_tracker::isOutdated(row_version Version, time_point Now) {
-  if (!Era) {
-    Era = eraOf(Version);
-    SeenAt = Now;
-  }
-  return eraOf(Version) < *Era;
+void era_tracker::start(row_version FirstVersion, time_point Now) {
+  if (Era)
+    return;
+  Era = eraOf(FirstVersion);
+  SeenAt = Now;
 }
 
 void era_tracker::beginEra(row_version Version, time_point GrantsEnd,
--- a/src/dragonflyvane/core/cluster/era_tracker.hpp
+++ b/src/dragonflyvane/core/cluster/era_tracker.hpp
@@ -14,11 +14,14 @@
 /// its lease through the latest return.
 class era_tracker {
 public:
+  /// Makes the era of the first version known; has no effect later.
+  void start(row_version FirstVersion, time_point Now);
   /// Returns whether a version shows that the store has come back.
-  bool isNew(row_version Version) const { return Era && eraOf(Version) > *Era; }
-  /// Returns whether a version is of an earlier era than the known one. The
-  /// first version makes its era known.
-  bool isOutdated(row_version Version, time_point Now);
+  bool isNew(row_version Version) const { return eraOf(Version) > current(); }
+  /// Returns whether a version is of an earlier era than the known one.
+  bool isOutdated(row_version Version) const {
+    return eraOf(Version) < current();
+  }
   /// Begins the era of a version. `GrantsEnd` is the time until which this host
   /// may have granted keys in the era before.
   void beginEra(row_version Version, time_point GrantsEnd, time_point Now);
--- a/src/dragonflyvane/core/cluster/era_tracker_test.cpp
+++ b/src/dragonflyvane/core/cluster/era_tracker_test.cpp
@@ -35,7 +35,7 @@
 
 TEST_CASE("without a return of the store the lease alone limits grants") {
   era_tracker Eras;
-  CHECK(!Eras.isOutdated(12, Start));
+  Eras.start(12, Start);
   CHECK(Eras.isQuarantineOver(Start));
   CHECK(Eras.grantDeadline({{}, 12, 12, 12}, LeaseEnd) == LeaseEnd);
 }
@@ -45,7 +45,7 @@
 TEST_CASE("a host that has not kept its lease grants nothing until the map is "
           "settled") {
   era_tracker Eras;
-  Eras.isOutdated(12, Start);
+  Eras.start(12, Start);
   Eras.beginEra(versionIn(1, 70), Start - seconds(1), Start);
   CHECK(!Eras.hasKeptLease());
   CHECK(Eras.grantDeadline(lostMap(), LeaseEnd) == time_point{});
@@ -61,7 +61,7 @@
 TEST_CASE("a host that has kept its lease goes on, and beyond its earlier "
           "grants only if the store has its map") {
   era_tracker Eras;
-  Eras.isOutdated(12, Start);
+  Eras.start(12, Start);
   Eras.beginEra(versionIn(1, 70), Start + seconds(3), Start);
   CHECK(Eras.hasKeptLease());
   CHECK(Eras.grantDeadline(lostMap(), LeaseEnd) == Start + seconds(3));
@@ -72,7 +72,7 @@
 
 TEST_CASE("a settled map of an earlier era is not settled in the next") {
   era_tracker Eras;
-  Eras.isOutdated(versionIn(1, 5), Start);
+  Eras.start(versionIn(1, 5), Start);
   known_map Map;
   Map.Content.Era = 1;
   Map.Version = Map.Lineage = Map.StoredLineage = versionIn(1, 4);
@@ -85,7 +85,7 @@
     "the quarantine lasts until the leases of the earlier era have ended") {
   era_tracker Eras;
   CHECK(!Eras.isQuarantineOver(Start));
-  Eras.isOutdated(versionIn(1, 5), Start);
+  Eras.start(versionIn(1, 5), Start);
   CHECK(!Eras.isQuarantineOver(Start + LeaseDuration));
   CHECK(Eras.isQuarantineOver(Start + LeaseDuration + LeaseClockMargin));
   Eras.beginEra(versionIn(2, 5), Start, Start + seconds(60));
@@ -96,8 +96,8 @@
     "versions of an earlier era are outdated, and the first renewal of an "
     "era is noticed") {
   era_tracker Eras;
-  Eras.isOutdated(versionIn(2, 5), Start);
-  CHECK(Eras.isOutdated(versionIn(1, 500), Start));
+  Eras.start(versionIn(2, 5), Start);
+  CHECK(Eras.isOutdated(versionIn(1, 500)));
   CHECK(Eras.isNew(versionIn(3, 1)));
   CHECK(!Eras.wasRenewed());
   CHECK(Eras.onRenewed());
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -111,15 +111,16 @@
 
 // Returns of the store.
 
-bool cluster_sync::isOfEarlierEra(row_version Version) {
+bool cluster_sync::acceptEra(row_version Version) {
+  Eras.start(Version, Deps.Clock.now());
   if (Eras.isNew(Version))
     onReturn(Version);
-  return Eras.isOutdated(Version, Deps.Clock.now());
+  return !Eras.isOutdated(Version);
 }
 
 void cluster_sync::observeEra(const transaction_result &Result) {
   if (Result.Era)
-    isOfEarlierEra(versionIn(*Result.Era, 0));
+    acceptEra(versionIn(*Result.Era, 0));
 }
 
 void cluster_sync::onReturn(row_version Version) {
@@ -225,7 +226,7 @@
     StartTimer = Deps.Loop.after(duration{0}, [this] { claimLease(); });
   if (Result.Outcome != read_outcome::Succeeded)
     return retryRead(Subscription, Result.Error);
-  if (isOfEarlierEra(Result.Batch.Revision))
+  if (!acceptEra(Result.Batch.Revision))
     return retryRead(Subscription, "rows of an earlier era");
   onStoreResponse(Subscription);
   Subscription.Revision = Result.Batch.Revision;
@@ -285,7 +286,7 @@
   if (Result.Outcome != read_outcome::Succeeded)
     return retryRead(Subscription, Result.Error);
   uint64_t Generation = Subscription.Generation;
-  if (isOfEarlierEra(Result.Batch.Revision))
+  if (!acceptEra(Result.Batch.Revision))
     return retryRead(Subscription, "rows of an earlier era");
   if (Generation != Subscription.Generation)
     return;
@@ -398,7 +399,7 @@
     return;
   }
   if (Result.Outcome != transaction_outcome::Committed ||
-      isOfEarlierEra(Result.Revision)) {
+      !acceptEra(Result.Revision)) {
     RenewalTimer = Deps.Loop.after(jittered(RenewalRetryDelay),
                                    [this] { renew(RetryBatchDelay); });
     return;
@@ -444,7 +445,7 @@
   for (const stored_row &Row : Result.Current) {
     if (Row.Id != leaseRow(Deps.Host) || Row.Version == LeaseVersion)
       continue;
-    if (Row.Version > 0 && isOfEarlierEra(Row.Version))
+    if (Row.Version > 0 && !acceptEra(Row.Version))
       continue;
     std::string HolderRunId = decodeLease(Row.Value).RunId;
     LeaseVersion = Row.Version;
@@ -471,7 +472,7 @@
         if (!IsClaimed)
           return;
         if (Result.Outcome != read_outcome::Succeeded ||
-            isOfEarlierEra(Result.Batch.Revision) ||
+            !acceptEra(Result.Batch.Revision) ||
             Result.Batch.Revision < ClaimedAt) {
           MapRetryTimer = Deps.Loop.after(ReadRetryDelay, [this, ClaimedAt] {
             readMapAfterClaim(ClaimedAt);
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -133,9 +133,9 @@
   void joinCluster();
   void claimLease();
 
-  /// Processes the era of a version that the store has sent. Returns whether
-  /// the version is of an earlier era than the known one.
-  bool isOfEarlierEra(row_version Version);
+  /// Processes the era of a version that the store has sent. Returns false if
+  /// the version is of an earlier era and must not be believed.
+  bool acceptEra(row_version Version);
   /// Processes the era of a result, before its rows change the view.
   void observeEra(const transaction_result &Result);
   /// Starts to reconcile with a store that has come back from an older copy.
