After the settling time an earlier configuration confirms the one in force

What callers would see: every keyed request refused for good, if operators do not write again a configuration that a return of the store has lost. Found by reading. Cause: a configuration older than the one in force never confirmed it. The test 'after the settling time ...' failed: the confirmation age grew without end.

--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -72,7 +72,7 @@
 }
 
 void operator_state::confirm(time_point SentAt) {
-  if (Config && StoredConfigVersion < Config->Version)
+  if (IsSettling && Config && StoredConfigVersion < Config->Version)
     return;
   ConfirmedAt = std::max(ConfirmedAt, SentAt);
 }
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -48,8 +48,9 @@
   /// Returns whether the state changed.
   bool applyAll(const row_batch &Batch);
   /// Records that the store confirmed the known versions in response to a
-  /// request that was sent at `SentAt`. Has no effect while the store has an
-  /// earlier configuration than the one in force.
+  /// request that was sent at `SentAt`. Has no effect while the state is
+  /// settling and the store has an earlier configuration than the one in force:
+  /// a later one that operators have written may be missing as well.
   void confirm(time_point SentAt);
   /// Sets whether operators may not have written their rows again since the
   /// store came back from an older copy. Evacuations then stay as they are.
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -71,6 +71,7 @@
   manual_clock Clock;
   State.apply({Config, 50, "12"});
   State.confirm(Clock.now());
+  State.setSettling(true);
   CHECK(!State.apply({Config, versionIn(1, 40), "11"}));
   CHECK(State.config()->Version == 12);
   CHECK(State.conditions()[0].Version == versionIn(1, 40));
@@ -82,6 +83,26 @@
   CHECK(State.confirmationAge(Clock.now()) == duration{0});
 }
 
+// Guards against a fleet that refuses all callers for good, because operators
+// do not write again what the store has lost.
+TEST_CASE(
+    "after the settling time an earlier configuration in the store confirms "
+    "the one in force") {
+  operator_state State({Config, East}, &decode);
+  manual_clock Clock;
+  State.apply({Config, 50, "x"});
+  State.confirm(Clock.now());
+  State.setSettling(true);
+  Clock.advance(std::chrono::seconds(2));
+  State.applyAll({versionIn(1, 3), {}, {}});
+  State.confirm(Clock.now());
+  CHECK(State.confirmationAge(Clock.now()) == std::chrono::seconds(2));
+  State.setSettling(false);
+  State.confirm(Clock.now());
+  CHECK(State.config()->Version == 50);
+  CHECK(State.confirmationAge(Clock.now()) == duration{0});
+}
+
 // Guards against evacuations that end and begin again while operators write
 // their rows again.
 TEST_CASE("evacuations stay as they are until operators have written again") {
