--- a/src/dragonflyvane/core/admission/server_condition.cpp
+++ b/src/dragonflyvane/core/admission/server_condition.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/core/admission/server_condition.hpp"
 
+#include <algorithm>
 #include <charconv>
 #include <cmath>
 
@@ -12,7 +13,7 @@
   bool IsNumber = Read.ec == std::errc() && Read.ptr == End;
   if (!IsNumber || !std::isfinite(Rate) || std::signbit(Rate))
     return std::nullopt;
-  return Rate;
+  return std::min(Rate, MaxRateLimit);
 }
 
 server_condition conditionAfter(const server_condition &Previous,
--- a/src/dragonflyvane/core/admission/server_condition.hpp
+++ b/src/dragonflyvane/core/admission/server_condition.hpp
@@ -23,8 +23,11 @@
   bool operator==(const server_condition &) const = default;
 };
 
-/// Parses a rate limit, a decimal number such as `7.5`. Returns nothing if the
-/// text is no finite number from 0 on.
+/// Larger limits limit nothing. In requests per second.
+inline constexpr double MaxRateLimit = 1e9;
+
+/// Parses a rate limit, a decimal number such as `7.5`, and returns at most
+/// `MaxRateLimit`. Returns nothing if the text is no finite number from 0 on.
 std::optional<double> parseRateLimit(std::string_view Text);
 
 /// Returns the condition after a response with these header fields. A response
--- a/src/dragonflyvane/core/admission/server_condition_test.cpp
+++ b/src/dragonflyvane/core/admission/server_condition_test.cpp
@@ -21,7 +21,7 @@
   CHECK(parseRateLimit("7.5") == 7.5);
   CHECK(parseRateLimit("0") == 0);
   CHECK(parseRateLimit("0.25") == 0.25);
-  CHECK(parseRateLimit("100000000000000000000") == 1e20);
+  CHECK(parseRateLimit("100000000000000000000") == MaxRateLimit);
   for (const char *Text : {"", "-1", "-0", "many", "7.5 ", "7,5", "1e3", "inf",
                            "nan", "+3", "0x10"}) {
     CAPTURE(Text);
