--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -174,13 +174,18 @@
     onLeave(incarnation(), Clock.now());
 }
 
-void local_server::onReportedCondition(const condition_report &Report) {
+bool local_server::onReportedCondition(const condition_report &Report) {
   if (Report.Incarnation != incarnation())
-    return;
-  if (!HasResponded && Report.RateLimit)
+    return false;
+  bool IsLimitNew = !HasResponded && Report.RateLimit &&
+                    Report.RateLimit != Condition.RateLimit;
+  bool IsLeavingNew =
+      Report.LeavingFor && Availability != server_availability::Leaving;
+  if (IsLimitNew)
     Condition.RateLimit = Report.RateLimit;
-  if (Report.LeavingFor)
+  if (IsLeavingNew)
     onLeave(Report.Incarnation, Clock.now() - *Report.LeavingFor);
+  return IsLimitNew || IsLeavingNew;
 }
 
 std::optional<condition_report>
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -54,8 +54,9 @@
   /// shows.
   void onCondition(const server_condition &Condition);
   /// Called with the condition that a peer knows. The limit counts only until
-  /// this daemon has seen a response of the incarnation itself.
-  void onReportedCondition(const condition_report &Report);
+  /// this daemon has seen a response of the incarnation itself. Returns whether
+  /// the report has changed what this daemon knows.
+  bool onReportedCondition(const condition_report &Report);
   /// Called when the server announces that it leaves, or when it becomes known
   /// that it has been leaving since `Since`.
   void onLeave(const server_incarnation &Incarnation, time_point Since);
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -95,7 +95,8 @@
 }
 
 void ownership_manager::onReportedCondition(const condition_report &Report) {
-  Server.onReportedCondition(Report);
+  if (!Server.onReportedCondition(Report))
+    return;
   publishHostInfo();
   makeDueCalls();
 }
