A map is settled only after the leases were read in the era

A coordinator that has just been elected knew of no kept lease, and would have given new tokens to all ranges, those of hosts that go on with theirs too.

--- a/src/dragonflyvane/core/ownership/host_lease.hpp
+++ b/src/dragonflyvane/core/ownership/host_lease.hpp
@@ -82,6 +82,10 @@
   /// expired and was renewed since the last takeover. A host without a known
   /// lease is eligible.
   bool isEligible(const std::string &Holder) const;
+  /// Returns whether the leases were observed in this era of the store.
+  bool wasObservedIn(store_era Latest) const {
+    return StoreTime.count() > 0 && Era == Latest;
+  }
   /// Returns whether the holder has kept its lease from the era before into
   /// this one, so that nobody can have taken over its ranges.
   bool hasKeptLease(const std::string &Holder, store_era Era) const;
--- a/src/dragonflyvane/core/ownership/host_lease_test.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease_test.cpp
@@ -80,7 +80,9 @@
   std::string Old = encodeLease({"mine", 1, milliseconds(10'000)});
   Tracker.observe(
       leases(40, 18'000, encodeLease({"mine", 9, milliseconds(17'900)})), true);
+  CHECK(!Tracker.wasObservedIn(1));
   Tracker.observe(leases(versionIn(1, 4), 20'000, Old), true);
+  CHECK(Tracker.wasObservedIn(1));
   CHECK(Tracker.expired().empty());
   Tracker.observe(leases(versionIn(1, 4), 22'400, Old), true);
   CHECK(Tracker.expired().empty());
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -185,7 +185,8 @@
   const known_map *Map = View.map(Service);
   bool IsDue =
       Map && !Eras.isSettled(*Map) && Eras.isQuarantineOver(Deps.Clock.now());
-  if (IsDue && ClusterSubscription.IsLoaded)
+  if (IsDue && ClusterSubscription.IsLoaded &&
+      Leases.wasObservedIn(Eras.current()))
     writeMap(Service, settledMap(*Map, Eras.current(), Leases));
 }
 
