--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -23,6 +23,7 @@
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/core/header_names.hpp"
 #include "dragonflyvane/core/http_message.hpp"
+#include "dragonflyvane/core/json_fields.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
 #include "dragonflyvane/core/ownership/call_grants.hpp"
 #include "dragonflyvane/core/ownership/granted_keys.hpp"
--- a/src/dragonflyvane/core/backend_server.hpp
+++ b/src/dragonflyvane/core/backend_server.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace dragonflyvane {
@@ -32,10 +33,32 @@
   std::chrono::milliseconds ColdRemaining{0};
   /// Increases with each heartbeat of an incarnation.
   uint64_t Sequence = 0;
-  /// The ranges that the backend server holds or has released.
-  held_keys Keys;
+  /// The ranges that the backend server holds or has released. None if the
+  /// heartbeat does not say, which is not the same as holding nothing.
+  std::optional<held_keys> Keys;
 };
 
+/// The announcement of a backend server that it leaves.
+struct leave_notice {
+  server_incarnation Incarnation;
+  /// Empty if the announcement does not name it.
+  std::string Service;
+};
+
+/// What the settings of a daemon say about the backend server of its host. They
+/// do not depend on any message.
+struct server_identity {
+  std::string Service;
+  /// `IP:PORT`; empty if the settings do not name it.
+  std::string Address;
+  std::string FailureDomain;
+};
+
+/// Throws `step_error` unless the heartbeat names the service, the address and
+/// the failure domain of the backend server. Other programs can reach the
+/// control endpoint too, and their messages say nothing about this server.
+void requireSender(const server_identity &Server, const heartbeat &Heartbeat);
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_CORE_BACKEND_SERVER_HPP
--- a/src/dragonflyvane/core/ownership/incarnation_tracker.cpp
+++ b/src/dragonflyvane/core/ownership/incarnation_tracker.cpp
@@ -27,9 +27,11 @@
 bool incarnation_tracker::mayReplaceCurrent(const server_incarnation &Sender,
                                             uint64_t SenderSequence,
                                             time_point Now) {
+  if (Current == server_incarnation{})
+    return true;
+  bool IsStartKnown = Sender.StartedAtMs > 0;
   bool HasStartedLater =
-      Sender.StartedAtMs > Current.StartedAtMs ||
-      (Sender.StartedAtMs == Current.StartedAtMs && Sender != Current);
+      IsStartKnown && Sender.StartedAtMs >= Current.StartedAtMs;
   if (HasStartedLater && !Replaced.contains(Sender))
     return true;
   bool IsSilent = Now - LastHeartbeatAt > MaxSilence;
--- a/src/dragonflyvane/core/ownership/incarnation_tracker.hpp
+++ b/src/dragonflyvane/core/ownership/incarnation_tracker.hpp
@@ -26,7 +26,8 @@
 /// Orders incarnations. A later start time is enough for an incarnation that
 /// was not seen before. Any other one replaces the known one only if that one
 /// has stopped to send heartbeats and the other goes on to send them, because
-/// the wall clock of a server may have been set back.
+/// the wall clock of a server may have been set back. An unknown start time is
+/// not later than any.
 class incarnation_tracker {
 public:
   /// An incarnation that sent no heartbeat for longer than `MaxSilence` may be
--- a/src/dragonflyvane/core/ownership/incarnation_tracker_test.cpp
+++ b/src/dragonflyvane/core/ownership/incarnation_tracker_test.cpp
@@ -33,6 +33,24 @@
   CHECK(Fixture.Tracker.current() == Later);
 }
 
+// A sender that does not say when it started may belong to an earlier life.
+TEST_CASE(
+    "an unknown start time replaces no incarnation that sends heartbeats") {
+  incarnation_fixture Fixture;
+  const server_incarnation Unknown{"i-2", 0};
+  CHECK(Fixture.send(First, 1) == heartbeat_origin::New);
+  CHECK(Fixture.send(Unknown, 1) == heartbeat_origin::Outdated);
+  CHECK(Fixture.send({"i-1", 0}, 9) == heartbeat_origin::Outdated);
+  CHECK(Fixture.send(First, 2) == heartbeat_origin::Current);
+}
+
+TEST_CASE("a known start time replaces an unknown one") {
+  incarnation_fixture Fixture;
+  CHECK(Fixture.send({"i-2", 0}, 1) == heartbeat_origin::New);
+  CHECK(Fixture.send({"i-3", 0}, 1) == heartbeat_origin::Outdated);
+  CHECK(Fixture.send(First, 1) == heartbeat_origin::New);
+}
+
 // The wall clock of the server's host was set back between two starts, so that
 // the new incarnation seems to be the older one.
 TEST_CASE("an incarnation with an earlier start time is found after a clock "
--- a/src/dragonflyvane/core/ownership/ownership_map.hpp
+++ b/src/dragonflyvane/core/ownership/ownership_map.hpp
@@ -20,7 +20,8 @@
 struct server_incarnation {
   /// The id of the server's instance.
   std::string Instance;
-  /// The start time in milliseconds since the epoch, by the server's own clock.
+  /// The start time in milliseconds since the epoch, by the server's own clock;
+  /// 0 if the server does not report it.
   int64_t StartedAtMs = 0;
 
   auto operator<=>(const server_incarnation &) const = default;
--- a/src/dragonflyvane/net/endpoint.cpp
+++ b/src/dragonflyvane/net/endpoint.cpp
@@ -24,7 +24,8 @@
   bool IsValid =
       Colon != std::string::npos && PortResult.ec == std::errc() &&
       PortResult.ptr == End && Result.Port != 0 &&
-      inet_pton(AF_INET, Result.Address.c_str(), &ParsedAddress) == 1;
+      inet_pton(AF_INET, Result.Address.c_str(), &ParsedAddress) == 1 &&
+      Result.Address.find('\0') == std::string::npos;
   if (!IsValid)
     throw step_error("parse endpoint", "",
                      "expected IP:PORT, got '" + Text + "'");
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -127,9 +127,7 @@
     return Grant;
   }
 
-  void onLeave(const server_incarnation &Incarnation) {
-    Ownership.onLeave(Incarnation);
-  }
+  void onLeave(const leave_notice &Notice) { Ownership.onLeave(Notice); }
 
   bool isReady() const {
     return OperatorState.config() && !IsStopping &&
@@ -323,8 +321,8 @@
   return Implementation->onHeartbeat(Heartbeat);
 }
 
-void daemon::onLeave(const server_incarnation &Incarnation) {
-  Implementation->onLeave(Incarnation);
+void daemon::onLeave(const leave_notice &Notice) {
+  Implementation->onLeave(Notice);
 }
 
 bool daemon::isReady() const { return Implementation->isReady(); }
--- a/src/dragonflyvane/node/daemon.hpp
+++ b/src/dragonflyvane/node/daemon.hpp
@@ -47,10 +47,12 @@
   /// the event loop at its end.
   void start();
   /// Handles a heartbeat of the local backend server. Returns the grant to
-  /// respond with, if any.
+  /// respond with, if any. Throws `step_error` if the heartbeat cannot come
+  /// from that server.
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat);
   /// Handles the announcement of the local backend server that it is leaving.
-  void onLeave(const server_incarnation &Incarnation);
+  /// Throws `step_error` if it cannot come from that server.
+  void onLeave(const leave_notice &Notice);
   /// Whether this daemon accepts callers: a configuration is in force, the
   /// confirmation age is below the maximum, and no shutdown has started.
   bool isReady() const;
--- a/src/dragonflyvane/node/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_test.cpp
@@ -85,7 +85,11 @@
   std::vector<time_point> Arrivals;
   std::vector<forward_result> Results;
   manual_scheduler Loop;
-  settings Settings;
+  settings Settings = [] {
+    settings Desk;
+    Desk.LocalService = "desk";
+    return Desk;
+  }();
   local_server Server{Settings, Loop.clock()};
   crash_guard Guard{Loop.clock()};
   operator_state OperatorState{{},
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/local_server.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/local_server.hpp"
 
+#include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/core/ownership/host_lease.hpp"
 
 #include <algorithm>
@@ -41,10 +42,17 @@
                             LeaseDuration);
 }
 
+server_identity identityIn(const settings &Settings) {
+  return {Settings.LocalService,
+          Settings.ServerEndpoint ? toString(*Settings.ServerEndpoint) : "",
+          Settings.FailureDomain};
+}
+
 } // namespace
 
 local_server::local_server(const settings &Settings, const clock_source &Clock)
-    : Clock(Clock), DrainTimeout(Settings.DrainTimeout),
+    : Clock(Clock), Identity(identityIn(Settings)),
+      DrainTimeout(Settings.DrainTimeout),
       HeartbeatInterval(Settings.HeartbeatInterval),
       MaxHold(maxHoldOf(Settings)),
       Policy({Settings.Host, Settings.MaxHoldDuration,
@@ -80,8 +88,17 @@
              Grants);
 }
 
+void local_server::requireOwnServer(const heartbeat &Heartbeat,
+                                    const grant_context &Context) const {
+  requireSender(Identity, Heartbeat);
+  if (Context.ReportsKeys && !Heartbeat.Keys)
+    throw step_error("heartbeat", Heartbeat.Incarnation.Instance,
+                     "the held ranges are missing");
+}
+
 std::optional<grant> local_server::onHeartbeat(const heartbeat &Heartbeat,
                                                const grant_context &Context) {
+  requireOwnServer(Heartbeat, Context);
   time_point Now = Clock.now();
   heartbeat_origin Origin =
       Incarnations.onHeartbeat(Heartbeat.Incarnation, Heartbeat.Sequence, Now);
@@ -104,10 +121,10 @@
   if (auto *Method = std::get_if<call_grants>(&Grants))
     Method->retryAtOnce();
   auto *Method = std::get_if<heartbeat_grants>(&Grants);
-  if (!Method || !Context.GrantWay)
+  if (!Method || !Context.GrantWay || !Heartbeat.Keys)
     return std::nullopt;
   static const ownership_map EmptyMap;
-  return Method->onHeartbeat(Policy, Heartbeat.Keys,
+  return Method->onHeartbeat(Policy, *Heartbeat.Keys,
                              Context.Map ? *Context.Map : EmptyMap,
                              Context.LeaseEnd, Now);
 }
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -29,6 +29,8 @@
   time_point LeaseEnd{};
   /// How the service grants keys; none while its configuration is unknown.
   std::optional<grant_way> GrantWay;
+  /// Whether the heartbeats of the service have to list the held ranges.
+  bool ReportsKeys = false;
 };
 
 /// Tracks the backend server of this host over all of its incarnations.
@@ -39,7 +41,8 @@
 
   /// Processes a heartbeat and returns the grant for the response, if the
   /// service grants keys by heartbeat. Late heartbeats and those of earlier
-  /// incarnations change nothing.
+  /// incarnations change nothing. Throws `step_error`, and changes nothing, if
+  /// the heartbeat cannot come from the server of this host.
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat,
                                    const grant_context &Context);
   /// Returns the calls that grant or release keys now; none unless the service
@@ -116,6 +119,8 @@
   void writeTo(host_info &Info) const;
 
 private:
+  void requireOwnServer(const heartbeat &Heartbeat,
+                        const grant_context &Context) const;
   void startIncarnation();
   /// Lets no repeated grant open a connection before the next heartbeat.
   void awaitHeartbeat();
@@ -123,6 +128,7 @@
   void selectGrantWay(const grant_context &Context);
 
   const clock_source &Clock;
+  server_identity Identity;
   std::chrono::milliseconds DrainTimeout;
   std::chrono::milliseconds HeartbeatInterval;
   /// No hold of a server lasts longer.
--- a/src/dragonflyvane/node/local_server_test.cpp
+++ b/src/dragonflyvane/node/local_server_test.cpp
@@ -1,5 +1,7 @@
 #include "dragonflyvane/node/local_server.hpp"
 
+#include "dragonflyvane/core/error.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace dragonflyvane;
@@ -7,20 +9,59 @@
 
 namespace {
 
-/// A local server that owns nothing, with heartbeats of one instance.
+settings deskSettings() {
+  settings Settings;
+  Settings.Host = "host-1";
+  Settings.LocalService = "desk";
+  Settings.FailureDomain = "erie";
+  Settings.ServerEndpoint = endpoint{"127.0.0.1", 9};
+  return Settings;
+}
+
+/// A local server that owns nothing at first, with heartbeats of one instance.
 struct local_server_fixture {
-  std::optional<grant> sendHeartbeat(int64_t StartedAtMs = 1000,
-                                     server_state State = server_state::Ready) {
+  heartbeat makeHeartbeat(int64_t StartedAtMs = 1000,
+                          server_state State = server_state::Ready) {
     heartbeat Heartbeat;
     Heartbeat.Incarnation = {"i-1", StartedAtMs};
     Heartbeat.Service = "desk";
     Heartbeat.Address = "127.0.0.1:9";
+    Heartbeat.FailureDomain = "erie";
     Heartbeat.Slots = 9;
     Heartbeat.State = State;
     Heartbeat.Sequence = ++Sequence;
-    return Server.onHeartbeat(
-        Heartbeat,
-        {&Map, false, Clock.now() + milliseconds(4000), grant_way::Heartbeat});
+    Heartbeat.Keys.emplace();
+    return Heartbeat;
+  }
+
+  grant_context context() const {
+    return {&Map, false, Clock.now() + milliseconds(4000), grant_way::Heartbeat,
+            true};
+  }
+
+  std::optional<grant> send(const heartbeat &Heartbeat) {
+    return Server.onHeartbeat(Heartbeat, context());
+  }
+
+  std::optional<grant> sendHeartbeat(int64_t StartedAtMs = 1000,
+                                     server_state State = server_state::Ready) {
+    return send(makeHeartbeat(StartedAtMs, State));
+  }
+
+  /// Gives all keys to the server, which reports that it holds them.
+  void holdAllKeys() {
+    sendHeartbeat();
+    Map.Ranges[0].Owner = "host-1";
+    Map.Ranges[0].Incarnation = Server.incarnation();
+    Map.Ranges[0].Token = 7;
+    REQUIRE(sendHeartbeat());
+    sendHolding();
+  }
+
+  std::optional<grant> sendHolding() {
+    heartbeat Heartbeat = makeHeartbeat();
+    Heartbeat.Keys->Held.push_back({0, LastPoint, 7});
+    return send(Heartbeat);
   }
 
   /// Reports a refused connection every 100 ms.
@@ -33,7 +74,7 @@
   }
 
   manual_clock Clock;
-  settings Settings;
+  settings Settings = deskSettings();
   local_server Server{Settings, Clock};
   ownership_map Map;
   uint64_t Sequence = 0;
@@ -84,3 +125,70 @@
   Fixture.Clock.advance(Fixture.Settings.DrainTimeout);
   CHECK(!Fixture.Server.acceptsRequests(Fixture.Clock.now()));
 }
+
+// A message of another program was believed to be the first heartbeat of the
+// next incarnation, and the keys of the server went to others while it held
+// them.
+TEST_CASE("a heartbeat that cannot come from the server changes nothing") {
+  local_server_fixture Fixture;
+  Fixture.holdAllKeys();
+  std::vector<heartbeat> Foreign(4, Fixture.makeHeartbeat(2000));
+  Foreign[0].Service = "books";
+  Foreign[1].Address = "127.0.0.1:10";
+  Foreign[2].FailureDomain = "huron";
+  Foreign[3].Keys.reset();
+  for (heartbeat &Heartbeat : Foreign) {
+    Heartbeat.Incarnation.Instance = "i-other";
+    Heartbeat.State = server_state::Draining;
+    Heartbeat.Sequence = 1'000'000;
+    CHECK_THROWS_AS(Fixture.send(Heartbeat), step_error);
+    Heartbeat.Incarnation = Fixture.Server.incarnation();
+    CHECK_THROWS_AS(Fixture.send(Heartbeat), step_error);
+  }
+  CHECK(Fixture.Server.incarnation() == server_incarnation{"i-1", 1000});
+  CHECK(Fixture.Server.availability() == server_availability::Ready);
+  CHECK(Fixture.Server.releasableRanges(Fixture.context()).empty());
+  std::optional<grant> Grant = Fixture.sendHolding();
+  REQUIRE(Grant);
+  CHECK(Grant->Ranges.size() == 1);
+}
+
+// A rejected heartbeat must not make a silent server look alive.
+TEST_CASE("a heartbeat that cannot come from the server is no sign of life") {
+  local_server_fixture Fixture;
+  Fixture.holdAllKeys();
+  heartbeat Foreign = Fixture.makeHeartbeat();
+  Foreign.Keys.reset();
+  for (int Second = 0; Second < 5; ++Second) {
+    Fixture.Clock.advance(milliseconds(1000));
+    CHECK_THROWS_AS(Fixture.send(Foreign), step_error);
+    Fixture.Server.tick();
+  }
+  CHECK(Fixture.Server.availability() == server_availability::Down);
+}
+
+// Rejecting messages of others must not delay a true replacement.
+TEST_CASE("a complete heartbeat of a later incarnation takes over at once") {
+  local_server_fixture Fixture;
+  Fixture.holdAllKeys();
+  heartbeat Next = Fixture.makeHeartbeat(2000);
+  Next.Incarnation.Instance = "i-2";
+  CHECK(Fixture.send(Next));
+  CHECK(Fixture.Server.incarnation() == server_incarnation{"i-2", 2000});
+  CHECK(!Fixture.sendHolding());
+}
+
+// A daemon that has just started does not know the configuration yet. A
+// heartbeat without lists must not count as one that lists nothing.
+TEST_CASE("a first heartbeat without lists releases no keys") {
+  local_server_fixture Fixture;
+  Fixture.Map.Ranges[0].Owner = "host-1";
+  Fixture.Map.Ranges[0].Incarnation = {"i-1", 1000};
+  heartbeat Foreign = Fixture.makeHeartbeat(2000, server_state::Draining);
+  Foreign.Keys.reset();
+  grant_context Unconfigured = Fixture.context();
+  Unconfigured.GrantWay.reset();
+  Unconfigured.ReportsKeys = false;
+  Fixture.Server.onHeartbeat(Foreign, Unconfigured);
+  CHECK(Fixture.Server.releasableRanges(Fixture.context()).empty());
+}
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/ownership_manager.hpp"
 
+#include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <cmath>
@@ -81,8 +82,11 @@
   return Grant;
 }
 
-void ownership_manager::onLeave(const server_incarnation &Incarnation) {
-  Server.onLeave(Incarnation, Deps.Clock.now());
+void ownership_manager::onLeave(const leave_notice &Notice) {
+  if (!Notice.Service.empty() && Notice.Service != Deps.Settings.LocalService)
+    throw step_error("leave", Notice.Incarnation.Instance,
+                     "service is " + Notice.Service);
+  Server.onLeave(Notice.Incarnation, Deps.Clock.now());
   publishHostInfo();
   makeDueCalls();
 }
@@ -144,8 +148,11 @@
   Context.LeaseEnd = Sync.grantDeadlineOf(Service);
   if (auto Config = Deps.OperatorState.config()) {
     auto Found = Config->Services.find(Service);
-    if (Found != Config->Services.end())
+    if (Found != Config->Services.end()) {
       Context.GrantWay = Found->second.GrantWay;
+      Context.ReportsKeys =
+          Found->second.Keyed && Found->second.GrantWay == grant_way::Heartbeat;
+    }
   }
   return Context;
 }
--- a/src/dragonflyvane/node/ownership_manager.hpp
+++ b/src/dragonflyvane/node/ownership_manager.hpp
@@ -48,10 +48,12 @@
   /// Starts synchronizing with the store.
   void start();
   /// Handles a heartbeat of the local backend server. Returns the grant to
-  /// respond with, if any.
+  /// respond with, if any. Throws `step_error` if the heartbeat cannot come
+  /// from that server.
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat);
   /// Handles the announcement of the local backend server that it is leaving.
-  void onLeave(const server_incarnation &Incarnation);
+  /// Throws `step_error` if it cannot come from that server.
+  void onLeave(const leave_notice &Notice);
   /// Handles the condition that the latest response of the local backend server
   /// shows.
   void onServerCondition(const server_condition &Condition);
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -152,7 +152,7 @@
     Simulation.stallWatches(1, true);
     Simulation.restoreStore(duration{0}, std::chrono::seconds(AgeSeconds));
     ownership_manager &Ownership = Simulation.ownership(1);
-    Ownership.onLeave(Simulation.server(1).incarnation());
+    Ownership.onLeave({Simulation.server(1).incarnation(), ""});
     for (int I = 0; I < 20; ++I) {
       Simulation.runFor(std::chrono::milliseconds(100));
       CHECK(Ownership.sync().grantDeadlineOf("desk") > Simulation.now());
@@ -398,7 +398,7 @@
           "daemon") {
   ownership_simulation Simulation(1, 3);
   Simulation.runFor(StartupTime);
-  Simulation.ownership(1).onLeave(Simulation.server(1).incarnation());
+  Simulation.ownership(1).onLeave({Simulation.server(1).incarnation(), ""});
   Simulation.runFor(std::chrono::seconds(2));
   Simulation.killDaemon(1);
   Simulation.startDaemon(1);
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/net/endpoint.hpp"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,6 +26,8 @@
   double LinkRate = 125'000'000;
   /// Service of the local backend server.
   std::string LocalService;
+  /// Where the local backend server accepts requests, if the platform says so.
+  std::optional<endpoint> ServerEndpoint;
   /// Listen address for requests of callers and of the local backend server.
   endpoint CallerEndpoint;
   /// Listen address for requests of other daemons.
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -17,7 +17,7 @@
   dragonflyvane::daemon Daemon(
       Loop, Settings, platform::makePlatformAccess(Store, KeyCalls, Settings),
       Client, Metrics);
-  platform::control_api Control(Loop, Settings, Daemon);
+  platform::control_api Control(Loop, Settings, Daemon, Metrics);
   Daemon.start();
   Loop.run();
   return 0;
--- a/tests/fake_server.cpp
+++ b/tests/fake_server.cpp
@@ -72,13 +72,13 @@
   Heartbeat.Sequence = ++Sequence;
   if (Options.GrantWay == grant_way::Call)
     return Heartbeat;
-  Heartbeat.Keys.Released = Released;
+  held_keys &Keys = Heartbeat.Keys.emplace();
+  Keys.Released = Released;
   for (const hold &Hold : Holds) {
     if (Options.EarlyRelease && Hold.ReleasedAt)
-      Heartbeat.Keys.Released.push_back(
-          {Hold.Range.First, Hold.Range.Last, "h"});
+      Keys.Released.push_back({Hold.Range.First, Hold.Range.Last, "h"});
     else
-      Heartbeat.Keys.Held.push_back(
+      Keys.Held.push_back(
           {Hold.Range.First, Hold.Range.Last, Hold.Range.Token});
   }
   return Heartbeat;
