--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -9,6 +9,7 @@
 #include "dragonflyvane/core/admission/request_priority.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
+#include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/admission/server_condition.hpp"
 #include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -28,6 +28,8 @@
 constexpr size_t ReadSize = size_t{16} << 10;
 /// Number of responses to other requests that a call skips before it fails.
 constexpr int MaxMismatchedResponses = 2;
+/// Time for the response to a request after one that may be the response to it.
+constexpr std::chrono::milliseconds UnprovenTimeout{500};
 constexpr uint32_t MaxHeaderBytes = 64U << 10;
 
 } // namespace
@@ -65,7 +67,11 @@
     bool Sent = false;
     bool Closed = false;
     int MismatchedResponses = 0;
+    /// Whether a response has arrived on the connection.
+    bool HasResponded = false;
     time_point IdleSince{};
+    /// The time at which `Timer` ends the call.
+    time_point Deadline{};
     std::string OutHead;
     std::string OutBody;
     boost::beast::flat_buffer Buffer;
@@ -77,6 +83,7 @@
   /// none is left.
   connection_pointer takeIdle(const endpoint &Remote,
                               const call_options &Options);
+  void closeOldestIdle(const endpoint &Remote);
   void connect(const connection_pointer &C);
   void onConnected(const connection_pointer &C,
                    const boost::system::error_code &Error);
@@ -87,6 +94,10 @@
   void parse(const connection_pointer &C);
   void resetParser(connection &C) const;
   void onResponse(const connection_pointer &C);
+  /// Whether the response belongs to the call in progress.
+  static response_match matchOf(connection &C, const http_response &Response);
+  void skipResponse(const connection_pointer &C, response_match Match,
+                    bool KeepAlive);
   void onClosed(const connection_pointer &C,
                 const boost::system::error_code &Error);
   /// Closes the connection and ends its call.
@@ -112,7 +123,11 @@
                                           const http_request &Request,
                                           call_options Options,
                                           callback Callback) {
-  connection_pointer C = takeIdle(Remote, Options);
+  connection_pointer C;
+  if (Options.MayReuse)
+    C = takeIdle(Remote, Options);
+  else
+    closeOldestIdle(Remote);
   bool IsNew = !C;
   if (IsNew)
     C = std::make_shared<connection>(Loop.internals().Io, Remote);
@@ -154,6 +169,14 @@
   return nullptr;
 }
 
+void http_client::implementation::closeOldestIdle(const endpoint &Remote) {
+  auto Found = IdleConnections.find(Remote);
+  if (Found == IdleConnections.end() || Found->second.empty())
+    return;
+  close(*Found->second.front());
+  Found->second.erase(Found->second.begin());
+}
+
 void http_client::implementation::connect(const connection_pointer &C) {
   C->Socket.async_connect(toAsio(C->Remote),
                           [Weak = weak_from_this(), C](auto Error) {
@@ -257,21 +280,36 @@
   Result.Response.Headers = toHeaders(Message);
   Result.Response.Body = std::move(Message.body());
   bool KeepAlive = Message.keep_alive();
-  bool IsInterim = Result.Response.Status < 200;
-  bool MatchesRequest =
-      !C->Options.MatchesRequest || C->Options.MatchesRequest(Result.Response);
-  if (IsInterim ||
-      (!MatchesRequest && ++C->MismatchedResponses <= MaxMismatchedResponses &&
-       KeepAlive))
+  if (Result.Response.Status < 200)
     return resetParser(*C);
-  if (!MatchesRequest)
-    return fail(C, call_outcome::ConnectionLost, "response to another request");
+  response_match Match = matchOf(*C, Result.Response);
+  if (Match != response_match::Matches)
+    return skipResponse(C, Match, KeepAlive);
   // Bytes after the response would be taken for the next response.
   if (!KeepAlive || C->Buffer.size() > 0)
     close(*C);
   finish(C, std::move(Result));
 }
 
+response_match
+http_client::implementation::matchOf(connection &C,
+                                     const http_response &Response) {
+  bool IsFirst = !std::exchange(C.HasResponded, true);
+  if (!C.Options.Match)
+    return response_match::Matches;
+  return C.Options.Match(Response, IsFirst);
+}
+
+void http_client::implementation::skipResponse(const connection_pointer &C,
+                                               response_match Match,
+                                               bool KeepAlive) {
+  if (++C->MismatchedResponses > MaxMismatchedResponses || !KeepAlive)
+    return fail(C, call_outcome::ConnectionLost, "response to another request");
+  if (Match == response_match::Unproven)
+    setTimer(C, std::min<duration>(C->Deadline - Clock.now(), UnprovenTimeout));
+  resetParser(*C);
+}
+
 void http_client::implementation::onClosed(
     const connection_pointer &C, const boost::system::error_code &Error) {
   if (C->CallId == 0) {
@@ -327,6 +365,7 @@
 
 void http_client::implementation::setTimer(const connection_pointer &C,
                                            duration Delay) {
+  C->Deadline = Clock.now() + Delay;
   C->Timer.expires_after(Delay);
   C->Timer.async_wait([Weak = weak_from_this(), C, Id = C->CallId](auto Error) {
     auto Self = Weak.lock();
--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -15,6 +15,16 @@
 
 namespace dragonflyvane {
 
+/// Whether a response belongs to the request of a call.
+enum class response_match {
+  Matches,
+  /// It belongs to an earlier request, and is skipped.
+  Other,
+  /// It may belong to this or to an earlier request. It is skipped, and a
+  /// response that matches may still follow for `UnprovenTimeout`.
+  Unproven,
+};
+
 /// Options of one call.
 struct call_options {
   /// Time to send the request and receive the whole response, counted from when
@@ -27,14 +37,18 @@
   /// Whether a connection may be opened. If not, and if there is no idle one,
   /// the call ends as `NotSent`.
   bool MayConnect = true;
+  /// Whether an idle connection may be used. If not, a new one takes the place
+  /// of the oldest idle one.
+  bool MayReuse = true;
   /// Called once connected, just before the first byte is sent; if it returns
   /// false, the call ends as `NotSent`. If empty, the request is always sent.
   std::function<bool()> MaySend;
-  /// Whether a response belongs to this request. A response that does not is
-  /// skipped as a late response to an earlier request. The third such response,
-  /// or one after which the server closes the connection, ends the call as
-  /// `ConnectionLost`. If empty, every response matches.
-  std::function<bool(const http_response &)> MatchesRequest;
+  /// Whether a response belongs to this request. `IsFirst` is true if it is the
+  /// first response on its connection, so that it cannot belong to an earlier
+  /// request. The third response that does not match, or one after which the
+  /// server closes the connection, ends the call as `ConnectionLost`. If empty,
+  /// every response matches.
+  std::function<response_match(const http_response &, bool IsFirst)> Match;
 };
 
 /// A client with a pool of idle connections. Never retries a request. Used on
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -235,22 +235,33 @@
   ++Running;
   Allowance.take(Entry.SentAt);
   Deps.Metrics.count("server_requests_total");
+  Entry.Call =
+      Deps.Send(Deps.Server.address(), makeServerRequest(Entry),
+                makeCallOptions(Id, Entry), [this, Id](call_result Result) {
+                  onResult(Id, std::move(Result));
+                });
+}
+
+call_options dispatcher::makeCallOptions(dispatch_id Id, const entry &Entry) {
+  std::string RequestId =
+      Entry.Request.Headers.find(Deps.Names.RequestId).value_or("");
   call_options Options;
   Options.Timeout = std::chrono::duration_cast<std::chrono::milliseconds>(
       Entry.Deadline - Entry.SentAt);
   Options.ConnectTimeout = ServerConnectTimeout;
   Options.MaxIdle = ServerMaxIdle;
+  // A late response to an earlier sending of the same request has the same id.
+  Options.MayReuse = SentRequests.insert(RequestId, Entry.SentAt);
   Options.MaySend = [this, Id] { return maySend(Id); };
-  if (auto RequestId = Entry.Request.Headers.find(Deps.Names.RequestId))
-    Options.MatchesRequest = [Name = Deps.Names.RequestId,
-                              RequestId =
-                                  *RequestId](const http_response &Response) {
-      auto Echo = Response.Headers.find(Name);
-      return !Echo || *Echo == RequestId;
-    };
-  Entry.Call = Deps.Send(
-      Deps.Server.address(), makeServerRequest(Entry), std::move(Options),
-      [this, Id](call_result Result) { onResult(Id, std::move(Result)); });
+  Options.Match = [Name = Deps.Names.RequestId,
+                   RequestId](const http_response &Response, bool IsFirst) {
+    auto Echo = Response.Headers.find(Name);
+    if (Echo)
+      return *Echo == RequestId ? response_match::Matches
+                                : response_match::Other;
+    return IsFirst ? response_match::Matches : response_match::Unproven;
+  };
+  return Options;
 }
 
 void dispatcher::onResult(dispatch_id Id, call_result Result) {
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
+#include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
 #include "dragonflyvane/core/header_names.hpp"
@@ -121,6 +122,7 @@
   /// Applies the rates that the server takes now.
   void updateAllowance();
   void dispatch(dispatch_id Id);
+  call_options makeCallOptions(dispatch_id Id, const entry &Entry);
   /// Checks the conditions of the dispatch again once the connection is open:
   /// ownership, grant and incarnation may have changed meanwhile.
   bool maySend(dispatch_id Id) const;
@@ -153,6 +155,7 @@
   dispatch_id LastId = 0;
   /// The dispatches that the server takes.
   dispatch_allowance Allowance;
+  sent_requests SentRequests;
   route_costs Costs;
   point_sample Sample;
   /// Submitted requests, and time for which slots were in use, since
--- /dev/null
+++ b/tests/scripted_server.cpp
@@ -0,0 +1,89 @@
+#include "scripted_server.hpp"
+
+#include <netinet/in.h>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace dragonflyvane {
+
+namespace {
+
+constexpr std::string_view EndOfHead = "\r\n\r\n";
+
+} // namespace
+
+std::string scripted_connection::readRequest() {
+  size_t End = 0;
+  while ((End = Buffer.find(EndOfHead)) == std::string::npos) {
+    char Bytes[4096];
+    ssize_t Size = ::recv(Socket, Bytes, sizeof(Bytes), 0);
+    if (Size <= 0)
+      return "";
+    Buffer.append(Bytes, static_cast<size_t>(Size));
+  }
+  std::string Head = Buffer.substr(0, End + EndOfHead.size());
+  Buffer.erase(0, Head.size());
+  return Head;
+}
+
+void scripted_connection::send(std::string_view Bytes) const {
+  while (!Bytes.empty()) {
+    ssize_t Sent = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    if (Sent <= 0)
+      return;
+    Bytes.remove_prefix(static_cast<size_t>(Sent));
+  }
+}
+
+void scripted_connection::resetOnClose() const {
+  linger Reset{1, 0};
+  setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
+}
+
+scripted_server::scripted_server(script Script)
+    : Script(std::move(Script)), Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  socklen_t Size = sizeof(Address);
+  auto *Name = reinterpret_cast<sockaddr *>(&Address);
+  if (::bind(Listener, Name, Size) != 0 || ::listen(Listener, 16) != 0)
+    throw std::runtime_error("cannot listen on a port of 127.0.0.1");
+  ::getsockname(Listener, Name, &Size);
+  Port = ntohs(Address.sin_port);
+  Acceptor = std::thread([this] { accept(); });
+}
+
+scripted_server::~scripted_server() {
+  ::shutdown(Listener, SHUT_RDWR);
+  Acceptor.join();
+  ::close(Listener);
+  for (std::thread &Thread : Scripts)
+    Thread.join();
+}
+
+void scripted_server::accept() {
+  int Socket = -1;
+  while ((Socket = ::accept(Listener, nullptr, nullptr)) >= 0) {
+    int Number = Connections++;
+    Scripts.emplace_back([this, Socket, Number] { serve(Socket, Number); });
+  }
+}
+
+void scripted_server::serve(int Socket, int Number) {
+  scripted_connection Connection(Socket, Number);
+  Script(Connection);
+  ::close(Socket);
+}
+
+std::string fieldOf(const std::string &Head, const std::string &Name) {
+  std::string Prefix = "\r\n" + Name + ": ";
+  size_t Begin = Head.find(Prefix);
+  if (Begin == std::string::npos)
+    return "";
+  Begin += Prefix.size();
+  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/tests/scripted_server.hpp
@@ -0,0 +1,72 @@
+/// A TCP server for tests that send responses which no sound server sends: cut
+/// off, repeated, late or unrelated.
+#ifndef DRAGONFLYVANE_TESTS_SCRIPTED_SERVER_HPP
+#define DRAGONFLYVANE_TESTS_SCRIPTED_SERVER_HPP
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+namespace dragonflyvane {
+
+/// The server's end of a connection. Closed when the script returns.
+class scripted_connection {
+public:
+  scripted_connection(int Socket, int Number)
+      : Socket(Socket), Number(Number) {}
+
+  /// The number of connections that were accepted before this one.
+  int number() const { return Number; }
+  /// Reads the head of the next request; empty once the client has closed the
+  /// connection. Requests must have no body.
+  std::string readRequest();
+  void send(std::string_view Bytes) const;
+  /// Lets the connection end with a reset instead of a close.
+  void resetOnClose() const;
+
+private:
+  int Socket;
+  int Number;
+  std::string Buffer;
+};
+
+/// Accepts connections on a port of 127.0.0.1 and runs a script for each, on a
+/// thread of its own.
+class scripted_server {
+public:
+  using script = std::function<void(scripted_connection &)>;
+
+  explicit scripted_server(script Script);
+  /// Waits until all scripts have returned; the clients must have closed their
+  /// connections.
+  ~scripted_server();
+  scripted_server(const scripted_server &) = delete;
+  scripted_server &operator=(const scripted_server &) = delete;
+
+  uint16_t port() const { return Port; }
+  /// The number of connections that were accepted.
+  int connections() const { return Connections; }
+
+private:
+  void accept();
+  void serve(int Socket, int Number);
+
+  script Script;
+  int Listener;
+  uint16_t Port = 0;
+  std::atomic<int> Connections{0};
+  std::vector<std::thread> Scripts;
+  std::thread Acceptor;
+};
+
+/// Returns the value of a header field in the head of a request; empty if it
+/// does not have the field.
+std::string fieldOf(const std::string &Head, const std::string &Name);
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_TESTS_SCRIPTED_SERVER_HPP
