--- /dev/null
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -0,0 +1,114 @@
+#include "dragonflyvane/net/http_client.hpp"
+
+#include "raw_connection.hpp"
+#include "scripted_server.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+/// Sends one request, and runs the loop until the call has ended.
+call_result callAndWait(event_loop &Loop, http_client &Client, uint16_t Port,
+                        const char *Method = "GET") {
+  http_request Request;
+  Request.Method = Method;
+  Request.Target = "/orders/1";
+  call_options Options;
+  Options.Timeout = std::chrono::seconds(60);
+  call_result Result;
+  Client.send({"127.0.0.1", Port}, Request, Options, [&](call_result Ended) {
+    Result = std::move(Ended);
+    Loop.stop();
+  });
+  Loop.run();
+  return Result;
+}
+
+const std::string WholeResponse =
+    "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+
+/// Responds to the requests on a connection but the last, then sends `Cut` and
+/// ends the connection.
+scripted_server::script endAfter(std::string Cut, int RequestsBefore,
+                                 bool WithReset) {
+  return [=](scripted_connection &Connection) {
+    for (int I = 0; I < RequestsBefore; ++I) {
+      Connection.readRequest();
+      Connection.send(WholeResponse);
+    }
+    Connection.readRequest();
+    Connection.send(Cut);
+    if (WithReset)
+      Connection.resetOnClose();
+  };
+}
+
+call_result callCutOff(const std::string &Cut, int RequestsBefore,
+                       bool WithReset, const char *Method = "GET") {
+  scripted_server Server(endAfter(Cut, RequestsBefore, WithReset));
+  event_loop Loop;
+  http_client Client(Loop);
+  for (int I = 0; I < RequestsBefore; ++I)
+    CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "ok");
+  return callAndWait(Loop, Client, Server.port(), Method);
+}
+
+} // namespace
+
+// Guards against a response that ends early, framed as a whole one with an
+// empty or short body: after each byte of the head and of the body, with a
+// close and with a reset, on a new connection and on one in use again.
+TEST_CASE("a response that is cut off is not whole") {
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Signature: s\r\n\r\n"
+      "4\r\nwhol\r\n1\r\ne\r\n0\r\n\r\n";
+  const std::string WithLength =
+      "HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 15\r\n\r\n"
+      "whole, 15 bytes";
+  for (const std::string &Whole : {Chunked, WithLength})
+    for (size_t Size = 0; Size < Whole.size(); ++Size)
+      for (int RequestsBefore : {0, 1})
+        for (bool WithReset : {false, true}) {
+          std::string Cut = Whole.substr(0, Size);
+          CAPTURE(Cut);
+          CAPTURE(RequestsBefore);
+          CAPTURE(WithReset);
+          call_result Result = callCutOff(Cut, RequestsBefore, WithReset);
+          CHECK(Result.Outcome == call_outcome::ConnectionLost);
+          CHECK(Result.Response.Body.empty());
+        }
+}
+
+// Guards against the same for a response that ends with its connection: its
+// body may be short by design, but its head must be whole.
+TEST_CASE("a response without length is whole only after its head, and if its "
+          "connection was closed") {
+  const std::string Head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\n";
+  for (size_t Size = 0; Size < Head.size(); ++Size) {
+    CAPTURE(Size);
+    CHECK(callCutOff(Head.substr(0, Size), 0, false).Outcome ==
+          call_outcome::ConnectionLost);
+  }
+  std::string Whole = Head;
+  Whole.append("body");
+  call_result Closed = callCutOff(Whole, 0, false);
+  CHECK(Closed.Outcome == call_outcome::Completed);
+  CHECK(Closed.Response.Body == "body");
+  CHECK(callCutOff(Whole, 0, true).Outcome == call_outcome::ConnectionLost);
+}
+
+TEST_CASE("a response to HEAD is whole after its head") {
+  std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 15\r\n\r\n";
+  CHECK(callCutOff(Head, 0, false, "HEAD").Outcome == call_outcome::Completed);
+  Head.pop_back();
+  CHECK(callCutOff(Head, 0, false, "HEAD").Outcome ==
+        call_outcome::ConnectionLost);
+}
+
+// Guards against an interim response that counts as the final one.
+TEST_CASE("a connection that ends after an interim response is lost") {
+  CHECK(callCutOff("HTTP/1.1 100 Continue\r\n\r\n", 0, false).Outcome ==
+        call_outcome::ConnectionLost);
+}
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/http_server.hpp"
 #include "raw_connection.hpp"
+#include "scripted_server.hpp"
 
 #include <doctest/doctest.h>
 
@@ -234,3 +235,55 @@
   Loop.post([&] { Loop.stop(); });
   Loop.run();
 }
+
+namespace {
+
+/// A frame of HTTP/2 for the first stream of a client, or for the connection.
+std::string makeFrame(char Type, char Flags, char Stream,
+                      const std::string &Payload) {
+  std::string Frame(9, '\0');
+  Frame[2] = static_cast<char>(Payload.size());
+  Frame[3] = Type;
+  Frame[4] = Flags;
+  Frame[8] = Stream;
+  return Frame + Payload;
+}
+
+} // namespace
+
+// Guards against a response that ends early, taken for a whole one by the host
+// of the caller: after each byte that a peer sends, with a close and with a
+// reset.
+TEST_CASE("a response of a peer that is cut off is not whole") {
+  constexpr char Data = 0;
+  constexpr char Headers = 1;
+  constexpr char Settings = 4;
+  constexpr char EndStream = 1;
+  constexpr char EndHeaders = 4;
+  const std::string StatusOk = "\x88";
+  const std::string Whole = makeFrame(Settings, 0, 0, "") +
+                            makeFrame(Headers, EndHeaders, 1, StatusOk) +
+                            makeFrame(Data, 0, 1, "wh") +
+                            makeFrame(Data, EndStream, 1, "ole");
+  auto Call = [&](size_t Size, bool WithReset) {
+    scripted_server Server([&](scripted_connection &Connection) {
+      Connection.readRequest();
+      Connection.send(Whole.substr(0, Size));
+      if (WithReset)
+        Connection.resetOnClose();
+    });
+    event_loop Loop;
+    peer_client Client(Loop, MaxBodyBytes);
+    return callAndWait(Loop, Client, endpoint{"127.0.0.1", Server.port()},
+                       makeRequest("GET", ""), LongTimeout);
+  };
+  for (size_t Size = 0; Size < Whole.size(); ++Size)
+    for (bool WithReset : {false, true}) {
+      CAPTURE(Size);
+      CAPTURE(WithReset);
+      CHECK(Call(Size, WithReset).Outcome == call_outcome::ConnectionLost);
+    }
+  call_result Result = Call(Whole.size(), false);
+  CHECK(Result.Outcome == call_outcome::Completed);
+  CHECK(Result.Response.Body == "whole");
+}
