--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -21,6 +21,7 @@
 #include "dragonflyvane/core/cluster/transaction_batch.hpp"
 #include "dragonflyvane/core/configuration/configuration.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/core/header_names.hpp"
 #include "dragonflyvane/core/http_message.hpp"
--- a/include/dragonflyvane/net.hpp
+++ b/include/dragonflyvane/net.hpp
@@ -4,7 +4,6 @@
 #define DRAGONFLYVANE_NET_HPP
 
 #include "dragonflyvane/net/call_result.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -1,5 +1,7 @@
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
 
+#include "dragonflyvane/core/error.hpp"
+
 #include <algorithm>
 
 namespace dragonflyvane {
@@ -50,6 +52,22 @@
 row_id leaseRow(const std::string &Holder) { return {row_kind::Lease, Holder}; }
 
 bool cluster_view::apply(const stored_row &Row) {
+  auto Known = Unreadable.find(Row.Id);
+  bool IsOlder =
+      Row.Value && Known != Unreadable.end() && Row.Version <= Known->second;
+  if (IsOlder)
+    return false;
+  try {
+    bool IsChanged = applyReadable(Row);
+    Unreadable.erase(Row.Id);
+    return IsChanged;
+  } catch (const step_error &) {
+    Unreadable[Row.Id] = Row.Version;
+    throw;
+  }
+}
+
+bool cluster_view::applyReadable(const stored_row &Row) {
   const std::string &Key = Row.Id.Key;
   if (startsWith(Key, HostPrefix))
     return applyRow(Hosts, Key.substr(HostPrefix.size()), Row, &decodeHost);
@@ -81,6 +99,9 @@
   const std::string &Key = Condition.Id.Key;
   if (Condition.Version == 0)
     return false;
+  auto Found = Unreadable.find(Condition.Id);
+  if (Found != Unreadable.end() && Found->second == Condition.Version)
+    Unreadable.erase(Found);
   for (auto &[Service, Map] : Maps) {
     if (mapRow(Service) != Condition.Id || Map.Version != Condition.Version)
       continue;
@@ -103,6 +124,7 @@
     return std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
                        [&](const stored_row &Row) { return Row.Id == Id; });
   };
+  std::erase_if(Unreadable, [&](const auto &U) { return !Exists(U.first); });
   std::erase_if(Hosts,
                 [&](const auto &H) { return !Exists(hostRow(H.first)); });
   for (auto &[Service, Map] : Maps) {
@@ -120,6 +142,14 @@
   return Found == Maps.end() ? nullptr : &Found->second;
 }
 
+row_version cluster_view::hostVersion(const std::string &Name) const {
+  auto Readable = Hosts.find(Name);
+  auto Latest = Unreadable.find(hostRow(Name));
+  if (Latest != Unreadable.end())
+    return Latest->second;
+  return Readable == Hosts.end() ? 0 : Readable->second.Version;
+}
+
 const host_info *cluster_view::host(const std::string &Name) const {
   auto Found = Hosts.find(Name);
   return Found == Hosts.end() ? nullptr : &Found->second.Content;
--- a/src/dragonflyvane/core/cluster/cluster_view.hpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.hpp
@@ -57,8 +57,8 @@
 class cluster_view {
 public:
   /// Applies a row that was read or watched. Returns whether the view changed.
-  /// Throws `step_error` if the value cannot be decoded; the view then keeps
-  /// the older row.
+  /// Throws `step_error` if the value cannot be decoded, once for each version;
+  /// the view then keeps the older content.
   bool apply(const stored_row &Row);
   /// Removes a row that a conflict has shown to be missing, if it is still
   /// known with the version that the condition named. Returns whether it was.
@@ -76,6 +76,12 @@
   const known_map *map(const std::string &Service) const;
   /// Returns a host, or null.
   const host_info *host(const std::string &Name) const;
+  /// Returns the version of a host's row, which need not be readable; 0 if
+  /// there is none.
+  row_version hostVersion(const std::string &Name) const;
+  /// Whether the latest value of the row could be decoded, if there is one.
+  bool isReadable(const row_id &Id) const { return !Unreadable.contains(Id); }
+  size_t unreadableRows() const { return Unreadable.size(); }
   /// Returns the name of the coordinator, which is empty if there is none, and
   /// the version of its row.
   const versioned<std::string> &coordinatorHost() const {
@@ -83,11 +89,14 @@
   }
 
 private:
+  bool applyReadable(const stored_row &Row);
   bool applyMap(const std::string &Service, const stored_row &Row);
 
   std::map<std::string, versioned<host_info>> Hosts;
   std::map<std::string, known_map> Maps;
   versioned<std::string> CoordinatorHost;
+  /// The rows whose latest value cannot be decoded, with its version.
+  std::map<row_id, row_version> Unreadable;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/cluster/cluster_view_test.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view_test.cpp
@@ -1,5 +1,7 @@
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
 
+#include "dragonflyvane/core/error.hpp"
+
 #include <doctest/doctest.h>
 
 using namespace dragonflyvane;
@@ -15,6 +17,12 @@
   return {mapRow("desk"), Version, encodeMap(Map)};
 }
 
+host_info anyHost() {
+  host_info Info;
+  Info.PeerEndpoint = {"127.0.0.1", 7780};
+  return Info;
+}
+
 std::string ownerIn(const cluster_view &View) {
   return View.map("desk")->Content.find(0).Owner;
 }
@@ -61,10 +69,32 @@
 // condition names is gone (a host row, after a return of the store).
 TEST_CASE("a row that a conflict has shown to be missing is removed") {
   cluster_view View;
-  View.apply({hostRow("a"), 18, encodeHost({})});
+  View.apply({hostRow("a"), 18, encodeHost(anyHost())});
   CHECK(!View.removeMissingRow({hostRow("a"), 17}));
   CHECK(!View.removeMissingRow({hostRow("a"), 0}));
   CHECK(View.host("a"));
   CHECK(View.removeMissingRow({hostRow("a"), 18}));
   CHECK(!View.host("a"));
 }
+
+// Guards against a write that conflicts for ever, because the version of a row
+// that cannot be read is not known.
+TEST_CASE("the version of a row that cannot be read is known, and its older "
+          "content is kept") {
+  cluster_view View;
+  View.apply({hostRow("a"), 18, encodeHost(anyHost())});
+  CHECK_THROWS_AS(View.apply({hostRow("a"), 19, "odd"}), step_error);
+  CHECK(!View.apply({hostRow("a"), 19, "odd"}));
+  CHECK(View.host("a"));
+  CHECK(View.hostVersion("a") == 19);
+  CHECK(!View.isReadable(hostRow("a")));
+  CHECK(View.unreadableRows() == 1);
+  CHECK_THROWS_AS(View.apply({hostRow("b"), 20, "odd"}), step_error);
+  CHECK(!View.host("b"));
+  CHECK(View.hostVersion("b") == 20);
+  View.apply({hostRow("a"), 21, encodeHost(anyHost())});
+  View.apply({hostRow("b"), 22, std::nullopt});
+  CHECK(View.hostVersion("a") == 21);
+  CHECK(View.hostVersion("b") == 0);
+  CHECK(View.unreadableRows() == 0);
+}
--- a/src/dragonflyvane/core/cluster/host_info.cpp
+++ b/src/dragonflyvane/core/cluster/host_info.cpp
@@ -1,8 +1,6 @@
 #include "dragonflyvane/core/cluster/host_info.hpp"
 
-#include "dragonflyvane/core/error.hpp"
-
-#include <nlohmann/json.hpp>
+#include "dragonflyvane/core/json_fields.hpp"
 
 namespace dragonflyvane {
 
@@ -21,7 +19,7 @@
 }
 
 std::string encodeHost(const host_info &Host) {
-  return nlohmann::json{{"peer", Host.PeerAddress},
+  return nlohmann::json{{"peer", toString(Host.PeerEndpoint)},
                         {"domain", Host.FailureDomain},
                         {"service", Host.Service},
                         {"standing", static_cast<int>(Host.Availability)},
@@ -34,19 +32,20 @@
 
 host_info decodeHost(const std::string &Text) {
   try {
-    auto Json = nlohmann::json::parse(Text);
+    nlohmann::json Json = parseJson(Text);
     host_info Host;
-    Host.PeerAddress = Json.at("peer").get<std::string>();
-    Host.FailureDomain = Json.at("domain").get<std::string>();
-    Host.Service = Json.at("service").get<std::string>();
-    Host.Availability =
-        static_cast<server_availability>(Json.at("standing").get<int>());
-    Host.Incarnation = {Json.at("instance").get<std::string>(),
-                        Json.at("born").get<int64_t>()};
-    Host.Slots = Json.at("slots").get<uint32_t>();
-    Host.CpuShare = Json.at("processor").get<double>();
+    Host.PeerEndpoint = parseEndpoint(requireText(Json, "peer"));
+    Host.FailureDomain = requireField(Json, "domain").get<std::string>();
+    Host.Service = requireField(Json, "service").get<std::string>();
+    Host.Availability = static_cast<server_availability>(requireInteger<int>(
+        Json, "standing", static_cast<int>(server_availability::None),
+        static_cast<int>(server_availability::Down)));
+    Host.Incarnation = {requireField(Json, "instance").get<std::string>(),
+                        requireInteger<int64_t>(Json, "born", 0)};
+    Host.Slots = requireInteger<uint32_t>(Json, "slots");
+    Host.CpuShare = requireNumber(Json, "processor");
     return Host;
-  } catch (const nlohmann::json::exception &Error) {
+  } catch (const std::exception &Error) {
     throw step_error("host row", "", Error.what());
   }
 }
--- a/src/dragonflyvane/core/cluster/host_info.hpp
+++ b/src/dragonflyvane/core/cluster/host_info.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYVANE_CORE_CLUSTER_HOST_INFO_HPP
 #define DRAGONFLYVANE_CORE_CLUSTER_HOST_INFO_HPP
 
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 
 #include <cstdint>
@@ -27,8 +28,8 @@
 
 /// A host. Its row is written only when one of these members changes.
 struct host_info {
-  /// `IP:PORT` at which the daemon accepts connections of its peers.
-  std::string PeerAddress;
+  /// Where the daemon accepts connections of its peers.
+  endpoint PeerEndpoint;
   std::string FailureDomain;
   std::string Service;
   server_availability Availability = server_availability::None;
@@ -43,7 +44,8 @@
 
 /// Encodes a host as JSON for its row.
 std::string encodeHost(const host_info &Host);
-/// Decodes the row of a host. Throws `step_error` if the text is no valid host.
+/// Decodes the row of a host. Throws `step_error` if a field is missing, of
+/// another type or out of range.
 host_info decodeHost(const std::string &Text);
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/cluster/store_relays_test.cpp
+++ b/src/dragonflyvane/core/cluster/store_relays_test.cpp
@@ -9,6 +9,7 @@
 void add(cluster_view &View, const std::string &Name, const std::string &Domain,
          double Share) {
   host_info Info;
+  Info.PeerEndpoint = {"127.0.0.1", 7780};
   Info.FailureDomain = Domain;
   Info.CpuShare = Share;
   View.apply({hostRow(Name), View.hosts().size() + 1, encodeHost(Info)});
--- a/src/dragonflyvane/net/endpoint.cpp
+++ b/src/dragonflyvane/core/endpoint.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 
 #include "dragonflyvane/core/error.hpp"
 
--- a/src/dragonflyvane/net/endpoint.hpp
+++ b/src/dragonflyvane/core/endpoint.hpp
@@ -1,6 +1,6 @@
 /// Endpoints of processes: an IP address and a TCP port.
-#ifndef DRAGONFLYVANE_NET_ENDPOINT_HPP
-#define DRAGONFLYVANE_NET_ENDPOINT_HPP
+#ifndef DRAGONFLYVANE_CORE_ENDPOINT_HPP
+#define DRAGONFLYVANE_CORE_ENDPOINT_HPP
 
 #include <compare>
 #include <cstdint>
@@ -26,4 +26,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NET_ENDPOINT_HPP
+#endif // DRAGONFLYVANE_CORE_ENDPOINT_HPP
--- a/src/dragonflyvane/core/json_fields.cpp
+++ b/src/dragonflyvane/core/json_fields.cpp
@@ -53,6 +53,14 @@
   return Object.at(Field);
 }
 
+const nlohmann::json &requireList(const nlohmann::json &Object,
+                                  const char *Field) {
+  const nlohmann::json &List = requireField(Object, Field);
+  if (!List.is_array())
+    rejectJsonField(Field, "a list");
+  return List;
+}
+
 std::string requireText(const nlohmann::json &Object, const char *Field) {
   const nlohmann::json &Value = requireField(Object, Field);
   if (!Value.is_string() || Value.get_ref<const std::string &>().empty())
@@ -60,11 +68,9 @@
   return Value.get<std::string>();
 }
 
-double optionalNumber(const nlohmann::json &Object, const char *Field,
-                      double Default, double Max) {
-  if (!Object.contains(Field))
-    return Default;
-  const nlohmann::json &Value = Object.at(Field);
+double requireNumber(const nlohmann::json &Object, const char *Field,
+                     double Max) {
+  const nlohmann::json &Value = requireField(Object, Field);
   bool IsValid = Value.is_number() && std::isfinite(Value.get<double>()) &&
                  Value.get<double>() >= 0 && Value.get<double>() <= Max;
   if (!IsValid)
@@ -72,4 +78,9 @@
   return Value.get<double>();
 }
 
+double optionalNumber(const nlohmann::json &Object, const char *Field,
+                      double Default, double Max) {
+  return Object.contains(Field) ? requireNumber(Object, Field, Max) : Default;
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/json_fields.hpp
+++ b/src/dragonflyvane/core/json_fields.hpp
@@ -31,6 +31,10 @@
 const nlohmann::json &requireField(const nlohmann::json &Object,
                                    const char *Field);
 
+/// Returns the list in a field. Other values can be iterated like lists, too.
+const nlohmann::json &requireList(const nlohmann::json &Object,
+                                  const char *Field);
+
 /// Returns the text of a string field that is not empty.
 std::string requireText(const nlohmann::json &Object, const char *Field);
 
@@ -74,6 +78,10 @@
              : Default;
 }
 
+/// Returns a finite number from 0 to `Max`, which the object must contain.
+double requireNumber(const nlohmann::json &Object, const char *Field,
+                     double Max = std::numeric_limits<double>::max());
+
 /// Returns a finite number from 0 to `Max`, or `Default` if the object does not
 /// contain the field.
 double optionalNumber(const nlohmann::json &Object, const char *Field,
--- a/src/dragonflyvane/core/ownership/host_lease.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease.cpp
@@ -1,6 +1,6 @@
 #include "dragonflyvane/core/ownership/host_lease.hpp"
 
-#include <nlohmann/json.hpp>
+#include "dragonflyvane/core/json_fields.hpp"
 
 namespace dragonflyvane {
 
@@ -9,6 +9,8 @@
 /// A longer time between two observations means that the store was unavailable,
 /// so that the holders could not renew their leases either.
 constexpr std::chrono::milliseconds MaxObservationGap{2500};
+/// Far beyond any clock, and small enough to calculate with.
+constexpr int64_t MaxStoreTimeMs = int64_t{1} << 52;
 
 } // namespace
 
@@ -22,12 +24,13 @@
 }
 
 lease_value decodeLease(const std::optional<std::string> &Text) {
-  auto Json = nlohmann::json::parse(Text.value_or(""), nullptr, false);
   try {
-    return {Json.at("run").get<std::string>(), Json.at("count").get<uint64_t>(),
-            std::chrono::milliseconds(Json.at("sent_by").get<int64_t>()),
-            Json.value("kept_into_era", store_era{0})};
-  } catch (const nlohmann::json::exception &) {
+    nlohmann::json Json = parseJson(Text.value_or(""));
+    return {requireText(Json, "run"), requireInteger<uint64_t>(Json, "count"),
+            std::chrono::milliseconds(
+                requireInteger<int64_t>(Json, "sent_by", 0, MaxStoreTimeMs)),
+            optionalInteger<store_era>(Json, "kept_into_era", 0)};
+  } catch (const std::exception &) {
     return {};
   }
 }
--- a/src/dragonflyvane/core/ownership/ownership_map.cpp
+++ b/src/dragonflyvane/core/ownership/ownership_map.cpp
@@ -1,8 +1,6 @@
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 
-#include "dragonflyvane/core/error.hpp"
-
-#include <nlohmann/json.hpp>
+#include "dragonflyvane/core/json_fields.hpp"
 
 #include <algorithm>
 #include <map>
@@ -53,17 +51,21 @@
   return Fields;
 }
 
+int ownerIndex(const json &Value) {
+  return toInteger<int>(Value, "owner", owner_list::NoOwner);
+}
+
 owned_range decodeRange(const json &Fields, const json &Owners) {
   owned_range Range;
-  Range.First = Fields.at(0).get<key_point>();
-  if (int Index = Fields.at(1).get<int>(); Index != owner_list::NoOwner) {
+  Range.First = toInteger<key_point>(Fields.at(0), "first", 0, LastPoint);
+  if (int Index = ownerIndex(Fields.at(1)); Index != owner_list::NoOwner) {
     const json &Owner = Owners.at(Index);
     Range.Owner = Owner.at(0).get<std::string>();
     Range.Incarnation = {Owner.at(1).get<std::string>(),
-                         Owner.at(2).get<int64_t>()};
+                         toInteger<int64_t>(Owner.at(2), "started at", 0)};
   }
-  Range.Token = Fields.at(2).get<uint64_t>();
-  if (int Index = Fields.at(3).get<int>(); Index != owner_list::NoOwner)
+  Range.Token = toInteger<uint64_t>(Fields.at(2), "token");
+  if (int Index = ownerIndex(Fields.at(3)); Index != owner_list::NoOwner)
     Range.NextOwner = Owners.at(Index).at(0).get<std::string>();
   if (Fields.size() > 4)
     Range.Handover = Fields.at(4).get<std::string>();
@@ -130,16 +132,16 @@
   ownership_map Map;
   Map.Ranges.clear();
   try {
-    const auto Document = json::parse(Text);
-    for (const auto &Fields : Document.at("ranges")) {
-      owned_range Range = decodeRange(Fields, Document.at("owners"));
+    const json Document = parseJson(Text);
+    for (const auto &Fields : requireList(Document, "ranges")) {
+      owned_range Range = decodeRange(Fields, requireList(Document, "owners"));
       if (!Map.Ranges.empty())
         Map.Ranges.back().Last = Range.First - 1;
       Map.Ranges.push_back(std::move(Range));
     }
-    Map.Era = Document.value("era", uint64_t{0});
-    Map.RestoredFrom = Document.value("restored_from", uint64_t{0});
-  } catch (const json::exception &Error) {
+    Map.Era = optionalInteger<uint64_t>(Document, "era", 0);
+    Map.RestoredFrom = optionalInteger<uint64_t>(Document, "restored_from", 0);
+  } catch (const std::exception &Error) {
     throw step_error("ownership map", "", Error.what());
   }
   if (!coversAllPoints(Map.Ranges))
--- a/src/dragonflyvane/net/asio_context.hpp
+++ b/src/dragonflyvane/net/asio_context.hpp
@@ -3,7 +3,7 @@
 #ifndef DRAGONFLYVANE_NET_ASIO_CONTEXT_HPP
 #define DRAGONFLYVANE_NET_ASIO_CONTEXT_HPP
 
-#include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 
 #include <utility> // Must precede the headers of Boost.Asio 1.74.
--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -3,9 +3,9 @@
 #ifndef DRAGONFLYVANE_NET_HTTP_CLIENT_HPP
 #define DRAGONFLYVANE_NET_HTTP_CLIENT_HPP
 
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/net/call_result.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 
 #include <chrono>
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -31,7 +31,7 @@
 
 /// Responds to the requests on a connection but the last, then sends `Cut` and
 /// ends the connection.
-scripted_server::script endAfter(std::string Cut, int RequestsBefore,
+scripted_server::script endAfter(const std::string &Cut, int RequestsBefore,
                                  bool WithReset) {
   return [=](scripted_connection &Connection) {
     for (int I = 0; I < RequestsBefore; ++I) {
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -4,7 +4,7 @@
 #define DRAGONFLYVANE_NET_HTTP_SERVER_HPP
 
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -4,8 +4,8 @@
 #define DRAGONFLYVANE_NET_PEER_TRANSPORT_HPP
 
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/call_result.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 
--- a/src/dragonflyvane/net/store_call_codec.cpp
+++ b/src/dragonflyvane/net/store_call_codec.cpp
@@ -1,6 +1,6 @@
 #include "dragonflyvane/net/store_call_codec.hpp"
 
-#include <nlohmann/json.hpp>
+#include "dragonflyvane/core/json_fields.hpp"
 
 namespace dragonflyvane {
 
@@ -12,11 +12,31 @@
 /// from requests of callers.
 constexpr const char *StoreCallField = "x-dragonflyvane-store";
 
+/// Far beyond any clock, and small enough to calculate with.
+constexpr int64_t MaxTimeMs = int64_t{1} << 52;
+
+/// Returns the enumerator with this number, which is at most `Last`.
+template <typename Enumeration>
+Enumeration toEnumerator(const json &Value, const char *Field,
+                         Enumeration Last) {
+  return static_cast<Enumeration>(
+      toInteger<int>(Value, Field, 0, static_cast<int>(Last)));
+}
+
+row_kind toRowKind(const json &Value) {
+  return toEnumerator(Value, "kind", row_kind::Lease);
+}
+
+std::chrono::milliseconds requireMilliseconds(const json &Body,
+                                              const char *Field) {
+  return std::chrono::milliseconds(
+      requireInteger<int64_t>(Body, Field, 0, MaxTimeMs));
+}
+
 json toJson(const row_id &Id) { return {static_cast<int>(Id.Kind), Id.Key}; }
 
 row_id toRowId(const json &Json) {
-  return {static_cast<row_kind>(Json.at(0).get<int>()),
-          Json.at(1).get<std::string>()};
+  return {toRowKind(Json.at(0)), Json.at(1).get<std::string>()};
 }
 
 json toJson(const std::optional<std::string> &Value) {
@@ -39,7 +59,8 @@
 std::vector<stored_row> toRows(const json &List) {
   std::vector<stored_row> Rows;
   for (const json &Row : List)
-    Rows.push_back({toRowId(Row.at(0)), Row.at(1).get<row_version>(),
+    Rows.push_back({toRowId(Row.at(0)),
+                    toInteger<row_version>(Row.at(1), "version"),
                     toRowValue(Row.at(2))});
   return Rows;
 }
@@ -58,13 +79,12 @@
 
 store_transaction toTransaction(const json &Json) {
   store_transaction Transaction;
-  for (const json &Row : Json.at("conditions"))
+  for (const json &Row : requireList(Json, "conditions"))
     Transaction.Conditions.push_back(
-        {toRowId(Row.at(0)), Row.at(1).get<row_version>()});
-  for (const json &Row : Json.at("writes"))
+        {toRowId(Row.at(0)), toInteger<row_version>(Row.at(1), "version")});
+  for (const json &Row : requireList(Json, "writes"))
     Transaction.Writes.push_back({toRowId(Row.at(0)), toRowValue(Row.at(1))});
-  Transaction.MaxBatchDelay =
-      std::chrono::milliseconds(Json.at("patience").get<int64_t>());
+  Transaction.MaxBatchDelay = requireMilliseconds(Json, "patience");
   return Transaction;
 }
 
@@ -84,11 +104,11 @@
 store_call toCall(const std::string &CallKind, const json &Body) {
   if (CallKind == "transact")
     return toTransaction(Body);
-  auto RowKind = static_cast<row_kind>(Body.at("kind").get<int>());
+  row_kind RowKind = toRowKind(requireField(Body, "kind"));
   if (CallKind == "read")
     return store_read{RowKind};
-  return store_watch{RowKind, Body.at("after").get<row_version>(),
-                     std::chrono::milliseconds(Body.at("wait").get<int>())};
+  return store_watch{RowKind, requireInteger<row_version>(Body, "after"),
+                     requireMilliseconds(Body, "wait")};
 }
 
 } // namespace
@@ -108,8 +128,8 @@
   if (!CallKind)
     return std::nullopt;
   try {
-    return toCall(*CallKind, json::parse(Request.Body));
-  } catch (const json::exception &) {
+    return toCall(*CallKind, parseJson(Request.Body));
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -136,14 +156,14 @@
 read_result decodeReadResult(const http_response &Response) {
   read_result Result;
   try {
-    json Body = json::parse(Response.Body);
-    Result.Batch.Revision = Body.at("revision").get<row_version>();
-    Result.Batch.StoreTime =
-        std::chrono::milliseconds(Body.at("time").get<int64_t>());
-    Result.Batch.Rows = toRows(Body.at("rows"));
+    json Body = parseJson(Response.Body);
+    Result.Batch.Revision = requireInteger<row_version>(Body, "revision");
+    Result.Batch.StoreTime = requireMilliseconds(Body, "time");
+    Result.Batch.Rows = toRows(requireList(Body, "rows"));
     Result.Error = Body.at("error").get<std::string>();
-    Result.Outcome = static_cast<read_outcome>(Body.at("outcome").get<int>());
-  } catch (const json::exception &Error) {
+    Result.Outcome =
+        toEnumerator(Body.at("outcome"), "outcome", read_outcome::Failed);
+  } catch (const std::exception &Error) {
     Result.Outcome = read_outcome::Failed;
     Result.Error = Error.what();
   }
@@ -153,17 +173,16 @@
 transaction_result decodeTransactionResult(const http_response &Response) {
   transaction_result Result;
   try {
-    json Body = json::parse(Response.Body);
-    Result.Revision = Body.at("revision").get<row_version>();
-    Result.StoreTime =
-        std::chrono::milliseconds(Body.at("time").get<int64_t>());
-    Result.Current = toRows(Body.at("rows"));
+    json Body = parseJson(Response.Body);
+    Result.Revision = requireInteger<row_version>(Body, "revision");
+    Result.StoreTime = requireMilliseconds(Body, "time");
+    Result.Current = toRows(requireList(Body, "rows"));
     Result.Error = Body.at("error").get<std::string>();
     if (Body.contains("era"))
-      Result.Era = Body.at("era").get<store_era>();
-    Result.Outcome =
-        static_cast<transaction_outcome>(Body.at("outcome").get<int>());
-  } catch (const json::exception &Error) {
+      Result.Era = requireInteger<store_era>(Body, "era");
+    Result.Outcome = toEnumerator(Body.at("outcome"), "outcome",
+                                  transaction_outcome::Unknown);
+  } catch (const std::exception &Error) {
     Result.Outcome = transaction_outcome::Unknown;
     Result.Error = Error.what();
   }
--- /dev/null
+++ b/src/dragonflyvane/net/store_call_codec_test.cpp
@@ -0,0 +1,42 @@
+#include "dragonflyvane/net/store_call_codec.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+// Guards against a kind of rows that does not exist, which was read as another.
+TEST_CASE("a store call with an odd value is no store call") {
+  http_request Request = encodeStoreCall(store_watch{row_kind::Lease, 7, {}});
+  REQUIRE(decodeStoreCall(Request));
+  for (const char *Body :
+       {"", "7", R"({"kind":3,"after":7,"wait":0})",
+        R"({"kind":-1,"after":7,"wait":0})",
+        R"({"kind":4294967296,"after":7,"wait":0})",
+        R"({"kind":2,"after":-7,"wait":0})",
+        R"({"kind":2,"after":7,"wait":1e300})",
+        R"({"kind":2,"after":18446744073709551616,"wait":0})"}) {
+    CAPTURE(Body);
+    Request.Body = Body;
+    CHECK(!decodeStoreCall(Request));
+  }
+  Request.Body = std::string(500'000, '[');
+  CHECK(!decodeStoreCall(Request));
+}
+
+// Guards against a result that counts as a success because its outcome is odd.
+TEST_CASE("a store result with an odd value is a failure") {
+  read_result Read;
+  Read.Outcome = read_outcome::Succeeded;
+  CHECK(decodeReadResult(encodeStoreResult(Read)).Outcome ==
+        read_outcome::Succeeded);
+  for (const char *Outcome : {"3", "-1", "0.5", "\"0\"", "null"}) {
+    CAPTURE(Outcome);
+    std::string Body = R"({"outcome":)" + std::string(Outcome) +
+                       R"(,"revision":1,"time":1,"rows":[],"error":""})";
+    CHECK(decodeReadResult({200, {}, Body}).Outcome == read_outcome::Failed);
+    Body.replace(Body.find(Outcome), std::string(Outcome).size(),
+                 std::string(Outcome) == "3" ? "4" : Outcome);
+    CHECK(decodeTransactionResult({200, {}, Body}).Outcome ==
+          transaction_outcome::Unknown);
+  }
+}
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -239,7 +239,7 @@
   writeMetadata(Metadata, Forwarded.Headers);
   Router.HostSelector.onSent(Host);
   PeerCall = Router.Deps.Peers.send(
-      parseEndpoint(Info.PeerAddress), std::move(Forwarded), Metadata.TimeLeft,
+      Info.PeerEndpoint, std::move(Forwarded), Metadata.TimeLeft,
       [Self = shared_from_this(), Host](call_result Result) {
         Self->onPeerResult(Host, std::move(Result));
       });
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin.cpp
@@ -55,6 +55,8 @@
   Metrics.set("door_busy", {}, Deps.Dispatcher.load().Busy);
   Metrics.set("server_rate_limit", {},
               Deps.Ownership.server().condition().RateLimit.value_or(-1));
+  Metrics.set("unreadable_rows", {},
+              static_cast<double>(Deps.Ownership.view().unreadableRows()));
   Metrics.set("steward", {}, Deps.Ownership.coordinator().isActive() ? 1 : 0);
   for (const auto &[Service, Map] : Deps.Ownership.view().maps())
     Metrics.set("map_version", {{"service", Service}},
@@ -86,7 +88,7 @@
 http_response admin::showHosts() const {
   json Hosts = json::object();
   for (const auto &[Name, Row] : Deps.Ownership.view().hosts())
-    Hosts[Name] = {{"peer", Row.Content.PeerAddress},
+    Hosts[Name] = {{"peer", toString(Row.Content.PeerEndpoint)},
                    {"failure_domain", Row.Content.FailureDomain},
                    {"service", Row.Content.Service},
                    {"server", Row.Content.Incarnation.Instance},
--- a/src/dragonflyvane/node/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster_coordinator.cpp
@@ -289,8 +289,9 @@
     if (Row == Deps.Sync.view().hosts().end() || ownsAnyRange(Host))
       continue;
     store_transaction Transaction;
-    Transaction.Conditions = {{hostRow(Host), Row->second.Version},
-                              {leaseRow(Host), Leases.versionOf(Host)}};
+    Transaction.Conditions = {
+        {hostRow(Host), Deps.Sync.view().hostVersion(Host)},
+        {leaseRow(Host), Leases.versionOf(Host)}};
     Transaction.Writes = {{hostRow(Host), std::nullopt},
                           {leaseRow(Host), TakeoverMarker}};
     Deps.Sync.transact(Transaction, [](const transaction_result &) {});
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -192,7 +192,8 @@
 
 void cluster_sync::writeMap(const std::string &Service,
                             const ownership_map &Map) {
-  if (std::exchange(UpdatesInFlight[Service], true))
+  if (!View.isReadable(mapRow(Service)) ||
+      std::exchange(UpdatesInFlight[Service], true))
     return;
   store_transaction Transaction;
   Transaction.Conditions.push_back(
@@ -346,7 +347,8 @@
              {{"step", Error.step()},
               {"row", Row.Id.Key},
               {"reason", Error.what()}});
-    return false;
+    // This host writes its own row again.
+    return Row.Id == hostRow(Deps.Host);
   }
 }
 
@@ -520,14 +522,15 @@
     return;
   auto Row = View.hosts().find(Deps.Host);
   bool Exists = Row != View.hosts().end();
-  if (Exists && Row->second.Content == *DesiredHostInfo)
+  bool IsReadable = View.isReadable(hostRow(Deps.Host));
+  if (Exists && IsReadable && Row->second.Content == *DesiredHostInfo)
     return;
   if (IsHostInfoProvisional && (Exists || hasRelay()))
     return;
   IsHostWriteInFlight = true;
   store_transaction Transaction;
   Transaction.Conditions.push_back(
-      {hostRow(Deps.Host), Exists ? Row->second.Version : 0});
+      {hostRow(Deps.Host), View.hostVersion(Deps.Host)});
   Transaction.Writes.push_back(
       {hostRow(Deps.Host), encodeHost(*DesiredHostInfo)});
   Transaction.MaxBatchDelay = HostRowBatchDelay;
@@ -571,7 +574,9 @@
 }
 
 void cluster_sync::updateMap(const map_update &Update) {
-  if (UpdatesInFlight[Update.Service] || !ClusterSubscription.IsLoaded)
+  // A map that cannot be read may hold changes that this host does not know.
+  if (UpdatesInFlight[Update.Service] || !ClusterSubscription.IsLoaded ||
+      !View.isReadable(mapRow(Update.Service)))
     return;
   tryMapUpdate(Update, 0);
 }
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -203,7 +203,7 @@
     const host_info *Info = Ownership.view().host(Name);
     if (!Info || Name == Settings.Host)
       return std::nullopt;
-    return parseEndpoint(Info->PeerAddress);
+    return Info->PeerEndpoint;
   }
 
   void sendReport() {
--- a/src/dragonflyvane/node/flags.hpp
+++ b/src/dragonflyvane/node/flags.hpp
@@ -3,7 +3,7 @@
 #ifndef DRAGONFLYVANE_NODE_FLAGS_HPP
 #define DRAGONFLYVANE_NODE_FLAGS_HPP
 
-#include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 
 #include <chrono>
 #include <cstdint>
--- a/src/dragonflyvane/node/host_selector_test.cpp
+++ b/src/dragonflyvane/node/host_selector_test.cpp
@@ -22,6 +22,7 @@
 
   void add(const std::string &Name, const std::string &Domain) {
     host_info Info;
+    Info.PeerEndpoint = {"127.0.0.1", 7780};
     Info.FailureDomain = Domain;
     Info.Service = "catalogue";
     Info.Availability = server_availability::Ready;
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/local_server.hpp
@@ -6,10 +6,10 @@
 #include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/host_info.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/ownership/call_grants.hpp"
 #include "dragonflyvane/core/ownership/heartbeat_grants.hpp"
 #include "dragonflyvane/core/ownership/incarnation_tracker.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/node/condition_report.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/ownership_manager.cpp
@@ -231,7 +231,7 @@
 
 void ownership_manager::publishHostInfo() {
   host_info Info;
-  Info.PeerAddress = toString(Deps.Settings.PeerEndpoint);
+  Info.PeerEndpoint = Deps.Settings.PeerEndpoint;
   Info.FailureDomain = Deps.Settings.FailureDomain;
   Info.CpuShare = Deps.Settings.CpuShare;
   Info.Service = Deps.Settings.LocalService;
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -142,6 +142,81 @@
   CHECK(Simulation.report().NonIncreasingTokens == 0);
 }
 
+// Guards against hosts that stop to follow the rows, or call the store again
+// and again, because another writer has left a row that cannot be read.
+TEST_CASE("rows that cannot be read neither stop hosts nor end ownership") {
+  const std::string Deep(100'000, '[');
+  for (const std::string &Odd :
+       {Deep, std::string("\xff\0", 2), std::string(R"({"peer":"a:99999"})"),
+        std::string("1e400")}) {
+    for (const row_id &Id : {hostRow("host1"), mapRow("desk"),
+                             leaseRow("host1"), coordinatorRow()}) {
+      CAPTURE(Odd.substr(0, 20));
+      CAPTURE(Id.Key);
+      ownership_simulation Simulation(3, 5);
+      Simulation.runFor(StartupTime);
+      int CallsBefore = Simulation.fakeStore().calls();
+      Simulation.runFor(std::chrono::seconds(5));
+      int UsualCalls = Simulation.fakeStore().calls() - CallsBefore;
+      Simulation.fakeStore().put(Id, Odd);
+      Simulation.runFor(std::chrono::seconds(5));
+      int Calls = Simulation.fakeStore().calls() - CallsBefore - UsualCalls;
+      CHECK(Calls < 3 * UsualCalls);
+      Simulation.changeConfiguration();
+      Simulation.runFor(RecoveryTime);
+      CHECK(Simulation.report().OutdatedConfigs == 0);
+      CHECK(Simulation.report().DualOwners == 0);
+      CHECK(Simulation.ownedFraction() == 1.0);
+      CHECK(Simulation.leaseCount() == 5);
+      CHECK(Simulation.observedAvailability(1) == server_availability::Ready);
+    }
+  }
+}
+
+/// Replaces the port in the row of a host, or the whole row if `Port` is empty.
+std::string withPort(const std::string &Row, const std::string &Port) {
+  if (Port.empty())
+    return "odd";
+  size_t Begin = Row.find("127.0.0.1:") + 10;
+  return Row.substr(0, Begin) + Port + Row.substr(Row.find('"', Begin));
+}
+
+// Guards against an odd row of a host that stays, so that hosts that start
+// later do not know the host; against writes that conflict with it for ever;
+// and against hosts of its failure domain that cannot call it.
+TEST_CASE("a host writes its row again if it cannot be read") {
+  for (const char *Port : {"0", "65536", "99999", ""})
+    for (int Host = 0; Host < 3; ++Host) {
+      CAPTURE(Port);
+      CAPTURE(Host);
+      ownership_simulation Simulation(3, 3);
+      Simulation.runFor(StartupTime);
+      row_id Id = hostRow(Simulation.nameOf(Host));
+      std::string Before = *Simulation.fakeStore().rows().at(Id).Value;
+      Simulation.fakeStore().put(Id, withPort(Before, Port));
+      int CallsBefore = Simulation.fakeStore().calls();
+      Simulation.runFor(std::chrono::seconds(2));
+      CHECK(Simulation.fakeStore().rows().at(Id).Value == Before);
+      CHECK(Simulation.fakeStore().calls() - CallsBefore < 100);
+    }
+}
+
+// Guards against a change of a host's state that no other host learns, because
+// the row that cannot be read came first.
+TEST_CASE("a change of a host reaches a row that cannot be read") {
+  ownership_simulation Simulation(3, 3);
+  Simulation.runFor(StartupTime);
+  row_id Id = hostRow("host1");
+  Simulation.stallWatches(1, true);
+  Simulation.fakeStore().put(Id, "odd");
+  int CallsBefore = Simulation.fakeStore().calls();
+  Simulation.ownership(1).onLeave({Simulation.server(1).incarnation(), ""});
+  Simulation.runFor(std::chrono::seconds(2));
+  CHECK(Simulation.fakeStore().calls() - CallsBefore < 100);
+  CHECK(decodeHost(*Simulation.fakeStore().rows().at(Id).Value).Availability ==
+        server_availability::Leaving);
+}
+
 // Guards against a host that takes its lease as ended, because rows of the new
 // era reach it with a conflict, before it knows of the return.
 TEST_CASE("a host that learns of a return by a conflict keeps its lease") {
--- a/src/dragonflyvane/node/peer_messages.cpp
+++ b/src/dragonflyvane/node/peer_messages.cpp
@@ -1,6 +1,6 @@
 #include "dragonflyvane/node/peer_messages.hpp"
 
-#include <nlohmann/json.hpp>
+#include "dragonflyvane/core/json_fields.hpp"
 
 namespace dragonflyvane {
 
@@ -11,6 +11,8 @@
 /// Only daemons send this field; the request router removes it from requests of
 /// callers.
 constexpr const char *KindField = "x-dragonflyvane-kind";
+/// Longer than any delay, and small enough to calculate with.
+constexpr int64_t MaxDelayMs = int64_t{1} << 40;
 
 http_request makeMessage(const char *Kind, const json &Body) {
   http_request Request;
@@ -20,14 +22,23 @@
   return Request;
 }
 
+/// Parses an object; returns nothing if the text is malformed.
+std::optional<json> objectIn(const std::string &Text) {
+  try {
+    json Body = parseJson(Text);
+    if (Body.is_object())
+      return Body;
+  } catch (const step_error &) {
+    // Malformed, as below.
+  }
+  return std::nullopt;
+}
+
 /// The body of a message; nothing if it is of another kind or malformed.
 std::optional<json> bodyOf(const http_request &Request, const char *Kind) {
   if (Request.Headers.find(KindField) != Kind)
     return std::nullopt;
-  json Body = json::parse(Request.Body, nullptr, false);
-  if (!Body.is_object())
-    return std::nullopt;
-  return Body;
+  return objectIn(Request.Body);
 }
 
 json toJson(const std::vector<crash> &Crashes) {
@@ -43,13 +54,28 @@
   std::vector<crash> Crashes;
   for (const json &Entry : List)
     Crashes.push_back(
-        {Entry.at(0).get<request_fingerprint>(),
-         {Entry.at(1).get<std::string>(), Entry.at(2).get<int64_t>()},
-         Entry.at(3).get<uint32_t>(),
-         std::chrono::seconds(Entry.at(4).get<int64_t>())});
+        {toInteger<request_fingerprint>(Entry.at(0), "request"),
+         {Entry.at(1).get<std::string>(),
+          toInteger<int64_t>(Entry.at(2), "started at", 0)},
+         toInteger<uint32_t>(Entry.at(3), "suspects"),
+         std::chrono::seconds(toInteger<int32_t>(Entry.at(4), "age", 0))});
   return Crashes;
 }
 
+std::vector<request_fingerprint> toFingerprints(const json &List) {
+  std::vector<request_fingerprint> Fingerprints;
+  for (const json &Entry : List)
+    Fingerprints.push_back(toInteger<request_fingerprint>(Entry, "request"));
+  return Fingerprints;
+}
+
+std::vector<key_point> toPoints(const json &List) {
+  std::vector<key_point> Points;
+  for (const json &Entry : List)
+    Points.push_back(toInteger<key_point>(Entry, "sample", 0, LastPoint));
+  return Points;
+}
+
 } // namespace
 
 http_request encodeReport(const report_message &Message) {
@@ -73,17 +99,17 @@
   report_message Message;
   try {
     Message.Host = Body->at("host").get<std::string>();
-    Message.Load.Rate = Body->at("rate").get<double>();
-    Message.Load.Utilization = Body->at("use").get<double>();
-    Message.Load.ProcessingTime = Body->at("work").get<double>();
-    Message.Load.Sample = Body->at("sample").get<std::vector<key_point>>();
+    Message.Load.Rate = requireNumber(*Body, "rate");
+    Message.Load.Utilization = requireNumber(*Body, "use");
+    Message.Load.ProcessingTime = requireNumber(*Body, "work");
+    Message.Load.Sample = toPoints(requireList(*Body, "sample"));
     if (Body->contains("limit"))
-      Message.Load.RateLimit = Body->at("limit").get<double>();
-    Message.NewestVersion = Body->at("newest").get<row_version>();
-    Message.Crashes = toCrashes(Body->at("crashes"));
+      Message.Load.RateLimit = requireNumber(*Body, "limit");
+    Message.NewestVersion = requireInteger<row_version>(*Body, "newest");
+    Message.Crashes = toCrashes(requireList(*Body, "crashes"));
     Message.RequestsWithResponse =
-        Body->at("answered").get<std::vector<request_fingerprint>>();
-  } catch (const json::exception &) {
+        toFingerprints(requireList(*Body, "answered"));
+  } catch (const std::exception &) {
     return std::nullopt;
   }
   return Message;
@@ -99,16 +125,17 @@
 
 std::optional<report_response>
 decodeReportResponse(const http_response &Response) {
-  json Body = json::parse(Response.Body, nullptr, false);
-  if (!Body.is_object())
+  auto Body = objectIn(Response.Body);
+  if (!Body)
     return std::nullopt;
-  using fingerprints = std::set<request_fingerprint>;
   try {
-    return report_response{Body.at("steward").get<bool>(),
-                           Body.at("newest").get<row_version>(),
-                           Body.at("suspects").get<fingerprints>(),
-                           Body.at("quarantined").get<fingerprints>()};
-  } catch (const json::exception &) {
+    auto Suspects = toFingerprints(requireList(*Body, "suspects"));
+    auto Quarantined = toFingerprints(requireList(*Body, "quarantined"));
+    return report_response{Body->at("steward").get<bool>(),
+                           requireInteger<row_version>(*Body, "newest"),
+                           {Suspects.begin(), Suspects.end()},
+                           {Quarantined.begin(), Quarantined.end()}};
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -123,9 +150,9 @@
   if (!Body)
     return std::nullopt;
   try {
-    return token_request{Body->value("workspace", ""),
-                         Body->value("amount", 0.0)};
-  } catch (const json::exception &) {
+    return token_request{requireText(*Body, "workspace"),
+                         requireNumber(*Body, "amount")};
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -139,14 +166,14 @@
 
 std::optional<token_response>
 decodeTokenResponse(const http_response &Response) {
-  json Body = json::parse(Response.Body, nullptr, false);
-  if (!Body.is_object())
+  auto Body = objectIn(Response.Body);
+  if (!Body)
     return std::nullopt;
   try {
-    return token_response{
-        Body.value("tokens", 0.0),
-        std::chrono::milliseconds(Body.value("ask_after_ms", int64_t{0}))};
-  } catch (const json::exception &) {
+    return token_response{requireNumber(*Body, "tokens"),
+                          std::chrono::milliseconds(requireInteger<int64_t>(
+                              *Body, "ask_after_ms", 0, MaxDelayMs))};
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
--- a/src/dragonflyvane/node/peer_messages.hpp
+++ b/src/dragonflyvane/node/peer_messages.hpp
@@ -56,8 +56,6 @@
 };
 
 // The decoders return nothing if the message is of another kind or malformed.
-// Those for tokens throw a `nlohmann::json` exception if a field has the wrong
-// type.
 
 /// Encodes the report of a host.
 http_request encodeReport(const report_message &Message);
--- a/src/dragonflyvane/node/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/peer_messages_test.cpp
@@ -9,7 +9,9 @@
   http_request Request = encodeTokenRequest({"desk", 2});
   CHECK(decodeTokenRequest(Request)->Workspace == "desk");
   for (const char *Body :
-       {"", "[]", "{\"workspace\":1}", "{\"amount\":\"many\"}"}) {
+       {"", "[]", "{\"workspace\":1}", "{\"amount\":\"many\"}",
+        "{\"workspace\":\"desk\",\"amount\":-2}",
+        "{\"workspace\":\"desk\",\"amount\":1e400}"}) {
     Request.Body = Body;
     CHECK(!decodeTokenRequest(Request));
   }
@@ -21,3 +23,21 @@
     CHECK(!decodeTokenResponse(Response));
   }
 }
+
+// Guards against a key point or a count that is read as another.
+TEST_CASE("a report with an odd value is no report") {
+  report_message Message;
+  Message.Host = "a";
+  Message.Load.Sample = {7};
+  http_request Request = encodeReport(Message);
+  REQUIRE(decodeReport(Request));
+  const std::string Valid = Request.Body;
+  for (const char *Sample : {"[-1]", "[65536]", "[\"7\"]", "[1.5]", "7"}) {
+    CAPTURE(Sample);
+    Request.Body = Valid;
+    Request.Body.replace(Valid.find("[7]"), 3, Sample);
+    CHECK(!decodeReport(Request));
+  }
+  Request.Body = std::string(500'000, '[');
+  CHECK(!decodeReport(Request));
+}
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/relayed_store.cpp
@@ -59,7 +59,7 @@
     // A fleet that restarts at once finds its relays starting as well.
     bool IsStarting = Deps.Clock.now() - StartedAt < RelayStartupTime;
     if (Name != Deps.Host && (IsStarting || !isBackedOff(Name)))
-      return relay{Name, parseEndpoint(View->host(Name)->PeerAddress)};
+      return relay{Name, View->host(Name)->PeerEndpoint};
   }
   if (isDirectPathAvailable())
     return std::nullopt;
@@ -71,7 +71,7 @@
   std::vector<relay> Candidates;
   for (const auto &[Name, Row] : View.hosts())
     if (Name != Deps.Host && !isBackedOff(Name))
-      Candidates.push_back({Name, parseEndpoint(Row.Content.PeerAddress)});
+      Candidates.push_back({Name, Row.Content.PeerEndpoint});
   if (Candidates.empty())
     return std::nullopt;
   return Candidates[Random() % Candidates.size()];
--- a/src/dragonflyvane/node/relayed_store.hpp
+++ b/src/dragonflyvane/node/relayed_store.hpp
@@ -5,9 +5,9 @@
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/store.hpp"
 #include "dragonflyvane/net/call_result.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/store_call_codec.hpp"
 
--- a/src/dragonflyvane/node/relayed_store_test.cpp
+++ b/src/dragonflyvane/node/relayed_store_test.cpp
@@ -43,7 +43,7 @@
   domain() {
     for (int I = 0; I < 4; ++I) {
       host_info Info;
-      Info.PeerAddress = toString(peerEndpoint(I));
+      Info.PeerEndpoint = peerEndpoint(I);
       Info.FailureDomain = "west";
       Info.CpuShare = 4 - I;
       View.apply({hostRow(hostName(I)), static_cast<row_version>(I + 1),
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -3,7 +3,7 @@
 #define DRAGONFLYVANE_NODE_SETTINGS_HPP
 
 #include "dragonflyvane/core/admission/retry_budget.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 
 #include <chrono>
 #include <optional>
--- a/tests/fake_peers.hpp
+++ b/tests/fake_peers.hpp
@@ -3,8 +3,8 @@
 #ifndef DRAGONFLYVANE_TESTS_FAKE_PEERS_HPP
 #define DRAGONFLYVANE_TESTS_FAKE_PEERS_HPP
 
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/call_result.hpp"
-#include "dragonflyvane/net/endpoint.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "manual_scheduler.hpp"
 
