--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -65,6 +65,8 @@
     bool IsHeadRequest = false;
     /// Whether writing the request has begun.
     bool Sent = false;
+    /// Whether a part of the request is still to be written.
+    bool IsWriting = false;
     bool Closed = false;
     int MismatchedResponses = 0;
     /// Whether a response has arrived on the connection.
@@ -72,6 +74,7 @@
     time_point IdleSince{};
     /// The time at which `Timer` ends the call.
     time_point Deadline{};
+    /// The request. Changes only while `IsWriting` is false.
     std::string OutHead;
     std::string OutBody;
     boost::beast::flat_buffer Buffer;
@@ -207,11 +210,15 @@
   if (C->Options.MaySend && !C->Options.MaySend())
     return failLater(C, "request may no longer be sent");
   C->Sent = true;
+  C->IsWriting = true;
   std::array<boost::asio::const_buffer, 2> Buffers = {
       boost::asio::buffer(C->OutHead), boost::asio::buffer(C->OutBody)};
   // The pending read reports a failed write as well, and may still deliver a
   // response that the server sent before it closed the connection.
-  boost::asio::async_write(C->Socket, Buffers, [C](auto, size_t) {});
+  boost::asio::async_write(C->Socket, Buffers, [C](auto, size_t) {
+    C->IsWriting = false;
+    C->OutBody = std::string();
+  });
 }
 
 void http_client::implementation::failLater(const connection_pointer &C,
@@ -285,8 +292,10 @@
   response_match Match = matchOf(*C, Result.Response);
   if (Match != response_match::Matches)
     return skipResponse(C, Match, KeepAlive);
-  // Bytes after the response would be taken for the next response.
-  if (!KeepAlive || C->Buffer.size() > 0)
+  // Bytes after the response would be taken for the next response. A server
+  // that responds before it has read the request would take the next request
+  // for the rest of it.
+  if (!KeepAlive || C->Buffer.size() > 0 || C->IsWriting)
     close(*C);
   finish(C, std::move(Result));
 }
@@ -341,7 +350,6 @@
   Calls.erase(C->CallId);
   C->CallId = 0;
   callback Callback = std::exchange(C->Callback, nullptr);
-  C->OutBody = std::string();
   if (!C->Closed) {
     C->IdleSince = Clock.now();
     IdleConnections[C->Remote].push_back(C);
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -11,10 +11,11 @@
 
 /// Sends one request, and runs the loop until the call has ended.
 call_result callAndWait(event_loop &Loop, http_client &Client, uint16_t Port,
-                        const char *Method = "GET") {
+                        const char *Method = "GET", std::string Body = "") {
   http_request Request;
   Request.Method = Method;
   Request.Target = "/orders/1";
+  Request.Body = std::move(Body);
   call_options Options;
   Options.Timeout = std::chrono::seconds(60);
   call_result Result;
@@ -107,6 +108,33 @@
         call_outcome::ConnectionLost);
 }
 
+// Guards against another request where the rest of a long body is due: a server
+// that responds before it has read the body reads on later (review, case 3).
+TEST_CASE(
+    "a connection whose request is still being written is not used again") {
+  constexpr size_t BodySize = size_t{16} << 20;
+  std::atomic<size_t> Foreign{0};
+  {
+    scripted_server Server([&](scripted_connection &Connection) {
+      while (!Connection.readRequest().empty()) {
+        Connection.send(WholeResponse);
+        if (Connection.number() > 0)
+          continue;
+        for (char Byte : Connection.readRest())
+          Foreign += Byte != 'x';
+      }
+    });
+    event_loop Loop;
+    http_client Client(Loop);
+    CHECK(callAndWait(Loop, Client, Server.port(), "POST",
+                      std::string(BodySize, 'x'))
+              .Response.Body == "ok");
+    for (int I = 0; I < 3; ++I)
+      CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "ok");
+  }
+  CHECK(Foreign == 0);
+}
+
 // Guards against an interim response that counts as the final one.
 TEST_CASE("a connection that ends after an interim response is lost") {
   CHECK(callCutOff("HTTP/1.1 100 Continue\r\n\r\n", 0, false).Outcome ==
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -27,6 +27,15 @@
   return Head;
 }
 
+std::string scripted_connection::readRest() {
+  std::string Rest = std::move(Buffer);
+  char Bytes[65536];
+  ssize_t Size = 0;
+  while ((Size = ::recv(Socket, Bytes, sizeof(Bytes), 0)) > 0)
+    Rest.append(Bytes, static_cast<size_t>(Size));
+  return Rest;
+}
+
 void scripted_connection::send(std::string_view Bytes) const {
   while (!Bytes.empty()) {
     ssize_t Sent = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
--- a/tests/scripted_server.hpp
+++ b/tests/scripted_server.hpp
@@ -24,6 +24,8 @@
   /// Reads the head of the next request; empty once the client has closed the
   /// connection. Requests must have no body.
   std::string readRequest();
+  /// Reads all that follows until the client closes the connection.
+  std::string readRest();
   void send(std::string_view Bytes) const;
   /// Lets the connection end with a reset instead of a close.
   void resetOnClose() const;
