--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -31,6 +31,9 @@
 /// Time for the response to a request after one that may be the response to it.
 constexpr std::chrono::milliseconds UnprovenTimeout{500};
 constexpr uint32_t MaxHeaderBytes = 64U << 10;
+/// The parser takes bytes of a body at once, but a chunk's size line and a
+/// trailer only as a whole.
+constexpr size_t MaxUnparsedBytes = MaxHeaderBytes + ReadSize;
 
 } // namespace
 
@@ -269,6 +272,9 @@
     boost::system::error_code Error;
     size_t Consumed = C->Parser->put(C->Buffer.data(), Error);
     C->Buffer.consume(Consumed);
+    if (Error == http::error::need_more && C->Buffer.size() > MaxUnparsedBytes)
+      return fail(C, call_outcome::ConnectionLost,
+                  "a line of the response is too long");
     if (Error == http::error::need_more)
       return;
     if (Error)
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -135,6 +135,29 @@
   CHECK(Foreign == 0);
 }
 
+// Guards against a process that ends for want of memory because a server sends
+// a line without an end: in the head, in the size of a chunk, in a trailer.
+TEST_CASE("a response with a line without an end is given up") {
+  const std::string Chunked =
+      "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+  for (const std::string &Begin :
+       {std::string("HTTP/1.1 200 OK\r\nX: "), Chunked,
+        Chunked + "5;x=", Chunked + "4\r\nwhol", Chunked + "0\r\nX: "}) {
+    CAPTURE(Begin);
+    scripted_server Server([&](scripted_connection &Connection) {
+      Connection.readRequest();
+      Connection.send(Begin);
+      const std::string Endless(size_t{64} << 10, '#');
+      while (Connection.send(Endless))
+        ;
+    });
+    event_loop Loop;
+    http_client Client(Loop);
+    CHECK(callAndWait(Loop, Client, Server.port()).Outcome ==
+          call_outcome::ConnectionLost);
+  }
+}
+
 // Guards against an interim response that counts as the final one.
 TEST_CASE("a connection that ends after an interim response is lost") {
   CHECK(callCutOff("HTTP/1.1 100 Continue\r\n\r\n", 0, false).Outcome ==
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -36,13 +36,14 @@
   return Rest;
 }
 
-void scripted_connection::send(std::string_view Bytes) const {
+bool scripted_connection::send(std::string_view Bytes) const {
   while (!Bytes.empty()) {
     ssize_t Sent = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
     if (Sent <= 0)
-      return;
+      return false;
     Bytes.remove_prefix(static_cast<size_t>(Sent));
   }
+  return true;
 }
 
 void scripted_connection::resetOnClose() const {
--- a/tests/scripted_server.hpp
+++ b/tests/scripted_server.hpp
@@ -26,7 +26,8 @@
   std::string readRequest();
   /// Reads all that follows until the client closes the connection.
   std::string readRest();
-  void send(std::string_view Bytes) const;
+  /// Returns whether all bytes were sent.
+  bool send(std::string_view Bytes) const;
   /// Lets the connection end with a reset instead of a close.
   void resetOnClose() const;
 
