--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -20,8 +20,9 @@
   Matches,
   /// It belongs to an earlier request, and is skipped.
   Other,
-  /// It may belong to this or to an earlier request. It is skipped, and the call
-  /// times out unless a response that matches follows within half a second.
+  /// It may belong to this or to an earlier request. It is skipped, and the
+  /// call times out unless a response that matches follows within half a
+  /// second.
   Unproven,
 };
 
