Keys stay owned through a return of the store to a copy with the newest map

Cause: hosts that have kept their leases wrote the map again only if the store had lost it. If the copy had the newest map, nobody confirmed it in the new era, and grants ended with the leases from before the return, until the map was settled. Ruled out: the stand-ins (the simulation shows the same), lost leases (all kept).

Change: such a host also writes a map again that the store has from an earlier era; the same write as for a lost map.

--- a/src/dragonflyvane/core/cluster/era_tracker.cpp
+++ b/src/dragonflyvane/core/cluster/era_tracker.cpp
@@ -33,6 +33,11 @@
   return Map.isSettled() && eraOf(Map.Version) == current();
 }
 
+bool era_tracker::mustRestore(const known_map &Map) const {
+  bool IsOfEarlierEra = HasKeptLease && Map.Content.Era != current();
+  return Map.isStoreBehind() || IsOfEarlierEra;
+}
+
 bool era_tracker::onRenewed() {
   return std::exchange(RenewedEra, current()) != current();
 }
--- a/src/dragonflyvane/core/cluster/era_tracker.hpp
+++ b/src/dragonflyvane/core/cluster/era_tracker.hpp
@@ -34,6 +34,12 @@
   /// Whether a map may be changed: it is settled, in the known era.
   bool isSettled(const known_map &Map) const;
 
+  /// Whether this host has to write the map again in the known era: the store
+  /// has lost it, or has it from an earlier era, while this host has kept its
+  /// lease. Without that write the grants under the map would have to end with
+  /// the leases from before the return.
+  bool mustRestore(const known_map &Map) const;
+
   /// Whether the host has held its lease without a gap since before the return,
   /// so that nobody can have taken over its ranges.
   bool hasKeptLease() const { return HasKeptLease; }
--- a/src/dragonflyvane/core/cluster/era_tracker_test.cpp
+++ b/src/dragonflyvane/core/cluster/era_tracker_test.cpp
@@ -104,3 +104,22 @@
   CHECK(!Eras.onRenewed());
   CHECK(Eras.wasRenewed());
 }
+
+// Guards against a map that nobody confirms, because the copy has it: grants
+// under it end seconds before it is settled.
+TEST_CASE("a host that has kept its lease restores a map of an earlier era") {
+  known_map Unchanged;
+  Unchanged.Version = 63;
+  Unchanged.Lineage = 63;
+  Unchanged.StoredLineage = 63;
+  era_tracker Eras;
+  Eras.start(12, Start);
+  CHECK(!Eras.mustRestore(Unchanged));
+  Eras.beginEra(versionIn(1, 70), LeaseEnd, Start);
+  CHECK(Eras.mustRestore(Unchanged));
+  CHECK(Eras.mustRestore(lostMap()));
+  CHECK(!Eras.mustRestore(restoredMap()));
+  Eras.onLeaseLost();
+  CHECK(!Eras.mustRestore(Unchanged));
+  CHECK(Eras.mustRestore(lostMap()));
+}
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -152,7 +152,7 @@
 void cluster_sync::scheduleMapRestore() {
   bool IsNeeded =
       std::any_of(View.maps().begin(), View.maps().end(),
-                  [](const auto &Map) { return Map.second.isStoreBehind(); });
+                  [this](const auto &M) { return Eras.mustRestore(M.second); });
   if (!IsNeeded || std::exchange(IsMapRestoreScheduled, true))
     return;
   size_t Rank = hostRank(View, Deps.Host);
@@ -169,9 +169,11 @@
 
 void cluster_sync::restoreMaps() {
   for (const auto &[Service, Map] : View.maps()) {
-    if (!Map.isStoreBehind() || !ClusterSubscription.IsLoaded)
+    if (!Eras.mustRestore(Map) || !ClusterSubscription.IsLoaded)
       continue;
-    writeLog(log_level::Warning, "writing a map again that the store has lost",
+    writeLog(log_level::Warning,
+             Map.isStoreBehind() ? "writing a map again that the store has lost"
+                                 : "confirming a map in a new era",
              {{"step", "store"},
               {"service", Service},
               {"lineage", Map.Lineage},
--- a/src/dragonflyvane/node/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/ownership_simulation_test.cpp
@@ -217,6 +217,25 @@
         server_availability::Leaving);
 }
 
+// Guards against keys without an owner from the end of the leases from before
+// the return until the map is settled. It happened if the copy has the newest
+// map.
+TEST_CASE("keys stay owned through a return to a copy with the newest map") {
+  for (int AgeSeconds : {0, 1, 4, 9}) {
+    CAPTURE(AgeSeconds);
+    ownership_simulation Simulation(1, 5);
+    Simulation.runFor(StartupTime + std::chrono::seconds(15));
+    Simulation.restoreStore(duration{0}, std::chrono::seconds(AgeSeconds));
+    for (int Step = 0; Step < 80; ++Step) {
+      CAPTURE(Step);
+      Simulation.runFor(std::chrono::milliseconds(100));
+      CHECK(Simulation.ownedFraction() == 1.0);
+    }
+    CHECK(Simulation.report().DualOwners == 0);
+    CHECK(Simulation.report().NonIncreasingTokens == 0);
+  }
+}
+
 // Guards against a host that takes its lease as ended, because rows of the new
 // era reach it with a conflict, before it knows of the return.
 TEST_CASE("a host that learns of a return by a conflict keeps its lease") {
