--- a/src/dragonflyvane/node/dispatcher_responses_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_responses_test.cpp
@@ -11,9 +11,8 @@
 
 namespace {
 
-/// Time in which a client reads what was sent, so that it sees a response
-/// before the next one is sent. No result depends on it.
-constexpr milliseconds ReadTime{30};
+/// Time between two looks at what another thread does.
+constexpr milliseconds PollPeriod{10};
 constexpr std::chrono::seconds TimeLeft{60};
 constexpr std::chrono::seconds WellBeforeDeadline{20};
 
@@ -95,8 +94,8 @@
 }
 
 /// Rejects the first request of the first connection, then sends the rejection
-/// again, after the next request on the connection if there is one. Runs all
-/// other requests.
+/// again, before the response to the next request on the connection if there is
+/// one. Runs all other requests.
 scripted_server::script repeatRejection(bool HasId) {
   return [HasId, Rejected = std::make_shared<std::atomic<bool>>(false)](
              scripted_connection &Connection) {
@@ -108,9 +107,7 @@
         Connection.send(Rejection);
         continue;
       }
-      Connection.send(std::exchange(Rejection, ""));
-      std::this_thread::sleep_for(ReadTime);
-      Connection.send(success(Id));
+      Connection.send(std::exchange(Rejection, "") + success(Id));
     }
   };
 }
@@ -191,6 +188,6 @@
   CHECK(Fixture.Remote.connections() == 30);
   time_point Until = Fixture.Clock.now() + WellBeforeDeadline;
   while (Open > 1 && Fixture.Clock.now() < Until)
-    std::this_thread::sleep_for(ReadTime);
+    std::this_thread::sleep_for(PollPeriod);
   CHECK(Open == 1);
 }
