One memory budget for the bodies of all messages of a process

Cause: limits for each line and each body, none for the process; and four to five copies of each body.

Change: memory_budget (half of memoryMb), of which a body takes at most half of what the others leave; message_body, which copies of a message share; a stream whose body was too large no longer reaches the handler with its first part. A body that finds no room ends at once and truthfully: not run where it was not handled. The log names the reason of a lost call.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -26,6 +26,8 @@
 #include "dragonflyvane/core/header_names.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/json_fields.hpp"
+#include "dragonflyvane/core/memory_budget.hpp"
+#include "dragonflyvane/core/message_body.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
 #include "dragonflyvane/core/ownership/call_grants.hpp"
 #include "dragonflyvane/core/ownership/granted_keys.hpp"
--- a/src/dragonflyvane/core/http_message.hpp
+++ b/src/dragonflyvane/core/http_message.hpp
@@ -3,6 +3,8 @@
 #ifndef DRAGONFLYVANE_CORE_HTTP_MESSAGE_HPP
 #define DRAGONFLYVANE_CORE_HTTP_MESSAGE_HPP
 
+#include "dragonflyvane/core/message_body.hpp"
+
 #include <optional>
 #include <string>
 #include <string_view>
@@ -41,14 +43,14 @@
   /// The path with the query.
   std::string Target = "/";
   header_list Headers;
-  std::string Body;
+  message_body Body;
 };
 
 /// A complete response.
 struct http_response {
   int Status = 200;
   header_list Headers;
-  std::string Body;
+  message_body Body;
 };
 
 /// Returns a response with a body of type `application/json`.
--- a/src/dragonflyvane/net/event_loop.hpp
+++ b/src/dragonflyvane/net/event_loop.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYVANE_NET_EVENT_LOOP_HPP
 #define DRAGONFLYVANE_NET_EVENT_LOOP_HPP
 
+#include "dragonflyvane/core/memory_budget.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
 
 #include <functional>
@@ -43,12 +44,17 @@
   /// Runs a function on each SIGHUP, which requests a reload of the settings.
   void onReload(std::function<void()> Work);
 
+  /// The memory for the bodies of all messages that are received on this loop;
+  /// without a limit at first.
+  memory_budget &bodyMemory() { return BodyMemory; }
+
   /// Boost.Asio objects on which the sockets of this library run.
   struct context;
   /// The context, for sources of this library.
   context &internals() { return *Context; }
 
 private:
+  memory_budget BodyMemory;
   std::unique_ptr<context> Context;
 };
 
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
+#include "dragonflyvane/net/body_memory.hpp"
 #include "dragonflyvane/net/http_wire.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -79,9 +80,11 @@
     time_point Deadline{};
     /// The request. Changes only while `IsWriting` is false.
     std::string OutHead;
-    std::string OutBody;
+    message_body OutBody;
     boost::beast::flat_buffer Buffer;
     std::optional<response_parser> Parser;
+    /// What the body of the response takes.
+    memory_share BodyShare;
   };
 
   /// Takes the most recently used idle connection from the pool. Closes it and
@@ -98,7 +101,7 @@
   void onRead(const connection_pointer &C,
               const boost::system::error_code &Error, size_t Size);
   void parse(const connection_pointer &C);
-  void resetParser(connection &C) const;
+  void resetParser(connection &C);
   void onResponse(const connection_pointer &C);
   /// Whether the response belongs to the call in progress.
   static response_match matchOf(connection &C, const http_response &Response);
@@ -215,12 +218,12 @@
   C->Sent = true;
   C->IsWriting = true;
   std::array<boost::asio::const_buffer, 2> Buffers = {
-      boost::asio::buffer(C->OutHead), boost::asio::buffer(C->OutBody)};
+      boost::asio::buffer(C->OutHead), boost::asio::buffer(C->OutBody.text())};
   // The pending read reports a failed write as well, and may still deliver a
   // response that the server sent before it closed the connection.
   boost::asio::async_write(C->Socket, Buffers, [C](auto, size_t) {
     C->IsWriting = false;
-    C->OutBody = std::string();
+    C->OutBody = {};
   });
 }
 
@@ -259,12 +262,12 @@
     readMore(C);
 }
 
-void http_client::implementation::resetParser(connection &C) const {
+void http_client::implementation::resetParser(connection &C) {
   C.Parser.emplace();
-  C.Parser->eager(true);
   C.Parser->header_limit(MaxHeaderBytes);
   C.Parser->body_limit(MaxBodyBytes);
   C.Parser->skip(C.IsHeadRequest);
+  C.BodyShare = memory_share(Loop.bodyMemory());
 }
 
 void http_client::implementation::parse(const connection_pointer &C) {
@@ -275,13 +278,16 @@
     if (Error == http::error::need_more && C->Buffer.size() > MaxUnparsedBytes)
       return fail(C, call_outcome::ConnectionLost,
                   "a line of the response is too long");
-    if (Error == http::error::need_more)
-      return;
-    if (Error)
+    if (Error && Error != http::error::need_more)
       return fail(C, call_outcome::ConnectionLost,
                   "invalid response: " + Error.message());
+    if (!reserveBody(*C->Parser, C->BodyShare))
+      return fail(C, call_outcome::ConnectionLost,
+                  "no memory for the body of the response");
     if (C->Parser->is_done())
       onResponse(C);
+    else if (Error == http::error::need_more)
+      return;
   }
 }
 
@@ -291,7 +297,7 @@
   Result.Outcome = call_outcome::Completed;
   Result.Response.Status = static_cast<int>(Message.result_int());
   Result.Response.Headers = toHeaders(Message);
-  Result.Response.Body = std::move(Message.body());
+  Result.Response.Body = {std::move(Message.body()), std::move(C->BodyShare)};
   bool KeepAlive = Message.keep_alive();
   if (Result.Response.Status < 200)
     return resetParser(*C);
@@ -369,6 +375,9 @@
   boost::system::error_code Ignored;
   C.Socket.close(Ignored);
   C.Timer.cancel();
+  // Pending operations keep the connection; the memory is free at once.
+  C.Parser.reset();
+  C.BodyShare = {};
 }
 
 void http_client::implementation::removeIdle(const connection_pointer &C) {
--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -56,8 +56,8 @@
 /// the event loop's thread, on which it also calls back.
 class http_client {
 public:
-  /// A call whose response body exceeds `MaxBodyBytes` ends as
-  /// `ConnectionLost`.
+  /// A call whose response body exceeds `MaxBodyBytes`, or for whose body the
+  /// loop has no memory, ends as `ConnectionLost`.
   explicit http_client(event_loop &Loop,
                        size_t MaxBodyBytes = size_t{64} << 20);
   /// Closes all connections; open calls are not called back.
--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -26,8 +26,8 @@
   implementation(event_loop &Loop, const http_limits &Limits,
                  http_handler Handler, bulk_pacer *Pacer)
       : Loop(Loop), Acceptor(Loop.internals().Io),
-        State(std::make_shared<http_server_state>(
-            http_server_state{Limits, std::move(Handler), Pacer, false})) {}
+        State(std::make_shared<http_server_state>(http_server_state{
+            Limits, std::move(Handler), Loop.bodyMemory(), Pacer, false})) {}
 
   void listen(const endpoint &Listen) {
     tcp::endpoint Address = toAsio(Listen);
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -13,7 +13,8 @@
 
 namespace dragonflyvane {
 
-/// Limits that protect a server from hostile or faulty callers.
+/// Limits that protect a server from hostile or faulty callers. Besides, a
+/// request for whose body the loop has no memory is refused with status 503.
 struct http_limits {
   /// Larger request bodies are refused with status 413.
   size_t MaxBodyBytes = size_t{8} << 20;
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -1,5 +1,7 @@
 #include "dragonflyvane/net/http_server_connection.hpp"
 
+#include "dragonflyvane/core/refusal.hpp"
+#include "dragonflyvane/net/body_memory.hpp"
 #include "dragonflyvane/net/http_wire.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
 
@@ -18,6 +20,8 @@
 /// Reading pauses while more bytes of pipelined requests than this are
 /// buffered.
 constexpr size_t MaxPipelinedBytes = size_t{64} << 10;
+/// Time after which there is likely to be memory for a request again.
+constexpr std::chrono::milliseconds NoMemoryRetryAfter{200};
 
 int statusForParseError(const boost::system::error_code &Error) {
   if (Error == http::error::header_limit)
@@ -86,6 +90,8 @@
   boost::system::error_code Ignored;
   Socket.close(Ignored);
   Transfer = {};
+  Parser.reset();
+  BodyShare = {};
   if (auto Exchange = CurrentExchange.lock())
     Exchange->disconnect();
 }
@@ -133,9 +139,10 @@
   LastProgress = Clock.now();
   ContinueSent = false;
   Parser.emplace();
-  Parser->eager(true);
   Parser->header_limit(static_cast<uint32_t>(State->Limits.MaxHeaderBytes));
-  Parser->body_limit(State->Limits.MaxBodyBytes);
+  Parser->body_limit(
+      std::min(State->Limits.MaxBodyBytes, State->BodyMemory.largestShare()));
+  BodyShare = memory_share(State->BodyMemory);
 }
 
 void http_server_connection::parse() {
@@ -144,12 +151,14 @@
     boost::system::error_code Error;
     size_t Consumed = Parser->put(Buffer.data(), Error);
     Buffer.consume(Consumed);
-    if (Error == http::error::need_more)
-      break;
-    if (Error)
-      return onParseError(Error);
+    if (Error && Error != http::error::need_more)
+      return reject(statusForParseError(Error));
+    if (!reserveBody(*Parser, BodyShare))
+      return reject(503);
     if (HadHeader)
       LastProgress = Clock.now();
+    if (Error)
+      break;
   }
   if (Parser->is_done())
     return serve();
@@ -169,13 +178,18 @@
                            [Self = shared_from_this()](auto, size_t) {});
 }
 
-void http_server_connection::onParseError(
-    const boost::system::error_code &Error) {
+void http_server_connection::reject(int Status) {
   Phase = phase::Serving;
   KeepAlive = false;
   IsHeadRequest = false;
-  respond(
-      jsonResponse(statusForParseError(Error), "{\"code\":\"bad-request\"}\n"));
+  Parser.reset();
+  BodyShare = {};
+  refusal Refusal;
+  Refusal.Status = Status;
+  Refusal.Code = Status == 503 ? "no-memory" : "bad-request";
+  if (Status == 503)
+    Refusal.RetryAfter = NoMemoryRetryAfter;
+  respond(toResponse(Refusal));
 }
 
 void http_server_connection::serve() {
@@ -187,7 +201,7 @@
   Request.Method = std::string(Message.method_string());
   Request.Target = std::string(Message.target());
   Request.Headers = toHeaders(Message);
-  Request.Body = std::move(Message.body());
+  Request.Body = {std::move(Message.body()), std::move(BodyShare)};
   Parser.reset();
   auto Exchange =
       std::make_shared<exchange>(shared_from_this(), std::move(Request));
@@ -207,10 +221,10 @@
   bool HasLength = Response.Status != 204 && Response.Status != 304;
   std::string Head = encodeHead(Response, KeepOpen, HasLength);
   write(std::move(Head),
-        IsHeadRequest ? std::string() : std::move(Response.Body), KeepOpen);
+        IsHeadRequest ? message_body() : std::move(Response.Body), KeepOpen);
 }
 
-void http_server_connection::write(std::string Head, std::string Body,
+void http_server_connection::write(std::string Head, message_body Body,
                                    bool KeepOpen) {
   OutHead = std::move(Head);
   OutBody = std::move(Body);
@@ -219,7 +233,7 @@
     return writePiece(0, KeepOpen);
   }
   std::array<boost::asio::const_buffer, 2> Buffers = {
-      boost::asio::buffer(OutHead), boost::asio::buffer(OutBody)};
+      boost::asio::buffer(OutHead), boost::asio::buffer(OutBody.text())};
   boost::asio::async_write(
       Socket, Buffers,
       [Self = shared_from_this(), KeepOpen](auto Error, size_t) {
@@ -239,7 +253,7 @@
         std::min(Self->Transfer.pieceSize(), Self->OutBody.size() - Offset);
     std::array<boost::asio::const_buffer, 2> Buffers = {
         boost::asio::buffer(Self->OutHead),
-        boost::asio::buffer(Self->OutBody.data() + Offset, Size)};
+        boost::asio::buffer(Self->OutBody.text().data() + Offset, Size)};
     boost::asio::async_write(
         Self->Socket, Buffers,
         [Self, End = Offset + Size, KeepOpen](auto Error, size_t) {
@@ -258,7 +272,7 @@
   if (!Open)
     return;
   Transfer = {};
-  OutBody = std::string();
+  OutBody = {};
   if (!KeepOpen) {
     boost::system::error_code Ignored;
     Socket.shutdown(socket::shutdown_send, Ignored);
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -22,6 +22,8 @@
 struct http_server_state {
   http_limits Limits;
   http_handler Handler;
+  /// The memory for the bodies of requests.
+  memory_budget &BodyMemory;
   bulk_pacer *Pacer = nullptr;
   /// Whether connections close after their current response, or when idle.
   bool Closing = false;
@@ -64,11 +66,12 @@
   void onRead(size_t Size);
   void parse();
   void beginRequest();
-  void onParseError(const boost::system::error_code &Error);
+  /// Responds to a request that cannot be received, and closes the connection.
+  void reject(int Status);
   void sendContinueIfExpected();
   void serve();
   void respond(http_response Response);
-  void write(std::string Head, std::string Body, bool KeepOpen);
+  void write(std::string Head, message_body Body, bool KeepOpen);
   void writePiece(size_t Offset, bool KeepOpen);
   void onWritten(bool KeepOpen);
 
@@ -87,9 +90,11 @@
   time_point LastProgress{};
   boost::beast::flat_buffer Buffer;
   std::optional<parser> Parser;
+  /// What the body of the request takes.
+  memory_share BodyShare;
   std::weak_ptr<exchange> CurrentExchange;
   std::string OutHead;
-  std::string OutBody;
+  message_body OutBody;
   /// Set while a large body is sent in pieces.
   bulk_transfer Transfer;
 };
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -22,7 +22,7 @@
     Response.Status = 204;
   else
     Response.Body = Request.Method + " " + Request.Target + " [" +
-                    Request.Body + "] " +
+                    Request.Body.text() + "] " +
                     Request.Headers.find("x-echo").value_or("");
   if (Request.Method == "HEAD")
     Response.Headers.set("Content-Length", "1234");
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -86,11 +86,11 @@
 };
 
 peer_connection::peer_connection(socket Socket, peer_role Role,
-                                 size_t MaxBodyBytes, http_handler Handler,
-                                 bulk_pacer *Pacer)
+                                 size_t MaxBodyBytes, memory_budget &BodyMemory,
+                                 http_handler Handler, bulk_pacer *Pacer)
     : Socket(std::move(Socket)), LivenessTimer(this->Socket.get_executor()),
-      Role(Role), MaxBodyBytes(MaxBodyBytes), Handler(std::move(Handler)),
-      Pacer(Pacer), LastRead(Clock.now()) {
+      Role(Role), MaxBodyBytes(MaxBodyBytes), BodyMemory(BodyMemory),
+      Handler(std::move(Handler)), Pacer(Pacer), LastRead(Clock.now()) {
   setUpSession();
 }
 
@@ -262,10 +262,10 @@
   });
 }
 
-void peer_connection::setBody(outgoing_body &Out, const std::string &Bytes) {
-  Out.Bytes = Bytes;
-  if (Pacer && Pacer->isBulk(Bytes.size()))
-    Out.Transfer = bulk_transfer(*Pacer, Bytes.size());
+void peer_connection::setBody(outgoing_body &Out, const message_body &Body) {
+  Out.Body = Body;
+  if (Pacer && Pacer->isBulk(Body.size()))
+    Out.Transfer = bulk_transfer(*Pacer, Body.size());
 }
 
 void peer_connection::awaitPiece(stream_id Id, outgoing_body &Body) {
@@ -285,7 +285,8 @@
                                   uint32_t *Flags, nghttp2_data_source *Source,
                                   void *User) {
   auto &Body = *static_cast<outgoing_body *>(Source->ptr);
-  size_t Size = std::min(Length, Body.Bytes.size() - Body.Offset);
+  const std::string &Bytes = Body.Body.text();
+  size_t Size = std::min(Length, Bytes.size() - Body.Offset);
   if (Body.Transfer) {
     if (Body.SendableBytes == 0) {
       self(User).awaitPiece(Id, Body);
@@ -294,9 +295,9 @@
     Size = std::min(Size, Body.SendableBytes);
     Body.SendableBytes -= Size;
   }
-  std::copy_n(Body.Bytes.data() + Body.Offset, Size, Buffer);
+  std::copy_n(Bytes.data() + Body.Offset, Size, Buffer);
   Body.Offset += Size;
-  if (Body.Offset == Body.Bytes.size())
+  if (Body.Offset == Bytes.size())
     *Flags |= NGHTTP2_DATA_FLAG_EOF;
   return static_cast<ssize_t>(Size);
 }
@@ -350,7 +351,10 @@
 }
 
 peer_connection::stream &peer_connection::openStream(stream_id Id) {
-  stream &Stream = Streams[Id];
+  auto [Found, IsNew] = Streams.try_emplace(Id);
+  stream &Stream = Found->second;
+  if (IsNew)
+    Stream.ReceivedShare = memory_share(BodyMemory);
   if (!LivenessCheckActive) {
     ActiveSince = Clock.now();
     PingPending = false;
@@ -403,26 +407,41 @@
 }
 
 void peer_connection::onData(stream_id Id, const uint8_t *Data, size_t Size) {
-  stream &Stream = Streams[Id];
-  std::string &Body =
-      Role == peer_role::Client ? Stream.Response.Body : Stream.Request.Body;
-  if (Body.size() + Size > MaxBodyBytes) {
-    nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id,
-                              NGHTTP2_ENHANCE_YOUR_CALM);
+  auto Found = Streams.find(Id);
+  if (Found == Streams.end() || Found->second.IsRejected)
+    return;
+  stream &Stream = Found->second;
+  std::string &Body = Stream.Received;
+  size_t NewSize = Body.size() + Size;
+  if (NewSize <= MaxBodyBytes && Stream.ReceivedShare.resize(NewSize)) {
+    Body.append(reinterpret_cast<const char *>(Data), Size);
     return;
   }
-  Body.append(reinterpret_cast<const char *>(Data), Size);
+  // Frees the memory at once; the stream ends later.
+  Stream.IsRejected = true;
+  Body = std::string();
+  Stream.ReceivedShare = {};
+  // A request that is refused has certainly not been processed.
+  uint32_t Reason = Role == peer_role::Server ? NGHTTP2_REFUSED_STREAM
+                                              : NGHTTP2_ENHANCE_YOUR_CALM;
+  nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id, Reason);
 }
 
 void peer_connection::onMessageEnd(stream_id Id) {
   auto Found = Streams.find(Id);
-  if (Found == Streams.end())
+  if (Found == Streams.end() || Found->second.IsRejected)
     return;
-  if (Role == peer_role::Client)
-    return finishCall(Found->second, call_outcome::Completed, "");
-  auto Exchange = std::make_shared<peer_exchange>(
-      weak_from_this(), Id, std::move(Found->second.Request));
-  Found->second.Exchange = Exchange;
+  stream &Stream = Found->second;
+  message_body Body(std::move(Stream.Received),
+                    std::move(Stream.ReceivedShare));
+  if (Role == peer_role::Client) {
+    Stream.Response.Body = std::move(Body);
+    return finishCall(Stream, call_outcome::Completed, "");
+  }
+  Stream.Request.Body = std::move(Body);
+  auto Exchange = std::make_shared<peer_exchange>(weak_from_this(), Id,
+                                                  std::move(Stream.Request));
+  Stream.Exchange = Exchange;
   serveGuarded(Handler, Exchange);
 }
 
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
+#include "dragonflyvane/core/memory_budget.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
@@ -35,10 +36,12 @@
   using call_callback = std::function<void(call_result)>;
 
   /// `Handler` serves requests on the server side; a client has none. A stream
-  /// is reset when the body received on it exceeds `MaxBodyBytes`. With a
-  /// pacer, large bodies are sent in pieces.
+  /// is reset when the body received on it exceeds `MaxBodyBytes`, or when
+  /// `BodyMemory` has no room for it. With a pacer, large bodies are sent in
+  /// pieces.
   peer_connection(socket Socket, peer_role Role, size_t MaxBodyBytes,
-                  http_handler Handler, bulk_pacer *Pacer = nullptr);
+                  memory_budget &BodyMemory, http_handler Handler,
+                  bulk_pacer *Pacer = nullptr);
   ~peer_connection();
   peer_connection(const peer_connection &) = delete;
   peer_connection &operator=(const peer_connection &) = delete;
@@ -66,7 +69,7 @@
 private:
   /// The body that a stream sends.
   struct outgoing_body {
-    std::string Bytes;
+    message_body Body;
     size_t Offset = 0;
     /// Set for a body that is sent in pieces.
     bulk_transfer Transfer;
@@ -78,6 +81,11 @@
   struct stream {
     http_request Request;
     http_response Response;
+    /// What has been received of the body, and the memory that it takes.
+    std::string Received;
+    memory_share ReceivedShare;
+    /// Whether the stream is reset because its body is too large.
+    bool IsRejected = false;
     outgoing_body Out;
     call_callback Callback;
     std::shared_ptr<class peer_exchange> Exchange;
@@ -88,7 +96,7 @@
   void readAvailable();
   void onRead(const uint8_t *Data, size_t Size);
   void flush();
-  void setBody(outgoing_body &Out, const std::string &Bytes);
+  void setBody(outgoing_body &Out, const message_body &Body);
   /// Waits for the pacer's next turn, then resumes sending a deferred body.
   void awaitPiece(stream_id Id, outgoing_body &Body);
   /// Checks the peer periodically while streams are open: sends a PING if
@@ -117,6 +125,7 @@
   boot_clock Clock;
   peer_role Role;
   size_t MaxBodyBytes;
+  memory_budget &BodyMemory;
   http_handler Handler;
   bulk_pacer *Pacer;
   nghttp2_session *Session = nullptr;
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -118,7 +118,8 @@
     Channel.ConnectTimer.cancel();
     if (Connected) {
       Channel.Connection = std::make_shared<peer_connection>(
-          std::move(Socket), peer_role::Client, MaxBodyBytes, nullptr);
+          std::move(Socket), peer_role::Client, MaxBodyBytes, Loop.bodyMemory(),
+          nullptr);
       Channel.Connection->start();
     }
     Channel.ConnectingSocket.reset();
@@ -197,7 +198,7 @@
 public:
   implementation(event_loop &Loop, size_t MaxBodyBytes, http_handler Handler,
                  bulk_pacer *Pacer)
-      : Acceptor(Loop.internals().Io), MaxBodyBytes(MaxBodyBytes),
+      : Loop(Loop), Acceptor(Loop.internals().Io), MaxBodyBytes(MaxBodyBytes),
         Handler(std::move(Handler)), Pacer(Pacer) {}
 
   void listen(const endpoint &Listen) {
@@ -232,12 +233,14 @@
 
   void addConnection(tcp::socket Socket) {
     auto Connection = std::make_shared<peer_connection>(
-        std::move(Socket), peer_role::Server, MaxBodyBytes, Handler, Pacer);
+        std::move(Socket), peer_role::Server, MaxBodyBytes, Loop.bodyMemory(),
+        Handler, Pacer);
     std::erase_if(Connections, [](const auto &Weak) { return Weak.expired(); });
     Connections.push_back(Connection);
     Connection->start();
   }
 
+  event_loop &Loop;
   tcp::acceptor Acceptor;
   size_t MaxBodyBytes;
   http_handler Handler;
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -55,7 +55,7 @@
         Response.Body =
             Exchange->request().Method + Exchange->request().Target +
             Exchange->request().Headers.find("X-Some").value_or("") +
-            Exchange->request().Body;
+            Exchange->request().Body.text();
         Exchange->respond(Response);
       });
   peer_client Client(Loop, MaxBodyBytes);
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -288,6 +288,7 @@
   bool WasKeyRefused = Point && Result.Outcome == call_outcome::Completed &&
                        Result.Response.Status == MisdirectedRequest;
   observeCondition(Entry, Result);
+  logFailure(Entry, Result);
   finish(Id, classifyResult(Entry, std::move(Result)));
   if (WasRefused && IsSameIncarnation)
     Deps.OnRefusedConnection();
@@ -296,6 +297,19 @@
   dispatchWaiting();
 }
 
+void dispatcher::logFailure(const entry &Entry,
+                            const call_result &Result) const {
+  if (Result.Outcome == call_outcome::Completed)
+    return;
+  writeRequestLog(
+      "no response from the backend server",
+      {{"request_id",
+        Entry.Request.Headers.find(Deps.Names.RequestId).value_or("")},
+       {"instance", Entry.Incarnation.Instance},
+       {"reason", Result.Error},
+       {"took_ms", inMilliseconds(Deps.Clock.now() - Entry.SentAt)}});
+}
+
 void dispatcher::observeCondition(const entry &Entry,
                                   const call_result &Result) {
   if (Result.Outcome != call_outcome::Completed ||
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/dispatcher.hpp
@@ -129,6 +129,8 @@
   /// Sets the header fields that backend servers expect.
   http_request makeServerRequest(const entry &Entry) const;
   void onResult(dispatch_id Id, call_result Result);
+  /// Logs why a call of the server ended without a response.
+  void logFailure(const entry &Entry, const call_result &Result) const;
   /// Learns the condition of the server from its response to a request.
   void observeCondition(const entry &Entry, const call_result &Result);
   /// Decides whether the server responded, has not run the request, or may have
--- a/src/dragonflyvane/node/operator_tool.cpp
+++ b/src/dragonflyvane/node/operator_tool.cpp
@@ -90,12 +90,13 @@
   }
   if (Result.Response.Status != 200) {
     std::cerr << "request refused by " << flagValue("admin") << ": status "
-              << Result.Response.Status << " " << Result.Response.Body;
+              << Result.Response.Status << " " << Result.Response.Body.text();
     return RefusedExitCode;
   }
-  auto Json = nlohmann::json::parse(Result.Response.Body, nullptr, false);
+  auto Json =
+      nlohmann::json::parse(Result.Response.Body.text(), nullptr, false);
   if (Json.is_discarded()) {
-    std::cout << Result.Response.Body;
+    std::cout << Result.Response.Body.text();
     return 0;
   }
   if (Point)
--- a/src/dragonflyvane/node/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/peer_messages_test.cpp
@@ -34,8 +34,8 @@
   const std::string Valid = Request.Body;
   for (const char *Sample : {"[-1]", "[65536]", "[\"7\"]", "[1.5]", "7"}) {
     CAPTURE(Sample);
-    Request.Body = Valid;
-    Request.Body.replace(Valid.find("[7]"), 3, Sample);
+    std::string Body = Valid;
+    Request.Body = Body.replace(Valid.find("[7]"), 3, Sample);
     CHECK(!decodeReport(Request));
   }
   Request.Body = std::string(500'000, '[');
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -24,6 +24,8 @@
   double CpuShare = 1;
   /// Bandwidth of the host's network link, in bytes per second.
   double LinkRate = 125'000'000;
+  /// Memory that the daemon may use, in bytes; more ends its process.
+  size_t MemoryLimit = size_t{260} << 20;
   /// Service of the local backend server.
   std::string LocalService;
   /// Where the local backend server accepts requests, if the platform says so.
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -3,13 +3,19 @@
 #include <platform/platform.hpp>
 
 #include <exception>
+#include <malloc.h>
 
 namespace {
 
 using namespace dragonflyvane;
 
+/// Share of the process's memory that the bodies of messages may take. The rest
+/// is for all other data, and for the copy that is made when a body grows.
+constexpr size_t BodyMemoryDivisor = 2;
+
 int run(const settings &Settings) {
   event_loop Loop;
+  Loop.bodyMemory().setLimit(Settings.MemoryLimit / BodyMemoryDivisor);
   metrics Metrics;
   http_client Client(Loop);
   platform::store_client Store(Client, Settings.StoreEndpoint, Metrics);
@@ -23,9 +29,17 @@
   return 0;
 }
 
+/// Lets the allocator return large blocks to the system when they are freed. By
+/// default it keeps tens of megabytes after bodies of that size.
+void returnFreedMemory() {
+  mallopt(M_MMAP_THRESHOLD, 1 << 20);
+  mallopt(M_TRIM_THRESHOLD, 4 << 20);
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
+  returnFreedMemory();
   daemon_flags Flags = readDaemonFlags(Count, Arguments);
   initLogging(Flags.LogLevel);
   try {
