In a planned stop, a request begins only if it can end before the process

Callers saw (report of other operators; it happens here): requests that came late in the grace were taken, passed on and cut off without a response when the process ended, some of them not idempotent.

Cause: for 2.2 s each request was taken whatever it needs, the process ended 5.2 s after the signal, and the deadline that was passed on could be later than that. Ruled out: the servers (they responded to a closed connection), a busy processor.

Change: graceful_shutdown, asked by the request router and the dispatcher: deadline or usual time (mean and four mean deviations) must fit; twice the time for what must not be repeated. Deadlines end before the process; what still runs then gets a response that says so. Calls of running requests go on after 2.2 s. The process ends 0.4 s before the SIGKILL.

--- a/src/dragonflyvane/core/admission/admission_queue.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -72,14 +72,15 @@
   return std::nullopt;
 }
 
-void admission_queue::remove(dispatch_id Id) {
+bool admission_queue::remove(dispatch_id Id) {
   for (auto It = Waiting.begin(); It != Waiting.end(); ++It) {
     if (It->first.second != Id)
       continue;
     QueuedProcessingTime -= It->second.ProcessingTime;
     Waiting.erase(It);
-    return;
+    return true;
   }
+  return false;
 }
 
 void admission_queue::expire(time_point Now, std::vector<dispatch_id> &TooLate,
--- a/src/dragonflyvane/core/admission/admission_queue.hpp
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -56,8 +56,8 @@
   /// deadlines are removed as well and appended to `TooLate`.
   std::optional<dispatch_id> pop(time_point Now,
                                  std::vector<dispatch_id> &TooLate);
-  /// Removes a request; does nothing if it is not queued.
-  void remove(dispatch_id Id);
+  /// Removes a request. Returns false if it is not queued.
+  bool remove(dispatch_id Id);
   /// Returns the time until the queued request at a position may start.
   using start_delay = std::function<duration(size_t Position)>;
   /// Removes all requests that will have too little time left before their
--- a/src/dragonflyvane/core/admission/route_costs.hpp
+++ b/src/dragonflyvane/core/admission/route_costs.hpp
@@ -7,6 +7,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <string>
 
 namespace dragonflyvane {
@@ -20,6 +21,9 @@
   /// Returns the usual processing time of the route, or `meanProcessingTime`
   /// for a route without a response so far.
   duration processingTimeOf(const std::string &Route) const;
+  /// Returns a time that the processing of the route rarely exceeds, or nothing
+  /// for a route without a response so far.
+  std::optional<duration> processingTimeBound(const std::string &Route) const;
   /// Returns the usual body size of a response in bytes, or zero for a route
   /// without a response so far.
   size_t responseBytesOf(const std::string &Route) const;
@@ -29,6 +33,8 @@
 private:
   struct cost {
     duration ProcessingTime{0};
+    /// The mean difference of a processing time from the average.
+    duration Deviation{0};
     double Bytes = 0;
   };
 
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -50,17 +50,19 @@
       Request(this->Exchange->request()),
       Config(Router.Deps.OperatorState.config()),
       StartedAt(Router.Deps.Clock.now()) {
-  ++Router.ActiveCount;
+  Router.ActiveRequests.insert(this);
 }
 
-request_router::active_request::~active_request() { --Router.ActiveCount; }
+request_router::active_request::~active_request() {
+  Router.ActiveRequests.erase(this);
+}
 
 std::string request_router::active_request::requestId() const {
   return Request.Headers.find(Router.Deps.Names.RequestId).value_or("");
 }
 
 duration request_router::active_request::timeLeft() const {
-  return Deadline - Router.Deps.Clock.now();
+  return Router.Deps.Shutdown.deadlineOf(Deadline) - Router.Deps.Clock.now();
 }
 
 void request_router::active_request::begin() {
@@ -69,8 +71,6 @@
       Self->cancel();
   });
   Deadline = StartedAt + DefaultTimeout;
-  if (Router.IsShuttingDown)
-    return refuse(503, "stopping", run_state::NotRun, RestartRetryAfter);
   if (!Config)
     return refuse(503, "no-configuration", run_state::NotRun,
                   withJitter(std::chrono::milliseconds(300)));
@@ -79,6 +79,9 @@
   if (!Route)
     return refuse(404, "no-route", run_state::NotRun);
   applyRoute(*Route);
+  if (!isAdmittedByShutdown())
+    return refuse(503, "stopping", run_state::NotRun,
+                  Router.Deps.Shutdown.acceptTimeLeft() + RestartRetryAfter);
   if (!authenticate(*Route))
     return;
   Router.Deps.RateLimiter.admit(
@@ -100,11 +103,23 @@
   Deadline = StartedAt + Timeout;
   HostWaitDeadline = StartedAt + Timeout * HostWaitPercent / 100;
   Metadata.Route = Route.Name;
+  Metadata.Idempotent = Route.Idempotent;
   Metadata.Priority = priorityOf({}, Route);
   Metadata.OriginService = Router.Deps.Settings.LocalService;
   Metadata.Point = toNumber<key_point>(Request.Headers.find(Names.KeyPoint));
 }
 
+bool request_router::active_request::isAdmittedByShutdown() const {
+  // Only servers send requests without a key.
+  bool HasKey =
+      Request.Headers.find(Router.Deps.Names.CallerKey).has_value();
+  bool IsNestedCall = Route->AllowsAnonymous && !HasKey &&
+                      Router.Deps.Dispatcher.activeCount() > 0;
+  return Router.Deps.Shutdown.admits(
+      {Deadline, Router.Costs.processingTimeBound(Metadata.Route),
+       Route->Idempotent, IsNestedCall});
+}
+
 bool request_router::active_request::authenticate(const route &Route) {
   auto Key = Request.Headers.find(Router.Deps.Names.CallerKey);
   Request.Headers.remove(Router.Deps.Names.CallerKey);
@@ -362,13 +377,26 @@
   IsDone = true;
   auto Self = shared_from_this();
   Timer.cancel();
+  cancelForwarding();
+  Router.Deps.Metrics.count("requests_total", {{"end", "caller-left"}});
+}
+
+void request_router::active_request::cancelForwarding() {
   if (LocalDispatch != 0)
     Router.Deps.Dispatcher.cancel(LocalDispatch);
   if (PeerCall != 0)
     Router.Deps.Peers.cancel(PeerCall);
   if (LocalDispatch != 0 || PeerCall != 0)
     Router.HostSelector.onFinished(TargetHost, {});
-  Router.Deps.Metrics.count("requests_total", {{"end", "caller-left"}});
+}
+
+void request_router::active_request::end() {
+  if (IsDone)
+    return;
+  bool IsForwarded = LocalDispatch != 0 || PeerCall != 0;
+  MayHaveRun |= IsForwarded;
+  cancelForwarding();
+  refuseUnserved("stopping", RestartRetryAfter);
 }
 
 duration request_router::active_request::withJitter(duration Mean) {
--- a/src/dragonflyvane/node/active_request.hpp
+++ b/src/dragonflyvane/node/active_request.hpp
@@ -22,6 +22,8 @@
   void begin();
   /// Chooses a host again if the request waits for one.
   void retryHostLookup();
+  /// Ends the request now, since the process is about to end.
+  void end();
 
 private:
   /// Sets the deadline and the metadata that follow from the route.
@@ -29,6 +31,8 @@
   /// Sets the workspace and the priority. On failure, refuses the request and
   /// returns false. Accepts all callers if no workspaces are configured.
   bool authenticate(const route &Route);
+  /// Whether the request may begin although the process may be shutting down.
+  bool isAdmittedByShutdown() const;
   /// Called with the decision of the rate limiter.
   void onAdmitted(bool Admitted, duration RetryAfter);
   /// Draws one of the services of the route by weight.
@@ -52,6 +56,8 @@
   void waitForHost(const std::string &Code);
   /// Ends the request without a response, since the caller disconnected.
   void cancel();
+  /// Cancels the dispatch and the call to a peer, if there is one.
+  void cancelForwarding();
 
   /// Sends the response and ends the request. Refunds the token if no backend
   /// server has run the request.
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -23,9 +23,6 @@
 constexpr std::chrono::milliseconds ReportTimeout{1000};
 constexpr std::chrono::milliseconds TokenTimeout{150};
 constexpr std::chrono::milliseconds StopCheckPeriod{50};
-/// After the start of a graceful shutdown, new requests are still accepted for
-/// this long, since callers need time to switch to other hosts.
-constexpr std::chrono::milliseconds MinStopTime{2200};
 
 /// Returns `NAME=RATE+BURST` for each workspace with a rate limit, for the log.
 std::string describeRates(const configuration &Config) {
@@ -47,7 +44,8 @@
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
         OperatorState(this->Platform.OperatorRows,
                       this->Platform.DecodeOperatorRow),
-        Peers(Loop, MaxPeerBodyBytes), Pacer(Loop, Clock, Settings.LinkRate),
+        Shutdown(Clock, Settings.StopTimeout), Peers(Loop, MaxPeerBodyBytes),
+        Pacer(Loop, Clock, Settings.LinkRate),
         RestorableStore(this->Platform.Store, Loop,
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
@@ -74,7 +72,7 @@
              },
              [&Client](call_id Call) { Client.cancel(Call); },
              Ownership.server(), Guard, OperatorState, this->Platform.Names,
-             Metrics, Pacer,
+             Metrics, Pacer, Shutdown,
              [this](const std::string &Service, key_point Point) {
                return Ownership.isOwner(Service, Point);
              },
@@ -93,7 +91,7 @@
               }),
         Router({this->Settings, Loop, Clock, OperatorState, Ownership.view(),
                 Dispatcher, Peers, Rates, this->Platform.Names, Metrics,
-                Pacer}),
+                Pacer, Shutdown}),
         Admin({this->Settings, Clock, OperatorState, Ownership, Dispatcher,
                Guard, Metrics}),
         PeerServer(
@@ -130,7 +128,7 @@
   void onLeave(const leave_notice &Notice) { Ownership.onLeave(Notice); }
 
   bool isReady() const {
-    return OperatorState.config() && !IsStopping &&
+    return OperatorState.config() && !Shutdown.hasBegun() &&
            OperatorState.confirmationAge(Clock.now()) <
                Settings.MaxConfirmationAge;
   }
@@ -255,31 +253,40 @@
   }
 
   void beginStop() {
-    if (IsStopping)
+    if (Shutdown.hasBegun())
       return;
-    IsStopping = true;
-    StopStartedAt = Clock.now();
-    writeLog(log_level::Info, "stopping",
-             {{"step", "stop"},
-              {"open", Router.activeCount() + Dispatcher.activeCount()}});
+    Shutdown.begin();
+    logStop("stopping");
     CallerServer.startClosing();
+    Dispatcher.onShutdownBegin();
     StopTimer = Loop.every(StopCheckPeriod, [this] { checkStop(); });
   }
 
   void checkStop() {
-    duration Elapsed = Clock.now() - StopStartedAt;
-    if (Elapsed < MinStopTime)
+    time_point Now = Clock.now();
+    bool IsOver = Shutdown.isOver();
+    if (!Shutdown.isDraining() && !IsOver)
       return;
-    Dispatcher.startShutdown();
-    Router.startShutdown();
-    bool IsIdle = Router.activeCount() + Dispatcher.activeCount() == 0 &&
-                  !CallerServer.isWriting() && Pacer.isIdle();
-    if (!IsIdle && Elapsed < Settings.StopTimeout)
+    if (IsOver) {
+      Dispatcher.endAll();
+      Router.endAll();
+    }
+    if (!hasResponded() && Now < Shutdown.end())
       return;
-    writeLog(log_level::Info, "stopped",
+    logStop("stopped");
+    Loop.stop();
+  }
+
+  /// Whether no request is left and all responses are written.
+  bool hasResponded() const {
+    return Router.activeCount() + Dispatcher.activeCount() == 0 &&
+           !CallerServer.isWriting() && Pacer.isIdle();
+  }
+
+  void logStop(const char *Message) const {
+    writeLog(log_level::Info, Message,
              {{"step", "stop"},
               {"open", Router.activeCount() + Dispatcher.activeCount()}});
-    Loop.stop();
   }
 
   event_loop &Loop;
@@ -287,6 +294,7 @@
   platform_access Platform;
   boot_clock Clock;
   operator_state OperatorState;
+  graceful_shutdown Shutdown;
   peer_client Peers;
   bulk_pacer Pacer;
   restorable_store RestorableStore;
@@ -302,8 +310,6 @@
   http_server AdminServer;
   http_server CallerServer;
   std::shared_ptr<const configuration> AppliedConfig;
-  bool IsStopping = false;
-  time_point StopStartedAt{};
   timer ReportTimer;
   timer StopTimer;
 };
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -49,8 +49,6 @@
 
 std::string dispatcher::refusalCode(const forward_metadata &Metadata) const {
   const local_server &Server = Deps.Server;
-  if (IsShuttingDown)
-    return "stopping";
   if (Server.service() != Metadata.Service)
     return "no-server";
   if (!Server.acceptsRequests(Deps.Clock.now()))
@@ -60,6 +58,21 @@
   return "";
 }
 
+std::string dispatcher::arrivalRefusalCode(const entry &Entry) const {
+  const forward_metadata &Metadata = Entry.Metadata;
+  std::string Code = refusalCode(Metadata);
+  if (!Code.empty())
+    return Code;
+  if (Deps.CrashGuard.isQuarantined(Entry.Request, Metadata.Workspace))
+    return "quarantined";
+  // The router of this host decides about the requests that it has received.
+  bool IsAdmitted = Metadata.IsLocal ||
+                    Deps.Shutdown.admits(
+                        {Entry.Deadline, Costs.processingTimeBound(Metadata.Route),
+                         Metadata.Idempotent, false});
+  return IsAdmitted ? "" : "stopping";
+}
+
 bool dispatcher::mustWaitForGrant(const forward_metadata &Metadata) const {
   return Metadata.Point &&
          !Deps.Server.holds(*Metadata.Point, Deps.Clock.now());
@@ -88,14 +101,12 @@
   Entry.Metadata = std::move(Metadata);
   Entry.Request = std::move(Request);
   Entry.Callback = std::move(Callback);
-  std::string Code = refusalCode(Entry.Metadata);
-  if (Code.empty() &&
-      Deps.CrashGuard.isQuarantined(Entry.Request, Entry.Metadata.Workspace))
-    Code = "quarantined";
+  std::string Code = arrivalRefusalCode(Entry);
   if (!Code.empty()) {
     refuse(Id, Code);
     return 0;
   }
+  Entry.Deadline = Deps.Shutdown.deadlineOf(Entry.Deadline);
   if (mustWaitForGrant(Entry.Metadata)) {
     AwaitingGrant.push_back(Id);
     return Id;
@@ -367,9 +378,34 @@
   return ServerResult;
 }
 
-void dispatcher::startShutdown() {
-  IsShuttingDown = true;
-  dispatchWaiting();
+void dispatcher::onShutdownBegin() {
+  for (auto &[Id, Entry] : Entries) {
+    if (Entry.IsRunning)
+      continue;
+    Entry.Deadline = Deps.Shutdown.deadlineOf(Entry.Deadline);
+    if (Queue.remove(Id))
+      Queue.push(makeQueuedRequest(Id, Entry));
+  }
+}
+
+void dispatcher::endAll() {
+  std::vector<dispatch_id> Ids;
+  for (const auto &[Id, Entry] : Entries)
+    Ids.push_back(Id);
+  for (dispatch_id Id : Ids) {
+    auto Found = Entries.find(Id);
+    if (Found == Entries.end())
+      continue;
+    Queue.remove(Id);
+    std::erase(AwaitingGrant, Id);
+    if (!Found->second.IsRunning) {
+      refuse(Id, "stopping");
+      continue;
+    }
+    --Running;
+    Deps.CancelCall(Found->second.Call);
+    finish(Id, unknown("stopping"));
+  }
 }
 
 dispatcher_load dispatcher::load() const {
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/core/admission/admission_queue.hpp"
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
+#include "dragonflyvane/core/admission/graceful_shutdown.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -54,6 +55,7 @@
     metrics &Metrics;
     /// Paces large messages on the link of this host.
     const bulk_pacer &Link;
+    const graceful_shutdown &Shutdown;
     /// Returns whether this host owns the key point in the ownership map.
     std::function<bool(const std::string &Service, key_point)> IsOwner;
     /// Called when the current incarnation of the server refused a connection.
@@ -83,9 +85,12 @@
   void dispatchWaiting();
   /// Number of requests that run or wait.
   size_t activeCount() const { return Entries.size(); }
-  /// Starts a graceful shutdown: refuses new requests, refuses waiting requests
-  /// instead of dispatching them, and lets running requests finish.
-  void startShutdown();
+  /// To be called when a graceful shutdown begins. Requests that wait must end
+  /// before the process does.
+  void onShutdownBegin();
+  /// Ends all requests: refuses those that wait, and ends those that run with
+  /// an unknown outcome.
+  void endAll();
   /// The current load, which is sent with each result.
   dispatcher_load load() const;
   /// The load since the last call; resets the counts.
@@ -109,6 +114,8 @@
 
   /// The code with which a request must be refused now; empty if it may run.
   std::string refusalCode(const forward_metadata &Metadata) const;
+  /// The same for a request that arrives now.
+  std::string arrivalRefusalCode(const entry &Entry) const;
   bool mustWaitForGrant(const forward_metadata &Metadata) const;
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
   /// Whether the response can be ready, and sent over the link, in time.
@@ -153,7 +160,6 @@
   /// Requests for keys that the server does not hold yet, in order of arrival.
   std::deque<dispatch_id> AwaitingGrant;
   uint32_t Running = 0;
-  bool IsShuttingDown = false;
   dispatch_id LastId = 0;
   /// The dispatches that the server takes.
   dispatch_allowance Allowance;
--- a/src/dragonflyvane/node/dispatcher_responses_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_responses_test.cpp
@@ -64,6 +64,7 @@
                                [](const stored_row &) { return std::nullopt; }};
   metrics Metrics;
   bulk_pacer Link{Loop, Clock, 1e9};
+  graceful_shutdown Shutdown{Clock, milliseconds(5600)};
   /// Closes its connections before `Remote` waits for that.
   http_client Client{Loop};
   std::unique_ptr<dispatcher> Dispatcher =
@@ -75,7 +76,7 @@
                                std::move(Callback));
           },
           [this](call_id Call) { Client.cancel(Call); }, Server, Guard,
-          OperatorState, Names, Metrics, Link,
+          OperatorState, Names, Metrics, Link, Shutdown,
           [](const std::string &, key_point) { return true; }, [] {},
           [](key_point) {}, [](const server_condition &) {},
           [](const condition_report &) {}});
--- a/src/dragonflyvane/node/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/dispatcher_test.cpp
@@ -32,6 +32,8 @@
       return ++LastCall;
     }
     Arrivals.push_back(Loop.now());
+    LastTimeLeft =
+        milliseconds(std::stoll(*Request.Headers.find(Names.TimeLeft)));
     call_result Result;
     Result.Outcome = call_outcome::Completed;
     Result.Response.Headers = ServerHeaders;
@@ -83,6 +85,8 @@
   header_names Names;
   header_list ServerHeaders;
   std::vector<time_point> Arrivals;
+  /// The time left that the last request told the server.
+  milliseconds LastTimeLeft{0};
   std::vector<forward_result> Results;
   manual_scheduler Loop;
   settings Settings = [] {
@@ -96,6 +100,7 @@
                                [](const stored_row &) { return std::nullopt; }};
   metrics Metrics;
   bulk_pacer Link{Loop, Loop.clock(), 1e9};
+  graceful_shutdown Shutdown{Loop.clock(), milliseconds(5600)};
   uint64_t Sequence = 0;
   call_id LastCall = 0;
   int LastRequest = 0;
@@ -106,7 +111,7 @@
                            return receive(Request, Options, Callback);
                          },
                          [](call_id) {}, Server, Guard, OperatorState, Names,
-                         Metrics, Link,
+                         Metrics, Link, Shutdown,
                          [](const std::string &, key_point) { return true; },
                          [] {}, [](key_point) {},
                          [this](const server_condition &Condition) {
@@ -241,3 +246,50 @@
   Fixture.submit(milliseconds(400), 1, Known);
   CHECK(!Fixture.Server.condition().RateLimit);
 }
+
+// Guards against requests of peers that begin in a planned stop and are cut off
+// at its end, those first that must not be repeated.
+TEST_CASE(
+    "in a shutdown a request begins only if its usual work ends in time") {
+  dispatcher_fixture Fixture;
+  Fixture.Shutdown.begin();
+  Fixture.submit(seconds(10));
+  REQUIRE(Fixture.Results.size() == 1);
+  CHECK(Fixture.Results.front().Code == "stopping");
+  CHECK(Fixture.Results.front().Outcome == forward_outcome::NotRun);
+  // Until a route has a response, its usual time is unknown.
+  Fixture.submit(milliseconds(1000));
+  Fixture.Loop.runFor(milliseconds(100));
+  Fixture.submit(seconds(10));
+  Fixture.Loop.runFor(milliseconds(100));
+  CHECK(Fixture.Results.back().Outcome == forward_outcome::Answered);
+  Fixture.Loop.runFor(milliseconds(2200));
+  Fixture.submit(milliseconds(1000));
+  CHECK(Fixture.Results.back().Code == "stopping");
+}
+
+// Guards against a server that is given more time than its daemon has left.
+TEST_CASE("deadlines that are passed on end before the process does") {
+  dispatcher_fixture Fixture;
+  Fixture.submit(milliseconds(1000));
+  Fixture.Loop.runFor(milliseconds(100));
+  Fixture.Shutdown.begin();
+  Fixture.submit(seconds(10));
+  CHECK(Fixture.LastTimeLeft == milliseconds(5350));
+}
+
+// Guards against a planned stop that ends without telling what became of a
+// request.
+TEST_CASE("at the end of a shutdown each request gets a true result") {
+  dispatcher_fixture Fixture;
+  for (int I = 0; I < 8; ++I)
+    Fixture.submit(milliseconds(1000));
+  Fixture.Dispatcher.endAll();
+  REQUIRE(Fixture.Results.size() == 8);
+  int Unknown = 0;
+  for (const forward_result &Result : Fixture.Results)
+    Unknown += Result.Outcome == forward_outcome::Unknown;
+  CHECK(Unknown == 6);
+  CHECK(Fixture.Arrivals.size() == 6);
+  CHECK(Fixture.Dispatcher.activeCount() == 0);
+}
--- a/src/dragonflyvane/node/forwarding.cpp
+++ b/src/dragonflyvane/node/forwarding.cpp
@@ -13,6 +13,8 @@
 constexpr const char *OriginField = "x-dragonflyvane-origin";
 constexpr const char *RouteField = "x-dragonflyvane-route";
 constexpr const char *PriorityField = "x-dragonflyvane-priority";
+/// Present if the request may run more than once.
+constexpr const char *IdempotentField = "x-dragonflyvane-idempotent";
 constexpr const char *TimeLeftField = "x-dragonflyvane-time-left";
 constexpr const char *SoftTimeLeftField = "x-dragonflyvane-aim-left";
 /// `not-run` or `unknown`; absent if the backend server responded.
@@ -85,6 +87,8 @@
   Headers.add(PriorityField, std::to_string(Metadata.Priority));
   Headers.add(TimeLeftField, std::to_string(Metadata.TimeLeft.count()));
   Headers.add(SoftTimeLeftField, std::to_string(Metadata.SoftTimeLeft.count()));
+  if (Metadata.Idempotent)
+    Headers.add(IdempotentField, "1");
   addCondition(Metadata.ServerCondition, Headers);
 }
 
@@ -104,6 +108,7 @@
   Metadata.TimeLeft = std::chrono::milliseconds(toNumber<int64_t>(TimeLeft, 0));
   Metadata.SoftTimeLeft = std::chrono::milliseconds(toNumber<int64_t>(
       Headers.find(SoftTimeLeftField), Metadata.TimeLeft.count()));
+  Metadata.Idempotent = Headers.find(IdempotentField).has_value();
   Metadata.ServerCondition = findCondition(Headers);
   removeInternal(Headers);
   return Metadata;
--- a/src/dragonflyvane/node/forwarding.hpp
+++ b/src/dragonflyvane/node/forwarding.hpp
@@ -33,6 +33,8 @@
   std::chrono::milliseconds TimeLeft{0};
   /// Time until the soft deadline; negative after it.
   std::chrono::milliseconds SoftTimeLeft{0};
+  /// Whether the request may run more than once.
+  bool Idempotent = false;
   /// Whether the request was received by the host of the dispatcher; not sent
   /// to peers.
   bool IsLocal = false;
--- a/src/dragonflyvane/node/forwarding_test.cpp
+++ b/src/dragonflyvane/node/forwarding_test.cpp
@@ -15,6 +15,7 @@
                             -1,
                             milliseconds(300),
                             milliseconds(150),
+                            true,
                             false,
                             condition_report{{"i-1", 7}, 2.5, {}}};
   header_list Headers;
@@ -26,6 +27,7 @@
   CHECK(Decoded->Point == 77);
   CHECK(Decoded->Workspace == "ferry");
   CHECK(Decoded->Priority == -1);
+  CHECK(Decoded->Idempotent);
   CHECK(Decoded->TimeLeft == milliseconds(300));
   CHECK(Decoded->SoftTimeLeft == milliseconds(150));
   CHECK(Decoded->ServerCondition == Metadata.ServerCondition);
--- a/src/dragonflyvane/node/request_router.cpp
+++ b/src/dragonflyvane/node/request_router.cpp
@@ -22,6 +22,14 @@
       ActiveRequest->retryHostLookup();
 }
 
+void request_router::endAll() {
+  std::vector<std::shared_ptr<active_request>> Ending;
+  for (active_request *Request : ActiveRequests)
+    Ending.push_back(Request->shared_from_this());
+  for (const auto &Request : Ending)
+    Request->end();
+}
+
 retry_budget &request_router::retryBudgetFor(const std::string &Service) {
   auto Found = RetryBudgets.find(Service);
   if (Found == RetryBudgets.end())
--- a/src/dragonflyvane/node/request_router.hpp
+++ b/src/dragonflyvane/node/request_router.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_NODE_REQUEST_ROUTER_HPP
 
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
+#include "dragonflyvane/core/admission/graceful_shutdown.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -20,6 +21,7 @@
 #include <map>
 #include <memory>
 #include <random>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,6 +44,7 @@
     metrics &Metrics;
     /// Paces large messages on the link of this host.
     const bulk_pacer &Link;
+    const graceful_shutdown &Shutdown;
   };
 
   explicit request_router(dependencies Deps);
@@ -53,11 +56,10 @@
   /// Called after owners or hosts have changed. Requests that wait for a host
   /// look for one again.
   void onClusterChange();
-  /// Starts a graceful shutdown: refuses new requests with run state `NotRun`
-  /// and lets active requests finish.
-  void startShutdown() { IsShuttingDown = true; }
+  /// Ends all requests with a response that says whether they may have run.
+  void endAll();
   /// Number of requests that were received and have not ended.
-  size_t activeCount() const { return ActiveCount; }
+  size_t activeCount() const { return ActiveRequests.size(); }
 
 private:
   class active_request;
@@ -74,8 +76,7 @@
   std::map<std::string, retry_budget> RetryBudgets;
   std::vector<std::weak_ptr<active_request>> WaitingForHost;
   std::mt19937_64 Random;
-  size_t ActiveCount = 0;
-  bool IsShuttingDown = false;
+  std::set<active_request *> ActiveRequests;
 };
 
 } // namespace dragonflyvane
--- /dev/null
+++ b/tests/process/graceful_shutdown_test.cpp
@@ -0,0 +1,90 @@
+// Planned stops of real daemons, while callers keep their connections.
+#include "process/local_cluster.hpp"
+#include "process/steady_callers.hpp"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <thread>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// The platform sends SIGKILL after this time.
+constexpr seconds Grace{6};
+/// New requests are accepted for this long after the signal.
+constexpr milliseconds AcceptTime{2200};
+
+/// The calls of a planned stop of the daemon of host 0.
+struct observed_stop {
+  std::optional<process_end> End;
+  time_point SignalAt;
+  std::vector<ended_call> Calls;
+
+  /// Describes the requests that ended without a response, with the times in
+  /// ms after the signal.
+  std::string lost() const {
+    return describe([this](const ended_call &Call) {
+      return Call.isLost() && !hasCrossedTheEnd(Call);
+    });
+  }
+  /// Describes the requests that began after the signal although they could not
+  /// end in time.
+  std::string begunInVain() const {
+    return describe([this](const ended_call &Call) {
+      return Call.SentAt > SignalAt &&
+             (Call.Status == 502 || Call.Status == 504 || Call.isLost());
+    });
+  }
+
+private:
+  /// Whether the request was on its way when the process ended, so that it was
+  /// not read and the caller may repeat it.
+  bool hasCrossedTheEnd(const ended_call &Call) const {
+    return Call.SentAt - SignalAt > AcceptTime && Call.Took < milliseconds(50);
+  }
+
+  template <typename Predicate>
+  std::string describe(const Predicate &IsMeant) const {
+    std::string Text;
+    for (const ended_call &Call : Calls)
+      if (IsMeant(Call))
+        Text += (Call.Idempotent ? " parts " : " orders ") +
+                std::to_string(Call.Status) + " sent at " +
+                std::to_string(inMilliseconds(Call.SentAt - SignalAt)) +
+                " took " + std::to_string(inMilliseconds(Call.Took)) + ";";
+    return Text;
+  }
+};
+
+observed_stop stopUnderLoad(local_cluster &Cluster, int CallerCount,
+                            milliseconds Pause, milliseconds Spread,
+                            duration WarmUp) {
+  steady_callers Callers(Cluster.callerEndpoint(0), CallerCount, Pause, Spread);
+  std::this_thread::sleep_for(WarmUp);
+  observed_stop Stop;
+  Stop.SignalAt = boot_clock().now();
+  Cluster.daemon(0).signal(SIGTERM);
+  Stop.End = Cluster.daemon(0).wait(Grace);
+  std::this_thread::sleep_for(milliseconds(200));
+  Stop.Calls = Callers.finish();
+  return Stop;
+}
+
+} // namespace
+
+// Guards against requests that are taken late in a planned stop, passed on, and
+// cut off without a response at its end.
+TEST_CASE("a planned stop ends no request of long work without a response") {
+  local_cluster Cluster(3, milliseconds(3200));
+  Cluster.start();
+  observed_stop Stop = stopUnderLoad(Cluster, 24, milliseconds(30),
+                                     milliseconds(3230), milliseconds(7000));
+  REQUIRE(Stop.End);
+  CHECK(Stop.End->isSuccess());
+  CHECK(Stop.lost() == "");
+  CHECK(Stop.begunInVain() == "");
+}
--- /dev/null
+++ b/tests/process/local_cluster.cpp
@@ -0,0 +1,251 @@
+#include "process/local_cluster.hpp"
+
+#include "dragonflyvane/net/http_client.hpp"
+#include "platform/header_names.hpp"
+
+#include <nlohmann/json.hpp>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <functional>
+#include <netinet/in.h>
+#include <random>
+#include <sstream>
+#include <stdexcept>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+#include <arpa/inet.h>
+
+namespace dragonflyvane {
+
+namespace {
+
+using json = nlohmann::json;
+
+constexpr uint16_t StorePort = 7000;
+constexpr uint16_t ServerPort = 6000;
+constexpr uint16_t CallerPort = 8365;
+constexpr uint16_t ControlPort = 8367;
+constexpr uint16_t ReadinessPort = 8369;
+constexpr uint16_t AdminPort = 9464;
+constexpr uint16_t FirstPeerPort = 7780;
+constexpr std::chrono::seconds StartTimeout{30};
+constexpr std::chrono::milliseconds PollPeriod{50};
+/// Long enough for any work of a test's servers.
+constexpr int RouteTimeoutMs = 10'000;
+const std::vector<std::string> Domains = {"erie", "huron", "michigan"};
+
+bool isFree(const std::string &Address, uint16_t Port) {
+  int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+  int One = 1;
+  setsockopt(Socket, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
+  sockaddr_in Local{};
+  Local.sin_family = AF_INET;
+  Local.sin_port = htons(Port);
+  inet_pton(AF_INET, Address.c_str(), &Local.sin_addr);
+  bool Free =
+      bind(Socket, reinterpret_cast<sockaddr *>(&Local), sizeof(Local)) == 0 &&
+      listen(Socket, 1) == 0;
+  close(Socket);
+  return Free;
+}
+
+/// Chooses a part of the loopback network that no other test uses.
+std::string choosePrefix() {
+  std::random_device Random;
+  while (true) {
+    std::string Prefix = "127." + std::to_string(20 + Random() % 200) + "." +
+                         std::to_string(1 + Random() % 250) + ".";
+    if (isFree(Prefix + "1", StorePort) && isFree(Prefix + "10", CallerPort))
+      return Prefix;
+  }
+}
+
+void await(const std::string &What, const std::function<bool()> &Condition) {
+  auto Deadline = std::chrono::steady_clock::now() + StartTimeout;
+  while (!Condition()) {
+    if (std::chrono::steady_clock::now() > Deadline)
+      throw std::runtime_error("timed out: " + What);
+    std::this_thread::sleep_for(PollPeriod);
+  }
+}
+
+json makeRoute(const std::string &Name, const std::string &Kind) {
+  return {{"name", Name},
+          {"host", "cluster.example"},
+          {"prefix", "/" + Name + "/"},
+          {"kind", Kind},
+          {"timeoutMs", RouteTimeoutMs},
+          {"aimMs", RouteTimeoutMs / 2},
+          {"priority", 1},
+          {"service", "bookings"},
+          {"attempts", 2}};
+}
+
+json makeConfiguration() {
+  return {
+      {"version", "00000001"},
+      {"routes", {makeRoute("parts", "safe"), makeRoute("orders", "unsafe")}},
+      {"services",
+       {{{"name", "bookings"},
+         {"healthPath", "/health"},
+         {"connectionLimit", 130},
+         {"sharded", true}}}},
+      {"limits",
+       {{"headerBytes", 16384},
+        {"bodyBytes", 67108864},
+        {"headerTimeoutMs", 3000},
+        {"idleTimeoutMs", 15000}}}};
+}
+
+} // namespace
+
+int statusOf(const endpoint &Remote, const std::string &Method,
+             const std::string &Target, const std::string &Body,
+             std::chrono::milliseconds Timeout) {
+  event_loop Loop;
+  http_client Client(Loop);
+  header_names Names = platform::headerNames();
+  http_request Request;
+  Request.Method = Method;
+  Request.Target = Target;
+  Request.Headers.add("Host", "cluster.example");
+  Request.Headers.add(Names.KeyPoint, "4711");
+  Request.Headers.add(Names.RequestId, "test");
+  Request.Body = Body;
+  call_options Options;
+  Options.Timeout = Timeout;
+  int Status = 0;
+  Client.send(Remote, Request, std::move(Options),
+              [&](const call_result &Result) {
+                if (Result.Outcome == call_outcome::Completed)
+                  Status = Result.Response.Status;
+                Loop.stop();
+              });
+  Loop.run();
+  return Status;
+}
+
+local_cluster::local_cluster(int HostCount, std::chrono::milliseconds WorkTime)
+    : HostCount(HostCount), Prefix(choosePrefix()), Daemons(HostCount) {
+  Folder = std::filesystem::temp_directory_path() / "dragonflyvane-XXXXXX";
+  if (!mkdtemp(Folder.data()))
+    throw std::runtime_error("cannot make a temporary folder");
+  startStore();
+  for (int Host = 0; Host < HostCount; ++Host) {
+    std::string Address = addressOf(Host);
+    std::string Work = std::to_string(WorkTime.count());
+    Servers.push_back(std::make_unique<child_process>(
+        "standin_backend",
+        std::vector<std::string>{
+            "--listen=" + Address + ":" + std::to_string(ServerPort),
+            "--control=" + Address + ":" + std::to_string(ControlPort),
+            "--domain=" + Domains[Host % Domains.size()], "--work_ms=" + Work},
+        folderPath("server-" + std::to_string(Host) + ".log")));
+    writeSettings(Host);
+  }
+}
+
+local_cluster::~local_cluster() {
+  Daemons.clear();
+  Servers.clear();
+  Store.reset();
+  std::error_code Ignored;
+  std::filesystem::remove_all(Folder, Ignored);
+}
+
+std::string local_cluster::addressOf(int Host) const {
+  return Prefix + std::to_string(Host + 10);
+}
+
+std::string local_cluster::folderPath(const std::string &Name) const {
+  return Folder + "/" + Name;
+}
+
+std::string local_cluster::settingsPath(int Host) const {
+  return folderPath("host-" + std::to_string(Host) + ".json");
+}
+
+endpoint local_cluster::callerEndpoint(int Host) const {
+  return {addressOf(Host), CallerPort};
+}
+
+endpoint local_cluster::readinessEndpoint(int Host) const {
+  return {addressOf(Host), ReadinessPort};
+}
+
+endpoint local_cluster::storeEndpoint() const {
+  return {Prefix + "1", StorePort};
+}
+
+void local_cluster::writeSettings(int Host) const {
+  std::string Address = addressOf(Host);
+  auto EndpointAt = [&](uint16_t Port) {
+    return Address + ":" + std::to_string(Port);
+  };
+  json Settings = {
+      {"nodeName", "host-" + std::to_string(Host)},
+      {"ipAddress", Address},
+      {"zone", Domains[Host % Domains.size()]},
+      {"zones", {{"erie", "lakes"}, {"huron", "lakes"}, {"michigan", "lakes"}}},
+      {"listenAddresses",
+       {{"outbound", EndpointAt(CallerPort)},
+        {"ready", EndpointAt(ReadinessPort)},
+        {"controlPlane", EndpointAt(ControlPort)}}},
+      {"internalPortRange", {FirstPeerPort, FirstPeerPort + 15}},
+      {"heartbeatIntervalMs", 300},
+      {"limits", {{"memoryMb", 260}}},
+      {"service", "bookings"},
+      {"appAddress", EndpointAt(ServerPort)},
+      {"platform", {{"address", toString(storeEndpoint())}}},
+      {"bounds", {"graceS=6"}}};
+  std::ofstream(settingsPath(Host)) << Settings.dump(1);
+}
+
+void local_cluster::startStore() {
+  Store = std::make_unique<child_process>(
+      "standin_store",
+      std::vector<std::string>{"--listen=" + toString(storeEndpoint())},
+      folderPath("store.log"));
+  configure();
+}
+
+void local_cluster::configure() const {
+  await("the store takes the configuration", [&] {
+    return statusOf(storeEndpoint(), "PUT", "/standin/op/config",
+                    makeConfiguration().dump()) == 200;
+  });
+}
+
+void local_cluster::startDaemon(int Host, int Output) {
+  Daemons.at(Host) = std::make_unique<child_process>(
+      "dragonflyvaned",
+      std::vector<std::string>{"--config=" + settingsPath(Host)},
+      folderPath("daemon-" + std::to_string(Host) + ".log"), Output);
+}
+
+void local_cluster::start() {
+  for (int Host = 0; Host < HostCount; ++Host)
+    startDaemon(Host);
+  for (int Host = 0; Host < HostCount; ++Host)
+    awaitService(Host);
+}
+
+void local_cluster::awaitService(int Host) const {
+  await("host " + std::to_string(Host) + " serves", [&] {
+    return statusOf(callerEndpoint(Host), "GET", "/parts/1", "",
+                    StartTimeout) == 200;
+  });
+}
+
+std::string local_cluster::log(int Host) const {
+  std::ifstream File(folderPath("daemon-" + std::to_string(Host) + ".log"));
+  std::stringstream Text;
+  Text << File.rdbuf();
+  return Text.str();
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/tests/process/local_cluster.hpp
@@ -0,0 +1,72 @@
+/// A small cluster on loopback addresses: real daemons, and stand-ins for the
+/// store and the backend servers, each as a process.
+#ifndef DRAGONFLYVANE_TESTS_PROCESS_LOCAL_CLUSTER_HPP
+#define DRAGONFLYVANE_TESTS_PROCESS_LOCAL_CLUSTER_HPP
+
+#include "dragonflyvane/core/endpoint.hpp"
+#include "process/child_process.hpp"
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace dragonflyvane {
+
+/// Daemons that serve keyed requests of `cluster.example`: `/parts/` may be
+/// repeated, `/orders/` may not. Waits of all kinds end with an exception of
+/// type `std::runtime_error`.
+class local_cluster {
+public:
+  /// Starts the store and the servers, each of which works for `WorkTime` on a
+  /// request, but no daemons.
+  local_cluster(int HostCount, std::chrono::milliseconds WorkTime);
+  ~local_cluster();
+  local_cluster(const local_cluster &) = delete;
+  local_cluster &operator=(const local_cluster &) = delete;
+
+  int hostCount() const { return HostCount; }
+  /// Writes the settings file of a host. Hosts count from 0.
+  void writeSettings(int Host) const;
+  std::string settingsPath(int Host) const;
+  /// Starts the daemon of a host, with its output to a file descriptor or, if
+  /// that is -1, to a log file. It takes the place of an earlier one.
+  void startDaemon(int Host, int Output = -1);
+  /// Starts all daemons, and waits until each serves both kinds of requests.
+  void start();
+  /// Ends the store at once, with all connections; `startStore` starts a new
+  /// one without any rows but the operator's.
+  void killStore() { Store.reset(); }
+  void startStore();
+  child_process &daemon(int Host) { return *Daemons.at(Host); }
+  /// The address at which a host takes requests of callers.
+  endpoint callerEndpoint(int Host) const;
+  endpoint readinessEndpoint(int Host) const;
+  endpoint storeEndpoint() const;
+  /// What the daemon of a host has logged.
+  std::string log(int Host) const;
+  /// Waits until the daemon of a host serves requests.
+  void awaitService(int Host) const;
+
+private:
+  std::string addressOf(int Host) const;
+  std::string folderPath(const std::string &Name) const;
+  void configure() const;
+
+  int HostCount;
+  std::string Prefix;
+  std::string Folder;
+  std::unique_ptr<child_process> Store;
+  std::vector<std::unique_ptr<child_process>> Servers;
+  std::vector<std::unique_ptr<child_process>> Daemons;
+};
+
+/// Sends a request on a new connection. Returns the status, or 0 if there is no
+/// response within the timeout.
+int statusOf(const endpoint &Remote, const std::string &Method,
+             const std::string &Target, const std::string &Body = "",
+             std::chrono::milliseconds Timeout = std::chrono::seconds(2));
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_TESTS_PROCESS_LOCAL_CLUSTER_HPP
