A stopping daemon responds on kept connections instead of closing them

Change: idle connections stay open and the next response closes them; at the end the listener accepts what is established and closes, connections on which nothing waits are closed for writing first and read for 150 ms. The idle timeout looks for unread bytes.

Test: process_tests 'a planned stop ends no request on a kept connection', http_server_test (two cases; both fail with the old order of closing).

--- a/src/dragonflyvane/core/admission/route_costs.cpp
+++ b/src/dragonflyvane/core/admission/route_costs.cpp
@@ -24,7 +24,8 @@
       Routes.try_emplace(Route, cost{ProcessingTime, ProcessingTime / 2, Size});
   if (!IsNew) {
     cost &Cost = Entry->second;
-    duration Difference = std::chrono::abs(ProcessingTime - Cost.ProcessingTime);
+    duration Difference =
+        std::chrono::abs(ProcessingTime - Cost.ProcessingTime);
     Cost.Deviation = blend(Cost.Deviation, Difference);
     Cost.ProcessingTime = blend(Cost.ProcessingTime, ProcessingTime);
     Cost.Bytes = Cost.Bytes * (1 - NewestWeight) + Size * NewestWeight;
--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -46,6 +46,15 @@
       Connection->close();
   }
 
+  void finishClosing() {
+    acceptWaiting();
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+    AcceptRetryTimer.cancel();
+    for (const auto &Connection : Connections)
+      Connection->endIfIdle();
+  }
+
   bool isWriting() const {
     return std::any_of(Connections.begin(), Connections.end(),
                        [](const auto &C) { return C->isWriting(); });
@@ -69,6 +78,19 @@
         });
   }
 
+  /// Accepts the connections that are established already, which closing the
+  /// acceptor would reset.
+  void acceptWaiting() {
+    boost::system::error_code Error;
+    Acceptor.non_blocking(true, Error);
+    while (!Error) {
+      tcp::socket Socket(Loop.internals().Io);
+      Acceptor.accept(Socket, Error);
+      if (!Error)
+        addConnection(std::move(Socket));
+    }
+  }
+
   void addConnection(tcp::socket Socket) {
     auto Connection =
         std::make_shared<http_server_connection>(std::move(Socket), State);
@@ -112,6 +134,8 @@
 
 bool http_server::isWriting() const { return Implementation->isWriting(); }
 
+void http_server::finishClosing() { Implementation->finishClosing(); }
+
 void http_server::startClosing() { Implementation->state().Closing = true; }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -50,9 +50,12 @@
   /// Sets new limits. Sizes apply to requests that begin later, timeouts to all
   /// connections.
   void setLimits(const http_limits &Limits);
-  /// Starts a graceful shutdown: closes idle connections, and every other
-  /// connection after its next response.
+  /// Starts a graceful shutdown: closes each connection after its next
+  /// response. Idle connections stay open, since a request may be on its way.
   void startClosing();
+  /// Accepts no more connections, and closes the idle ones on which no request
+  /// has arrived: first for writing, so that the callers send nothing more.
+  void finishClosing();
   /// Whether a response is still being written.
   bool isWriting() const;
 
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -20,6 +20,9 @@
 /// Reading pauses while more bytes of pipelined requests than this are
 /// buffered.
 constexpr size_t MaxPipelinedBytes = size_t{64} << 10;
+/// A connection that is closed for writing is closed for reading after this
+/// time, if the caller has not closed it.
+constexpr std::chrono::milliseconds LingerTimeout{1000};
 /// Time after which there is likely to be memory for a request again.
 constexpr std::chrono::milliseconds NoMemoryRetryAfter{200};
 
@@ -99,15 +102,37 @@
 void http_server_connection::checkTimeouts(time_point Now) {
   bool ReadTimedOut = Phase == phase::Reading &&
                       Now - LastProgress > State->Limits.HeaderTimeout;
-  bool IdleTimedOut =
-      Phase == phase::Idle &&
-      (State->Closing || Now - LastProgress > State->Limits.IdleTimeout);
+  // A request may have arrived that is not read yet.
+  bool IdleTimedOut = Phase == phase::Idle &&
+                      Now - LastProgress > State->Limits.IdleTimeout &&
+                      !hasUnreadBytes();
   bool WriteTimedOut =
       Phase == phase::Writing && Now - LastProgress > State->Limits.IdleTimeout;
-  if (ReadTimedOut || IdleTimedOut || WriteTimedOut)
+  bool LingerTimedOut =
+      Phase == phase::Lingering && Now - LastProgress > LingerTimeout;
+  if (ReadTimedOut || IdleTimedOut || WriteTimedOut || LingerTimedOut)
     close();
 }
 
+bool http_server_connection::hasUnreadBytes() const {
+  boost::system::error_code Error;
+  return Socket.available(Error) > 0;
+}
+
+void http_server_connection::endIfIdle() {
+  if (Open && Phase == phase::Idle && !hasUnreadBytes())
+    linger();
+}
+
+void http_server_connection::linger() {
+  boost::system::error_code Ignored;
+  Socket.shutdown(socket::shutdown_send, Ignored);
+  Phase = phase::Lingering;
+  LastProgress = Clock.now();
+  Buffer.consume(Buffer.size());
+  readMore();
+}
+
 void http_server_connection::readMore() {
   if (ReadPending || !Open || Buffer.size() > MaxPipelinedBytes + ReadSize)
     return;
@@ -125,6 +150,10 @@
 
 void http_server_connection::onRead(size_t Size) {
   Buffer.commit(Size);
+  if (Phase == phase::Lingering) {
+    Buffer.consume(Buffer.size());
+    return readMore();
+  }
   if (Phase == phase::Idle)
     beginRequest();
   if (Phase == phase::Reading)
@@ -273,11 +302,8 @@
     return;
   Transfer = {};
   OutBody = {};
-  if (!KeepOpen) {
-    boost::system::error_code Ignored;
-    Socket.shutdown(socket::shutdown_send, Ignored);
-    return close();
-  }
+  if (!KeepOpen)
+    return linger();
   Phase = phase::Idle;
   LastProgress = Clock.now();
   if (Buffer.size() > 0) {
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -25,7 +25,7 @@
   /// The memory for the bodies of requests.
   memory_budget &BodyMemory;
   bulk_pacer *Pacer = nullptr;
-  /// Whether connections close after their current response, or when idle.
+  /// Whether connections close after their next response.
   bool Closing = false;
 };
 
@@ -45,9 +45,10 @@
   void start();
   /// Closes the connection; a request that is being served is disconnected.
   void close();
-  /// Closes the connection if the timeout of its phase has passed, or if it is
-  /// idle during a graceful shutdown.
+  /// Closes the connection if the timeout of its phase has passed.
   void checkTimeouts(time_point Now);
+  /// Ends the connection if it is idle and no request has arrived.
+  void endIfIdle();
   /// Whether the connection has not been closed.
   bool isOpen() const { return Open; }
   /// Whether a response is being written.
@@ -59,8 +60,10 @@
       boost::beast::http::request_parser<boost::beast::http::string_body>;
 
   /// `Idle`: waits for a request. `Reading`: receives it. `Serving`: waits for
-  /// the handler to respond. `Writing`: sends the response.
-  enum class phase { Idle, Reading, Serving, Writing };
+  /// the handler to respond. `Writing`: sends the response. `Lingering`: closed
+  /// for writing; discards what still arrives, since closing a connection with
+  /// unread bytes would reset it and could take the response from the caller.
+  enum class phase { Idle, Reading, Serving, Writing, Lingering };
 
   void readMore();
   void onRead(size_t Size);
@@ -74,6 +77,9 @@
   void write(std::string Head, message_body Body, bool KeepOpen);
   void writePiece(size_t Offset, bool KeepOpen);
   void onWritten(bool KeepOpen);
+  bool hasUnreadBytes() const;
+  /// Closes the connection for writing, and later for reading.
+  void linger();
 
   socket Socket;
   std::shared_ptr<http_server_state> State;
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -195,3 +195,42 @@
   // A response after the disconnect has no effect.
   Held->respond({});
 }
+
+// Guards against a kept connection that is closed in a planned stop while the
+// next request is on its way.
+TEST_CASE("a server that closes responds to the next request on an idle "
+          "connection") {
+  echo_server Server;
+  raw_connection Connection(Server.Port);
+  Connection.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  Connection.readUntil("GET /1 []");
+  Server.Loop.post([&] { Server.Server->startClosing(); });
+  // Longer than the interval at which idle connections are looked at.
+  std::this_thread::sleep_for(std::chrono::milliseconds(700));
+  Connection.send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  std::string Response = Connection.readAll();
+  CHECK(contains(Response, "GET /2 []"));
+  CHECK(contains(Response, "Connection: close\r\n"));
+}
+
+// Guards against a request that has arrived, and whose connection is closed
+// because nothing of it was read yet.
+TEST_CASE("a server that finishes closing responds to what has arrived") {
+  echo_server Server;
+  raw_connection Idle(Server.Port);
+  Idle.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+  Idle.readUntil("GET /1 []");
+  raw_connection Waiting(Server.Port);
+  Waiting.send("GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  Waiting.readUntil("GET /2 []");
+  std::promise<void> Sent;
+  Server.Loop.post([&] {
+    Sent.get_future().wait();
+    Server.Server->startClosing();
+    Server.Server->finishClosing();
+  });
+  Waiting.send("GET /3 HTTP/1.1\r\nHost: x\r\n\r\n");
+  Sent.set_value();
+  CHECK(contains(Waiting.readAll(), "GET /3 []"));
+  CHECK(Idle.readAll().empty());
+}
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/active_request.cpp
@@ -111,8 +111,7 @@
 
 bool request_router::active_request::isAdmittedByShutdown() const {
   // Only servers send requests without a key.
-  bool HasKey =
-      Request.Headers.find(Router.Deps.Names.CallerKey).has_value();
+  bool HasKey = Request.Headers.find(Router.Deps.Names.CallerKey).has_value();
   bool IsNestedCall = Route->AllowsAnonymous && !HasKey &&
                       Router.Deps.Dispatcher.activeCount() > 0;
   return Router.Deps.Shutdown.admits(
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -23,6 +23,10 @@
 constexpr std::chrono::milliseconds ReportTimeout{1000};
 constexpr std::chrono::milliseconds TokenTimeout{150};
 constexpr std::chrono::milliseconds StopCheckPeriod{50};
+/// After the last response of a graceful shutdown, connections are read for
+/// this long, so that a request that crosses their end is answered or certainly
+/// not processed.
+constexpr std::chrono::milliseconds LingerTime{150};
 
 /// Returns `NAME=RATE+BURST` for each workspace with a rate limit, for the log.
 std::string describeRates(const configuration &Config) {
@@ -90,8 +94,8 @@
                 requestTokens(Workspace, Amount, std::move(Callback));
               }),
         Router({this->Settings, Loop, Clock, OperatorState, Ownership.view(),
-                Dispatcher, Peers, Rates, this->Platform.Names, Metrics,
-                Pacer, Shutdown}),
+                Dispatcher, Peers, Rates, this->Platform.Names, Metrics, Pacer,
+                Shutdown}),
         Admin({this->Settings, Clock, OperatorState, Ownership, Dispatcher,
                Guard, Metrics}),
         PeerServer(
@@ -271,7 +275,14 @@
       Dispatcher.endAll();
       Router.endAll();
     }
-    if (!hasResponded() && Now < Shutdown.end())
+    if (!hasResponded()) {
+      IdleSince.reset();
+    } else if (!IdleSince) {
+      IdleSince = Now;
+      CallerServer.finishClosing();
+    }
+    bool HasLingered = IdleSince && Now - *IdleSince >= LingerTime;
+    if (!HasLingered && Now < Shutdown.end())
       return;
     logStop("stopped");
     Loop.stop();
@@ -310,6 +321,8 @@
   http_server AdminServer;
   http_server CallerServer;
   std::shared_ptr<const configuration> AppliedConfig;
+  /// Since when nothing is left to respond to in a graceful shutdown.
+  std::optional<time_point> IdleSince;
   timer ReportTimer;
   timer StopTimer;
 };
--- a/src/dragonflyvane/node/dispatcher.cpp
+++ b/src/dragonflyvane/node/dispatcher.cpp
@@ -66,10 +66,11 @@
   if (Deps.CrashGuard.isQuarantined(Entry.Request, Metadata.Workspace))
     return "quarantined";
   // The router of this host decides about the requests that it has received.
-  bool IsAdmitted = Metadata.IsLocal ||
-                    Deps.Shutdown.admits(
-                        {Entry.Deadline, Costs.processingTimeBound(Metadata.Route),
-                         Metadata.Idempotent, false});
+  bool IsAdmitted =
+      Metadata.IsLocal ||
+      Deps.Shutdown.admits({Entry.Deadline,
+                            Costs.processingTimeBound(Metadata.Route),
+                            Metadata.Idempotent, false});
   return IsAdmitted ? "" : "stopping";
 }
 
--- a/tests/process/graceful_shutdown_test.cpp
+++ b/tests/process/graceful_shutdown_test.cpp
@@ -88,3 +88,19 @@
   CHECK(Stop.lost() == "");
   CHECK(Stop.begunInVain() == "");
 }
+
+// Guards against kept connections that are closed while a request is on its
+// way, or has arrived and is not read yet.
+TEST_CASE("a planned stop ends no request on a kept connection") {
+  local_cluster Cluster(3, milliseconds(5));
+  Cluster.start();
+  for (int Round = 0; Round < 3; ++Round) {
+    observed_stop Stop = stopUnderLoad(Cluster, 40, milliseconds(30),
+                                       milliseconds(30), milliseconds(500));
+    REQUIRE(Stop.End);
+    CHECK(Stop.End->isSuccess());
+    CHECK(Stop.lost() == "");
+    Cluster.startDaemon(0);
+    Cluster.awaitService(0);
+  }
+}
