A stop waits for responses to peers, and tells peers what it does not process

Change: the stop waits for peer_server::isWriting, then sends GOAWAY; later streams end as not sent. A client opens a new connection once its peer began to close the old one. Test: peer_transport_test (two cases).

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -176,6 +176,28 @@
   }
 }
 
+bool peer_connection::isWriting() const {
+  if (!Open)
+    return false;
+  return Writing ||
+         std::any_of(Streams.begin(), Streams.end(), [](const auto &Entry) {
+           return Entry.second.IsResponding;
+         });
+}
+
+void peer_connection::startClosing() {
+  if (!Open)
+    return;
+  nghttp2_submit_goaway(Session, NGHTTP2_FLAG_NONE,
+                        nghttp2_session_get_last_proc_stream_id(Session),
+                        NGHTTP2_NO_ERROR, nullptr, 0);
+  flush();
+}
+
+bool peer_connection::acceptsCalls() const {
+  return Open && nghttp2_session_check_request_allowed(Session) != 0;
+}
+
 void peer_connection::readMore() {
   Socket.async_wait(socket::wait_read, [Self = shared_from_this()](auto Error) {
     if (!Self->Open)
@@ -377,6 +399,7 @@
     return;
   stream &Stream = Found->second;
   Stream.Exchange.reset();
+  Stream.IsResponding = true;
   header_list Pseudo;
   Pseudo.add(":status", std::to_string(Response.Status));
   header_list Fields = mergeLowercase(Pseudo, Response.Headers);
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -55,6 +55,12 @@
   bool isOpen() const { return Open; }
   /// Whether no stream is open.
   bool isIdle() const { return Streams.empty(); }
+  /// Whether a response is not written completely.
+  bool isWriting() const;
+  /// Server: tells the peer that no further streams are processed.
+  void startClosing();
+  /// Client: whether the peer processes further streams.
+  bool acceptsCalls() const;
   /// When bytes were last received; at first, when the object was created.
   time_point lastReadTime() const { return LastRead; }
 
@@ -84,6 +90,8 @@
     /// What has been received of the body, and the memory that it takes.
     std::string Received;
     memory_share ReceivedShare;
+    /// Whether the response was passed to the session.
+    bool IsResponding = false;
     /// Whether the stream is reset because its body is too large.
     bool IsRejected = false;
     outgoing_body Out;
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/peer_connection.hpp"
 
+#include <algorithm>
 #include <map>
 #include <vector>
 
@@ -35,7 +36,7 @@
     Call.Callback = std::move(Callback);
     Call.TimeoutTimer = Loop.after(Timeout, [this, Id] { onTimeout(Id); });
     channel &Channel = Channels[Peer];
-    if (Channel.Connection && Channel.Connection->isOpen())
+    if (Channel.Connection && Channel.Connection->acceptsCalls())
       submit(Id, Channel);
     else
       connect(Peer, Channel, Id);
@@ -58,6 +59,9 @@
       if (Channel.Connection)
         Channel.Connection->close("shutting down");
     Channels.clear();
+    for (const auto &Connection : ReplacedConnections)
+      if (auto Target = Connection.lock())
+        Target->close("shutting down");
   }
 
   void closeIdle() {
@@ -117,6 +121,9 @@
     Channel.WaitingCalls.clear();
     Channel.ConnectTimer.cancel();
     if (Connected) {
+      std::erase_if(ReplacedConnections,
+                    [](const auto &Weak) { return Weak.expired(); });
+      ReplacedConnections.push_back(Channel.Connection);
       Channel.Connection = std::make_shared<peer_connection>(
           std::move(Socket), peer_role::Client, MaxBodyBytes, Loop.bodyMemory(),
           nullptr);
@@ -174,6 +181,8 @@
   call_id LastId = 0;
   std::map<call_id, call> Calls;
   std::map<endpoint, channel> Channels;
+  /// Connections that peers began to close, with calls that have not ended.
+  std::vector<std::weak_ptr<peer_connection>> ReplacedConnections;
   timer SweepTimer;
 };
 
@@ -210,6 +219,20 @@
     accept();
   }
 
+  bool isWriting() const {
+    return std::any_of(Connections.begin(), Connections.end(),
+                       [](const auto &Weak) {
+                         auto Connection = Weak.lock();
+                         return Connection && Connection->isWriting();
+                       });
+  }
+
+  void startClosing() {
+    for (auto &Weak : Connections)
+      if (auto Connection = Weak.lock())
+        Connection->startClosing();
+  }
+
   void close() {
     boost::system::error_code Ignored;
     Acceptor.close(Ignored);
@@ -262,4 +285,8 @@
 
 peer_server::~peer_server() { Implementation->close(); }
 
+bool peer_server::isWriting() const { return Implementation->isWriting(); }
+
+void peer_server::startClosing() { Implementation->startClosing(); }
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -14,7 +14,8 @@
 namespace dragonflyvane {
 
 /// Calls other daemons. The connection to a peer is opened by the first call to
-/// it, and replaced by the next call after it closed. Never retries a request.
+/// it, and replaced by the next call after it closed or the peer began to close
+/// it. Never retries a request.
 /// Used on the event loop's thread, on which it also calls back.
 class peer_client {
 public:
@@ -55,6 +56,11 @@
   peer_server(const peer_server &) = delete;
   peer_server &operator=(const peer_server &) = delete;
 
+  /// Whether a response is not written completely.
+  bool isWriting() const;
+  /// Tells the peers that requests which arrive from now on are not processed.
+  void startClosing();
+
 private:
   class implementation;
   std::shared_ptr<implementation> Implementation;
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -287,3 +287,53 @@
   CHECK(Result.Outcome == call_outcome::Completed);
   CHECK(Result.Response.Body == "whole");
 }
+
+// Guards against a request that crosses the planned stop of a peer, and of
+// which the caller is told that it may have run.
+TEST_CASE("a peer that stops certainly does not process what arrives later") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  int Handled = 0;
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       ++Handled;
+                       Exchange->respond({});
+                     });
+  peer_client Client(Loop, MaxBodyBytes);
+  CHECK(callAndWait(Loop, Client, Listen, makeRequest("POST", "x"), LongTimeout)
+            .Outcome == call_outcome::Completed);
+  Server.startClosing();
+  // The client does not know yet.
+  CHECK(callAndWait(Loop, Client, Listen, makeRequest("POST", "x"), LongTimeout)
+            .Outcome == call_outcome::NotSent);
+  CHECK(Handled == 1);
+  // It opens a new connection once it knows.
+  CHECK(callAndWait(Loop, Client, Listen, makeRequest("POST", "x"), LongTimeout)
+            .Outcome == call_outcome::Completed);
+}
+
+// Guards against a daemon that ends before its responses to peers are written.
+TEST_CASE("a peer server is writing until the whole response is sent") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  bool WasWriting = false;
+  std::unique_ptr<peer_server> Server;
+  Server = std::make_unique<peer_server>(
+      Loop, Listen, MaxBodyBytes, [&](const exchange_pointer &Exchange) {
+        http_response Response;
+        Response.Body = std::string(3'000'000, 'x');
+        Exchange->respond(Response);
+        WasWriting = Server->isWriting();
+      });
+  peer_client Client(Loop, MaxBodyBytes);
+  CHECK(!Server->isWriting());
+  CHECK(callAndWait(Loop, Client, Listen, makeRequest("GET", ""), LongTimeout)
+            .Outcome == call_outcome::Completed);
+  CHECK(WasWriting);
+  timer Check = Loop.every(std::chrono::milliseconds(1), [&] {
+    if (!Server->isWriting())
+      Loop.stop();
+  });
+  Loop.run();
+  CHECK(!Server->isWriting());
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -280,6 +280,7 @@
     } else if (!IdleSince) {
       IdleSince = Now;
       CallerServer.finishClosing();
+      PeerServer.startClosing();
     }
     bool HasLingered = IdleSince && Now - *IdleSince >= LingerTime;
     if (!HasLingered && Now < Shutdown.end())
@@ -291,7 +292,8 @@
   /// Whether no request is left and all responses are written.
   bool hasResponded() const {
     return Router.activeCount() + Dispatcher.activeCount() == 0 &&
-           !CallerServer.isWriting() && Pacer.isIdle();
+           !CallerServer.isWriting() && !PeerServer.isWriting() &&
+           Pacer.isIdle();
   }
 
   void logStop(const char *Message) const {
