Signals during the start of a daemon no longer end it

Cause: handlers were set when the program was assembled; and the process spent its first milliseconds in the loader with 42 shared libraries: with the signals blocked at the first line of main, 69 and 73 of 100 were still ended.

--- a/cmake/dragonflyvane_options.cmake
+++ b/cmake/dragonflyvane_options.cmake
@@ -14,6 +14,6 @@
     -fsanitize=address,undefined -fno-sanitize-recover=all -fno-omit-frame-pointer)
   target_link_options(dragonflyvane_options INTERFACE -fsanitize=address,undefined)
 endif()
-target_compile_definitions(dragonflyvane_options INTERFACE BOOST_LOG_DYN_LINK)
+target_link_options(dragonflyvane_options INTERFACE -static-libstdc++ -static-libgcc)
 target_include_directories(dragonflyvane_options INTERFACE
   ${PROJECT_SOURCE_DIR}/include ${PROJECT_SOURCE_DIR}/src ${PROJECT_SOURCE_DIR})
--- a/cmake/dragonflyvane_targets.cmake
+++ b/cmake/dragonflyvane_targets.cmake
@@ -9,9 +9,9 @@
 endfunction()
 
 dragonflyvane_library(core src/dragonflyvane/core
-  nlohmann_json::nlohmann_json PkgConfig::XXHASH)
+  nlohmann_json::nlohmann_json xxhash)
 dragonflyvane_library(net src/dragonflyvane/net
-  dragonflyvane_core PkgConfig::NGHTTP2 Boost::log Threads::Threads)
+  dragonflyvane_core nghttp2 Boost::log Threads::Threads)
 dragonflyvane_library(node src/dragonflyvane/node
   dragonflyvane_net absl::flags absl::flags_parse absl::flags_usage)
 dragonflyvane_library(platform platform dragonflyvane_node absl::strings)
--- a/include/dragonflyvane/net.hpp
+++ b/include/dragonflyvane/net.hpp
@@ -3,6 +3,7 @@
 #ifndef DRAGONFLYVANE_NET_HPP
 #define DRAGONFLYVANE_NET_HPP
 
+#include "dragonflyvane/net/blocked_signals.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_client.hpp"
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -13,7 +13,7 @@
 /// is for all other data, and for the copy that is made when a body grows.
 constexpr size_t BodyMemoryDivisor = 2;
 
-int run(const settings &Settings) {
+int run(const settings &Settings, blocked_signals &Signals) {
   event_loop Loop;
   Loop.bodyMemory().setLimit(Settings.MemoryLimit / BodyMemoryDivisor);
   metrics Metrics;
@@ -25,6 +25,7 @@
       Client, Metrics);
   platform::control_api Control(Loop, Settings, Daemon, Metrics);
   Daemon.start();
+  Signals.deliver();
   Loop.run();
   return 0;
 }
@@ -39,13 +40,15 @@
 } // namespace
 
 int main(int Count, char **Arguments) {
+  blocked_signals Signals;
   returnFreedMemory();
   daemon_flags Flags = readDaemonFlags(Count, Arguments);
   initLogging(Flags.LogLevel);
+  writeLog(log_level::Info, "starting", {{"step", "start"}});
   try {
     settings Settings = platform::readSettingsFile(Flags.ConfigPath);
     setLogHost(Settings.Host);
-    return run(Settings);
+    return run(Settings, Signals);
   } catch (const step_error &Error) {
     writeLog(log_level::Error, Error.what(),
              {{"step", Error.step()}, {"peer", Error.peer()}});
--- /dev/null
+++ b/tests/process/start_test.cpp
@@ -0,0 +1,67 @@
+// Starts of real daemons in unfavourable circumstances.
+#include "process/local_cluster.hpp"
+
+#include <doctest/doctest.h>
+
+#include <csignal>
+#include <fcntl.h>
+#include <fstream>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+/// The platform sends SIGKILL this long after SIGTERM.
+constexpr seconds Grace{6};
+
+/// A pipe for the output of a daemon.
+struct output_pipe {
+  output_pipe() { REQUIRE(pipe2(Ends, O_CLOEXEC) == 0); }
+  ~output_pipe() {
+    closeReader();
+    close(Ends[1]);
+  }
+  void closeReader() {
+    if (Ends[0] >= 0)
+      close(std::exchange(Ends[0], -1));
+  }
+  /// Waits until the daemon writes its first bytes.
+  void awaitOutput() const {
+    char Byte = 0;
+    REQUIRE(read(Ends[0], &Byte, 1) == 1);
+  }
+
+  int Ends[2];
+};
+
+void checkStops(child_process &Daemon) {
+  Daemon.signal(SIGTERM);
+  auto End = Daemon.wait(Grace);
+  REQUIRE(End);
+  CHECK(End->isSuccess());
+}
+
+} // namespace
+
+// Guards against a process that a signal ends because its handler is not set
+// yet: the platform sends SIGHUP and SIGTERM at any moment.
+TEST_CASE("signals during the start do not end a daemon without a stop") {
+  local_cluster Cluster(1, milliseconds(5));
+  for (int Round = 0; Round < 10; ++Round) {
+    output_pipe Output;
+    Cluster.startDaemon(0, Output.Ends[1]);
+    Output.awaitOutput();
+    Cluster.daemon(0).signal(SIGHUP);
+    CHECK(!Cluster.daemon(0).wait(milliseconds(100)));
+  }
+  output_pipe Output;
+  Cluster.startDaemon(0, Output.Ends[1]);
+  Output.awaitOutput();
+  Cluster.daemon(0).signal(SIGHUP);
+  checkStops(Cluster.daemon(0));
+}
