--- a/src/dragonflyvane/net/log.cpp
+++ b/src/dragonflyvane/net/log.cpp
@@ -13,6 +13,7 @@
 
 #include <chrono>
 #include <climits>
+#include <csignal>
 #include <ctime>
 #include <poll.h>
 #include <unistd.h>
@@ -94,6 +95,9 @@
 void setLogHost(const std::string &Host) { hostName() = Host; }
 
 void initLogging(log_level MinLevel) {
+  // When the reader of standard output has gone, lines are dropped; a write
+  // must not end the process.
+  std::signal(SIGPIPE, SIG_IGN);
   using frontend = boost::log::sinks::unlocked_sink<stdout_sink>;
   auto Sink = boost::make_shared<frontend>();
   Sink->set_formatter(boost::log::expressions::stream
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -65,3 +65,26 @@
   Cluster.daemon(0).signal(SIGHUP);
   checkStops(Cluster.daemon(0));
 }
+
+// Guards against a process that SIGPIPE ends when it writes a line to its log.
+TEST_CASE("a daemon goes on when the reader of its output has gone") {
+  local_cluster Cluster(1, milliseconds(5));
+  output_pipe Output;
+  Cluster.startDaemon(0, Output.Ends[1]);
+  Output.awaitOutput();
+  Output.closeReader();
+  Cluster.awaitService(0);
+  checkStops(Cluster.daemon(0));
+}
+
+// Guards against a daemon that waits for the reader of its output.
+TEST_CASE("a daemon goes on when nobody reads its output") {
+  local_cluster Cluster(1, milliseconds(5));
+  output_pipe Output;
+  REQUIRE(fcntl(Output.Ends[1], F_SETPIPE_SZ, 4096) > 0);
+  Cluster.startDaemon(0, Output.Ends[1]);
+  Cluster.awaitService(0);
+  for (int I = 0; I < 100; ++I)
+    CHECK(statusOf(Cluster.callerEndpoint(0), "GET", "/none/") == 404);
+  checkStops(Cluster.daemon(0));
+}
