--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -12,6 +12,9 @@
 /// Share of the process's memory that the bodies of messages may take. The rest
 /// is for all other data, and for the copy that is made when a body grows.
 constexpr size_t BodyMemoryDivisor = 2;
+/// The platform may still be writing the settings file.
+constexpr std::chrono::seconds SettingsTimeout{2};
+constexpr std::chrono::milliseconds RetryPeriod{100};
 
 int run(const settings &Settings, blocked_signals &Signals) {
   event_loop Loop;
@@ -37,6 +40,29 @@
   mallopt(M_TRIM_THRESHOLD, 4 << 20);
 }
 
+/// The process was asked to stop while it waited.
+struct stopped_early {};
+
+/// Runs `Attempt`, and again while it fails with a `step_error` of this step
+/// and the timeout has not passed. Throws `stopped_early` on SIGTERM or SIGINT.
+template <typename Function>
+auto retryStep(const char *Step, duration Timeout,
+               const blocked_signals &Signals, const Function &Attempt) {
+  boot_clock Clock;
+  for (time_point Deadline = Clock.now() + Timeout;;) {
+    try {
+      return Attempt();
+    } catch (const step_error &Error) {
+      if (Error.step() != Step || Clock.now() >= Deadline)
+        throw;
+      writeLog(log_level::Warning, "start waits",
+               {{"step", Step}, {"reason", Error.what()}});
+    }
+    if (Signals.waitForTermination(RetryPeriod))
+      throw stopped_early();
+  }
+}
+
 } // namespace
 
 int main(int Count, char **Arguments) {
@@ -46,9 +72,14 @@
   initLogging(Flags.LogLevel);
   writeLog(log_level::Info, "starting", {{"step", "start"}});
   try {
-    settings Settings = platform::readSettingsFile(Flags.ConfigPath);
+    settings Settings = retryStep("settings", SettingsTimeout, Signals, [&] {
+      return platform::readSettingsFile(Flags.ConfigPath);
+    });
     setLogHost(Settings.Host);
     return run(Settings, Signals);
+  } catch (const stopped_early &) {
+    writeLog(log_level::Info, "stopped before the start", {{"step", "stop"}});
+    return 0;
   } catch (const step_error &Error) {
     writeLog(log_level::Error, Error.what(),
              {{"step", Error.step()}, {"peer", Error.peer()}});
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -88,3 +88,30 @@
     CHECK(statusOf(Cluster.callerEndpoint(0), "GET", "/none/") == 404);
   checkStops(Cluster.daemon(0));
 }
+
+// Guards against a process that ends because it was started in the moment in
+// which the platform replaces its settings file.
+TEST_CASE("a daemon waits for settings that are still being written") {
+  local_cluster Cluster(1, milliseconds(5));
+  std::string Path = Cluster.settingsPath(0);
+  SUBCASE("the file is not there yet") { std::remove(Path.c_str()); }
+  SUBCASE("the file is empty") { std::ofstream(Path).flush(); }
+  SUBCASE("the file ends early") {
+    std::ofstream(Path) << R"({"nodeName": "host-0", "ipAdd)";
+  }
+  Cluster.startDaemon(0);
+  CHECK(!Cluster.daemon(0).wait(milliseconds(300)));
+  Cluster.writeSettings(0);
+  Cluster.awaitService(0);
+  checkStops(Cluster.daemon(0));
+}
+
+TEST_CASE("a daemon without valid settings ends with an error, not at once") {
+  local_cluster Cluster(1, milliseconds(5));
+  std::ofstream(Cluster.settingsPath(0)) << "{";
+  Cluster.startDaemon(0);
+  auto End = Cluster.daemon(0).wait(seconds(20));
+  REQUIRE(End);
+  CHECK(End->ExitCode == 2);
+  CHECK(Cluster.log(0).find("\"step\":\"settings\"") != std::string::npos);
+}
