--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -14,6 +14,9 @@
 constexpr size_t BodyMemoryDivisor = 2;
 /// The platform may still be writing the settings file.
 constexpr std::chrono::seconds SettingsTimeout{2};
+/// An earlier process may still have the ports, for as long as it may take to
+/// stop.
+constexpr std::chrono::seconds PortTimeout{15};
 constexpr std::chrono::milliseconds RetryPeriod{100};
 
 int run(const settings &Settings, blocked_signals &Signals) {
@@ -76,7 +79,8 @@
       return platform::readSettingsFile(Flags.ConfigPath);
     });
     setLogHost(Settings.Host);
-    return run(Settings, Signals);
+    return retryStep("listen", PortTimeout, Signals,
+                     [&] { return run(Settings, Signals); });
   } catch (const stopped_early &) {
     writeLog(log_level::Info, "stopped before the start", {{"step", "stop"}});
     return 0;
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -115,3 +115,52 @@
   CHECK(End->ExitCode == 2);
   CHECK(Cluster.log(0).find("\"step\":\"settings\"") != std::string::npos);
 }
+
+// Guards against a process that ends because the process before it still has
+// its ports.
+TEST_CASE("a daemon waits for its ports while an earlier process ends") {
+  local_cluster Cluster(1, milliseconds(5));
+  Cluster.startDaemon(0);
+  Cluster.awaitService(0);
+  child_process Next("dragonflyvaned", {"--config=" + Cluster.settingsPath(0)},
+                     "/dev/null");
+  CHECK(!Next.wait(milliseconds(500)));
+  checkStops(Cluster.daemon(0));
+  Cluster.awaitService(0);
+  checkStops(Next);
+}
+
+TEST_CASE("a daemon that waits for its ports stops on SIGTERM") {
+  local_cluster Cluster(1, milliseconds(5));
+  Cluster.startDaemon(0);
+  Cluster.awaitService(0);
+  child_process Next("dragonflyvaned", {"--config=" + Cluster.settingsPath(0)},
+                     "/dev/null");
+  CHECK(!Next.wait(milliseconds(500)));
+  checkStops(Next);
+}
+
+// Guards against a process that ends, or never serves, because the store was
+// away when it started.
+TEST_CASE("a daemon that starts without a store serves once there is one") {
+  local_cluster Cluster(1, milliseconds(5));
+  Cluster.killStore();
+  Cluster.startDaemon(0);
+  CHECK(!Cluster.daemon(0).wait(seconds(3)));
+  CHECK(statusOf(Cluster.callerEndpoint(0), "GET", "/parts/1") == 503);
+  Cluster.startStore();
+  Cluster.awaitService(0);
+}
+
+// Guards against signals in series: a reload in the stop, a second stop, a stop
+// just after the start.
+TEST_CASE("signals in series end in one graceful stop") {
+  local_cluster Cluster(1, milliseconds(5));
+  Cluster.startDaemon(0);
+  Cluster.awaitService(0);
+  for (int Signal : {SIGHUP, SIGHUP, SIGTERM, SIGHUP, SIGTERM, SIGINT}) {
+    Cluster.daemon(0).signal(Signal);
+    std::this_thread::sleep_for(milliseconds(20));
+  }
+  checkStops(Cluster.daemon(0));
+}
