--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -16,6 +16,9 @@
 constexpr std::chrono::milliseconds ConnectTimeout{500};
 /// A connection without streams is closed if it received nothing for longer.
 constexpr std::chrono::seconds MaxIdle{60};
+/// Delay after a failed accept, which would fail again at once while file
+/// descriptors are exhausted.
+constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 /// Interval of the check for idle connections.
 constexpr std::chrono::seconds SweepPeriod{10};
 
@@ -250,7 +253,10 @@
             return;
           if (!Error)
             Self->addConnection(std::move(Socket));
-          Self->accept();
+          if (!Error)
+            return Self->accept();
+          Self->AcceptRetryTimer = Self->Loop.after(
+              AcceptRetryDelay, [Self = Self.get()] { Self->accept(); });
         });
   }
 
@@ -265,6 +271,7 @@
 
   event_loop &Loop;
   tcp::acceptor Acceptor;
+  timer AcceptRetryTimer;
   size_t MaxBodyBytes;
   http_handler Handler;
   bulk_pacer *Pacer;
