--- a/tests/process/graceful_shutdown_test.cpp
+++ b/tests/process/graceful_shutdown_test.cpp
@@ -5,7 +5,9 @@
 #include <doctest/doctest.h>
 
 #include <csignal>
+#include <memory>
 #include <thread>
+#include <vector>
 
 using namespace dragonflyvane;
 using std::chrono::milliseconds;
@@ -104,3 +106,48 @@
     Cluster.awaitService(0);
   }
 }
+
+// Guards against requests lost at hosts that do not stop themselves: they send
+// to one that does, which may coordinate the cluster, or call through it.
+TEST_CASE("planned stops one after the other end no request of any caller") {
+  local_cluster Cluster(3, milliseconds(20));
+  Cluster.start();
+  std::vector<std::unique_ptr<steady_callers>> Callers;
+  for (int Host = 0; Host < Cluster.hostCount(); ++Host)
+    Callers.push_back(std::make_unique<steady_callers>(
+        Cluster.callerEndpoint(Host), 10, milliseconds(20), milliseconds(20)));
+  std::vector<observed_stop> Stops(Cluster.hostCount());
+  for (int Host = 0; Host < Cluster.hostCount(); ++Host) {
+    Stops[Host].SignalAt = boot_clock().now();
+    Cluster.daemon(Host).signal(SIGTERM);
+    Stops[Host].End = Cluster.daemon(Host).wait(Grace);
+    Cluster.startDaemon(Host);
+    std::this_thread::sleep_for(milliseconds(300));
+  }
+  Cluster.awaitService(Cluster.hostCount() - 1);
+  for (int Host = 0; Host < Cluster.hostCount(); ++Host) {
+    Stops[Host].Calls = Callers[Host]->finish();
+    REQUIRE(Stops[Host].End);
+    CHECK(Stops[Host].End->isSuccess());
+    CHECK(Stops[Host].lost() == "");
+  }
+}
+
+// Guards against a stop that depends on the store.
+TEST_CASE("a planned stop while the store is away ends no request") {
+  local_cluster Cluster(3, milliseconds(20));
+  Cluster.start();
+  steady_callers Callers(Cluster.callerEndpoint(0), 10, milliseconds(20),
+                         milliseconds(20));
+  std::this_thread::sleep_for(milliseconds(500));
+  Cluster.killStore();
+  std::this_thread::sleep_for(milliseconds(500));
+  observed_stop Stop;
+  Stop.SignalAt = boot_clock().now();
+  Cluster.daemon(0).signal(SIGTERM);
+  Stop.End = Cluster.daemon(0).wait(Grace);
+  Stop.Calls = Callers.finish();
+  REQUIRE(Stop.End);
+  CHECK(Stop.End->isSuccess());
+  CHECK(Stop.lost() == "");
+}
