--- a/cmake/dragonflyvane_tests.cmake
+++ b/cmake/dragonflyvane_tests.cmake
@@ -51,7 +51,8 @@
 
 # Tests with the real programs as processes.
 file(GLOB ProcessTests CONFIGURE_DEPENDS ${PROJECT_SOURCE_DIR}/tests/process/*.cpp)
-add_executable(process_tests ${ProcessTests} ${PROJECT_SOURCE_DIR}/tests/main.cc)
+add_executable(process_tests ${ProcessTests} ${PROJECT_SOURCE_DIR}/tests/main.cc
+  ${PROJECT_SOURCE_DIR}/platform/standin/cluster_files.cpp)
 target_link_libraries(process_tests PRIVATE dragonflyvane_test_support)
 target_compile_definitions(process_tests PRIVATE PROGRAM_FOLDER="${CMAKE_BINARY_DIR}")
 add_dependencies(process_tests dragonflyvaned standin_store standin_backend)
--- a/tests/process/graceful_shutdown_test.cpp
+++ b/tests/process/graceful_shutdown_test.cpp
@@ -113,6 +113,7 @@
   local_cluster Cluster(3, milliseconds(20));
   Cluster.start();
   std::vector<std::unique_ptr<steady_callers>> Callers;
+  Callers.reserve(Cluster.hostCount());
   for (int Host = 0; Host < Cluster.hostCount(); ++Host)
     Callers.push_back(std::make_unique<steady_callers>(
         Cluster.callerEndpoint(Host), 10, milliseconds(20), milliseconds(20)));
--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -2,8 +2,7 @@
 
 #include "dragonflyvane/net/http_client.hpp"
 #include "platform/header_names.hpp"
-
-#include <nlohmann/json.hpp>
+#include "platform/standin/cluster_files.hpp"
 
 #include <cstdlib>
 #include <filesystem>
@@ -21,21 +20,13 @@
 
 namespace dragonflyvane {
 
-namespace {
+using namespace platform::standin;
 
-using json = nlohmann::json;
+namespace {
 
 constexpr uint16_t StorePort = 7000;
-constexpr uint16_t ServerPort = 6000;
-constexpr uint16_t CallerPort = 8365;
-constexpr uint16_t ControlPort = 8367;
-constexpr uint16_t ReadinessPort = 8369;
-constexpr uint16_t FirstPeerPort = 7780;
 constexpr std::chrono::seconds StartTimeout{30};
 constexpr std::chrono::milliseconds PollPeriod{50};
-/// Long enough for any work of a test's servers.
-constexpr int RouteTimeoutMs = 10'000;
-const std::vector<std::string> Domains = {"erie", "huron", "michigan"};
 
 bool isFree(const std::string &Address, uint16_t Port) {
   int Socket = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
@@ -72,34 +63,6 @@
   }
 }
 
-json makeRoute(const std::string &Name, const std::string &Kind) {
-  return {{"name", Name},
-          {"host", "cluster.example"},
-          {"prefix", "/" + Name + "/"},
-          {"kind", Kind},
-          {"timeoutMs", RouteTimeoutMs},
-          {"aimMs", RouteTimeoutMs / 2},
-          {"priority", 1},
-          {"service", "bookings"},
-          {"attempts", 2}};
-}
-
-json makeConfiguration() {
-  return {
-      {"version", "00000001"},
-      {"routes", {makeRoute("parts", "safe"), makeRoute("orders", "unsafe")}},
-      {"services",
-       {{{"name", "bookings"},
-         {"healthPath", "/health"},
-         {"connectionLimit", 130},
-         {"sharded", true}}}},
-      {"limits",
-       {{"headerBytes", 16384},
-        {"bodyBytes", 67108864},
-        {"headerTimeoutMs", 3000},
-        {"idleTimeoutMs", 15000}}}};
-}
-
 } // namespace
 
 int statusOf(const endpoint &Remote, const std::string &Method,
@@ -142,7 +105,7 @@
         std::vector<std::string>{
             "--listen=" + Address + ":" + std::to_string(ServerPort),
             "--control=" + Address + ":" + std::to_string(ControlPort),
-            "--domain=" + Domains[Host % Domains.size()], "--work_ms=" + Work},
+            "--domain=" + failureDomainOf(Host), "--work_ms=" + Work},
         folderPath("server-" + std::to_string(Host) + ".log")));
     writeSettings(Host);
   }
@@ -181,27 +144,8 @@
 }
 
 void local_cluster::writeSettings(int Host) const {
-  std::string Address = addressOf(Host);
-  auto EndpointAt = [&](uint16_t Port) {
-    return Address + ":" + std::to_string(Port);
-  };
-  json Settings = {
-      {"nodeName", "host-" + std::to_string(Host)},
-      {"ipAddress", Address},
-      {"zone", Domains[Host % Domains.size()]},
-      {"zones", {{"erie", "lakes"}, {"huron", "lakes"}, {"michigan", "lakes"}}},
-      {"listenAddresses",
-       {{"outbound", EndpointAt(CallerPort)},
-        {"ready", EndpointAt(ReadinessPort)},
-        {"controlPlane", EndpointAt(ControlPort)}}},
-      {"internalPortRange", {FirstPeerPort, FirstPeerPort + 15}},
-      {"heartbeatIntervalMs", 300},
-      {"limits", {{"memoryMb", 260}}},
-      {"service", "bookings"},
-      {"appAddress", EndpointAt(ServerPort)},
-      {"platform", {{"address", toString(storeEndpoint())}}},
-      {"bounds", {"graceS=6"}}};
-  std::ofstream(settingsPath(Host)) << Settings.dump(1);
+  std::ofstream(settingsPath(Host))
+      << settingsFile(Host, addressOf(Host), storeEndpoint());
 }
 
 void local_cluster::startStore() {
@@ -215,7 +159,7 @@
 void local_cluster::configure() const {
   await("the store takes the configuration", [&] {
     return statusOf(storeEndpoint(), "PUT", "/standin/op/config",
-                    makeConfiguration().dump()) == 200;
+                    configurationFile()) == 200;
   });
 }
 
--- a/tests/process/memory_test.cpp
+++ b/tests/process/memory_test.cpp
@@ -13,7 +13,8 @@
   constexpr size_t MemoryLimit = size_t{260} << 20;
   local_cluster Cluster(3, milliseconds(5));
   Cluster.start();
-  const std::string Body(60'000'000, 'x');
+  std::string Body;
+  Body.resize(60'000'000, 'x');
   for (int Host = 0; Host < Cluster.hostCount(); ++Host)
     statusOf(Cluster.callerEndpoint(Host), "POST", "/orders/1", Body,
              seconds(10));
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -97,7 +97,7 @@
   SUBCASE("the file is not there yet") { std::remove(Path.c_str()); }
   SUBCASE("the file is empty") { std::ofstream(Path).flush(); }
   SUBCASE("the file ends early") {
-    std::ofstream(Path) << R"({"nodeName": "host-0", "ipAdd)";
+    std::ofstream(Path) << R"({"name": "host-0", "addr)";
   }
   Cluster.startDaemon(0);
   CHECK(!Cluster.daemon(0).wait(milliseconds(300)));
