--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -92,7 +92,8 @@
 }
 
 local_cluster::local_cluster(int HostCount, std::chrono::milliseconds WorkTime)
-    : HostCount(HostCount), Prefix(choosePrefix()), Daemons(HostCount) {
+    : HostCount(HostCount), Prefix(choosePrefix()), Daemons(HostCount),
+      LogSizes(HostCount) {
   Folder = std::filesystem::temp_directory_path() / "dragonflyvane-XXXXXX";
   if (!mkdtemp(Folder.data()))
     throw std::runtime_error("cannot make a temporary folder");
@@ -105,7 +106,8 @@
         std::vector<std::string>{
             "--listen=" + Address + ":" + std::to_string(ServerPort),
             "--control=" + Address + ":" + std::to_string(ControlPort),
-            "--domain=" + failureDomainOf(Host), "--work_ms=" + Work},
+            "--domain=" + failureDomainOf(Host), "--work_ms=" + Work,
+            "--run_log=" + folderPath("runs-" + std::to_string(Host))},
         folderPath("server-" + std::to_string(Host) + ".log")));
     writeSettings(Host);
   }
@@ -164,6 +166,7 @@
 }
 
 void local_cluster::startDaemon(int Host, int Output) {
+  LogSizes.at(Host) = log(Host).size();
   Daemons.at(Host) = std::make_unique<child_process>(
       "dragonflyvaned",
       std::vector<std::string>{"--config=" + settingsPath(Host)},
@@ -177,6 +180,11 @@
     awaitService(Host);
 }
 
+void local_cluster::awaitOutput(int Host) const {
+  await("host " + std::to_string(Host) + " starts",
+        [&] { return log(Host).size() > LogSizes.at(Host); });
+}
+
 void local_cluster::awaitService(int Host) const {
   await("host " + std::to_string(Host) + " serves", [&] {
     return statusOf(callerEndpoint(Host), "GET", "/parts/1", "",
@@ -184,6 +192,16 @@
   });
 }
 
+std::map<std::string, int> local_cluster::runCounts() const {
+  std::map<std::string, int> Counts;
+  for (int Host = 0; Host < HostCount; ++Host) {
+    std::ifstream File(folderPath("runs-" + std::to_string(Host)));
+    for (std::string Id; std::getline(File, Id);)
+      ++Counts[Id];
+  }
+  return Counts;
+}
+
 std::string local_cluster::log(int Host) const {
   std::ifstream File(folderPath("daemon-" + std::to_string(Host) + ".log"));
   std::stringstream Text;
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -7,6 +7,7 @@
 #include "process/child_process.hpp"
 
 #include <chrono>
+#include <map>
 #include <memory>
 #include <string>
 #include <vector>
@@ -32,6 +33,9 @@
   /// Starts the daemon of a host, with its output to a file descriptor or, if
   /// that is -1, to a log file. It takes the place of an earlier one.
   void startDaemon(int Host, int Output = -1);
+  /// Waits until the daemon of a host, whose output goes to its log file, has
+  /// written something since its start.
+  void awaitOutput(int Host) const;
   /// Starts all daemons, and waits until each serves both kinds of requests.
   void start();
   /// Ends the store at once, with all connections; `startStore` starts a new
@@ -43,6 +47,8 @@
   endpoint callerEndpoint(int Host) const;
   endpoint readinessEndpoint(int Host) const;
   endpoint storeEndpoint() const;
+  /// How often each request has begun at the servers, by its id.
+  std::map<std::string, int> runCounts() const;
   /// What the daemon of a host has logged.
   std::string log(int Host) const;
   /// Waits until the daemon of a host serves requests.
@@ -59,6 +65,8 @@
   std::unique_ptr<child_process> Store;
   std::vector<std::unique_ptr<child_process>> Servers;
   std::vector<std::unique_ptr<child_process>> Daemons;
+  /// The sizes of the log files when the daemons were started.
+  std::vector<size_t> LogSizes;
 };
 
 /// Sends a request on a new connection. Returns the status, or 0 if there is no
--- a/tests/process/steady_callers.cpp
+++ b/tests/process/steady_callers.cpp
@@ -51,14 +51,15 @@
   http_request Request;
   Request.Target = Caller.Idempotent ? "/parts/1" : "/orders/1";
   Request.Headers.add("Host", "cluster.example");
-  Request.Headers.add(Names.RequestId, "call-" + std::to_string(LastId));
+  ended_call Call;
+  Call.RequestId = Daemon.Address + "-" + std::to_string(LastId);
+  Request.Headers.add(Names.RequestId, Call.RequestId);
   Request.Headers.add(Names.KeyPoint,
                       std::to_string(LastId * KeyStep % (LastPoint + 1)));
   Request.Headers.add(Names.TimeLeft, std::to_string(CallerTimeout.count()));
   call_options Options;
   Options.Timeout = CallerTimeout;
   Options.MaxIdle = KeptFor;
-  ended_call Call;
   Call.SentAt = Clock.now();
   Call.Idempotent = Caller.Idempotent;
   Caller.Client.send(Daemon, Request, std::move(Options),
--- a/tests/process/steady_callers.hpp
+++ b/tests/process/steady_callers.hpp
@@ -11,6 +11,7 @@
 
 #include <chrono>
 #include <memory>
+#include <string>
 #include <thread>
 #include <vector>
 
@@ -21,6 +22,7 @@
   time_point SentAt;
   duration Took{0};
   call_outcome Outcome = call_outcome::NotSent;
+  std::string RequestId;
   /// 0 without a response.
   int Status = 0;
   bool Idempotent = false;
