A stop that closes its connections ends, and accepts no more connections of peers

Cause by reading: the wait of 150 ms began again with each response to a peer, and peers that had got GOAWAY opened new connections, whose requests were refused one by one. Change: the wait begins once; the listener for peers closes with it.

--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -231,6 +231,9 @@
   }
 
   void startClosing() {
+    boost::system::error_code Ignored;
+    Acceptor.close(Ignored);
+    AcceptRetryTimer.cancel();
     for (auto &Weak : Connections)
       if (auto Connection = Weak.lock())
         Connection->startClosing();
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -58,7 +58,8 @@
 
   /// Whether a response is not written completely.
   bool isWriting() const;
-  /// Tells the peers that requests which arrive from now on are not processed.
+  /// Accepts no more connections, and tells the peers that requests which
+  /// arrive from now on are not processed.
   void startClosing();
 
 private:
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -275,14 +275,14 @@
       Dispatcher.endAll();
       Router.endAll();
     }
-    if (!hasResponded()) {
-      IdleSince.reset();
-    } else if (!IdleSince) {
-      IdleSince = Now;
+    bool HasResponded = hasResponded();
+    if (!ClosingSince && HasResponded) {
+      ClosingSince = Now;
       CallerServer.finishClosing();
       PeerServer.startClosing();
     }
-    bool HasLingered = IdleSince && Now - *IdleSince >= LingerTime;
+    bool HasLingered =
+        HasResponded && ClosingSince && Now - *ClosingSince >= LingerTime;
     if (!HasLingered && Now < Shutdown.end())
       return;
     logStop("stopped");
@@ -323,8 +323,8 @@
   http_server AdminServer;
   http_server CallerServer;
   std::shared_ptr<const configuration> AppliedConfig;
-  /// Since when nothing is left to respond to in a graceful shutdown.
-  std::optional<time_point> IdleSince;
+  /// When a graceful shutdown began to close the connections.
+  std::optional<time_point> ClosingSince;
   timer ReportTimer;
   timer StopTimer;
 };
