--- a/src/dragonflyvane/core/admission/graceful_shutdown.hpp
+++ b/src/dragonflyvane/core/admission/graceful_shutdown.hpp
@@ -34,14 +34,14 @@
   /// Starts the shutdown; later calls have no effect.
   void begin();
   bool hasBegun() const { return StartedAt.has_value(); }
-  /// Whether new requests are accepted no longer.
+  /// Whether the time in which new requests are accepted is over.
   bool isDraining() const;
   /// Whether the time for responses is over.
   bool isOver() const { return hasBegun() && Clock.now() >= lastResponseAt(); }
   /// The time until which responses can be sent; `time_point::max()` before the
   /// shutdown.
   time_point lastResponseAt() const;
-  /// The end of the process.
+  /// The end of the process. Must not be called before `begin`.
   time_point end() const { return lastResponseAt() + ResponseMargin; }
   /// The deadline of a request, no later than `lastResponseAt`.
   time_point deadlineOf(time_point Deadline) const;
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -69,7 +69,8 @@
   void onRead(size_t Size);
   void parse();
   void beginRequest();
-  /// Responds to a request that cannot be received, and closes the connection.
+  /// Responds with an error to a request that cannot be received completely,
+  /// and closes the connection.
   void reject(int Status);
   void sendContinueIfExpected();
   void serve();
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -15,8 +15,8 @@
 namespace dragonflyvane {
 
 /// Daemons that serve keyed requests of `cluster.example`: `/parts/` may be
-/// repeated, `/orders/` may not. Waits of all kinds end with an exception of
-/// type `std::runtime_error`.
+/// repeated, `/orders/` may not. A wait that times out throws
+/// `std::runtime_error`.
 class local_cluster {
 public:
   /// Starts the store and the servers, each of which works for `WorkTime` on a
