Log and count connections that end with a request unanswered

Neither log nor metrics said that a connection ended in the middle of a request, or before its response was written, so the hypotheses of the incident could not be told apart from the daemon's own output.

Each such end is now one line (request id if known, phase, bytes read and written, time since the last byte, reason) and counts in unanswered_requests_total by server, phase and reason. No decision changes.

--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -27,7 +27,8 @@
                  http_handler Handler, bulk_pacer *Pacer)
       : Loop(Loop), Acceptor(Loop.internals().Io),
         State(std::make_shared<http_server_state>(http_server_state{
-            Limits, std::move(Handler), Loop.bodyMemory(), Pacer, false})) {}
+            Limits, std::move(Handler), Loop.bodyMemory(), Pacer, false, {}})) {
+  }
 
   void listen(const endpoint &Listen) {
     tcp::endpoint Address = toAsio(Listen);
@@ -43,7 +44,7 @@
     boost::system::error_code Ignored;
     Acceptor.close(Ignored);
     for (const auto &Connection : std::exchange(Connections, {}))
-      Connection->close();
+      Connection->close("server closed");
   }
 
   void finishClosing() {
@@ -132,6 +133,10 @@
   Implementation->state().Limits = Limits;
 }
 
+void http_server::onUnanswered(unanswered_callback Callback) {
+  Implementation->state().OnUnanswered = std::move(Callback);
+}
+
 bool http_server::isWriting() const { return Implementation->isWriting(); }
 
 void http_server::finishClosing() { Implementation->finishClosing(); }
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/unanswered_request.hpp"
 
 #include <chrono>
 #include <memory>
@@ -50,6 +51,9 @@
   /// Sets new limits. Sizes apply to requests that begin later, timeouts to all
   /// connections.
   void setLimits(const http_limits &Limits);
+  /// Sets the function that is called for each request whose connection ends
+  /// without a complete response, also when the server is destroyed.
+  void onUnanswered(unanswered_callback Callback);
   /// Starts a graceful shutdown: closes each connection after its next
   /// response. Idle connections stay open, since a request may be on its way.
   void startClosing();
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -34,6 +34,10 @@
   return 400;
 }
 
+const char *readErrorReason(const boost::system::error_code &Error) {
+  return Error == boost::asio::error::eof ? "caller closed" : "read failed";
+}
+
 bool hasConnectionClose(const http_response &Response) {
   auto ConnectionField = Response.Headers.find("connection");
   return ConnectionField && equalNames(*ConnectionField, "close");
@@ -59,7 +63,7 @@
   void closeConnection() override {
     OnDisconnect = nullptr;
     if (auto Target = std::exchange(Connection, nullptr))
-      Target->close();
+      Target->close("closed by the handler");
   }
 
   void onDisconnect(std::function<void()> Callback) override {
@@ -86,10 +90,15 @@
   readMore();
 }
 
-void http_server_connection::close() {
+void http_server_connection::close(const char *Reason) {
   if (!Open)
     return;
+  auto Unanswered = unansweredRequest();
   Open = false;
+  if (Unanswered && State->OnUnanswered) {
+    Unanswered->Reason = Reason;
+    State->OnUnanswered(*Unanswered);
+  }
   boost::system::error_code Ignored;
   Socket.close(Ignored);
   Transfer = {};
@@ -99,6 +108,46 @@
     Exchange->disconnect();
 }
 
+std::optional<unanswered_request>
+http_server_connection::unansweredRequest() const {
+  unanswered_request Request;
+  switch (Phase) {
+  case phase::Idle:
+    if (!hasUnreadBytes())
+      return std::nullopt;
+    Request.Phase = request_phase::Unread;
+    break;
+  case phase::Lingering:
+    if (HasResponded || BytesRead == 0)
+      return std::nullopt;
+    Request.Phase = request_phase::Unread;
+    break;
+  case phase::Reading:
+    Request.Phase = request_phase::Receiving;
+    break;
+  case phase::Serving:
+    Request.Phase = request_phase::Serving;
+    break;
+  case phase::Writing:
+    Request.Phase = request_phase::Responding;
+    break;
+  }
+  Request.Headers = currentHeaders();
+  Request.BytesRead = BytesRead;
+  Request.BytesWritten = BytesWritten;
+  if (BytesRead > 0)
+    Request.SinceLastRead = Clock.now() - LastReadAt;
+  return Request;
+}
+
+header_list http_server_connection::currentHeaders() const {
+  if (Phase == phase::Reading && Parser && Parser->is_header_done())
+    return toHeaders(Parser->get());
+  if (auto Exchange = CurrentExchange.lock())
+    return Exchange->request().Headers;
+  return Phase == phase::Writing ? OutHeaders : header_list();
+}
+
 void http_server_connection::checkTimeouts(time_point Now) {
   bool ReadTimedOut = Phase == phase::Reading &&
                       Now - LastProgress > State->Limits.HeaderTimeout;
@@ -110,8 +159,12 @@
       Phase == phase::Writing && Now - LastProgress > State->Limits.IdleTimeout;
   bool LingerTimedOut =
       Phase == phase::Lingering && Now - LastProgress > LingerTimeout;
-  if (ReadTimedOut || IdleTimedOut || WriteTimedOut || LingerTimedOut)
-    close();
+  if (ReadTimedOut)
+    return close("header timeout");
+  if (WriteTimedOut)
+    return close("write timeout");
+  if (IdleTimedOut || LingerTimedOut)
+    close("idle");
 }
 
 bool http_server_connection::hasUnreadBytes() const {
@@ -127,8 +180,10 @@
 void http_server_connection::linger() {
   boost::system::error_code Ignored;
   Socket.shutdown(socket::shutdown_send, Ignored);
+  HasResponded = Phase == phase::Writing;
   Phase = phase::Lingering;
   LastProgress = Clock.now();
+  BytesRead = 0;
   Buffer.consume(Buffer.size());
   readMore();
 }
@@ -143,14 +198,16 @@
                            if (!Self->Open)
                              return;
                            if (Error)
-                             return Self->close();
+                             return Self->close(readErrorReason(Error));
                            Self->onRead(Size);
                          });
 }
 
 void http_server_connection::onRead(size_t Size) {
   Buffer.commit(Size);
+  LastReadAt = Clock.now();
   if (Phase == phase::Lingering) {
+    BytesRead += Size;
     Buffer.consume(Buffer.size());
     return readMore();
   }
@@ -167,6 +224,9 @@
   Phase = phase::Reading;
   LastProgress = Clock.now();
   ContinueSent = false;
+  BytesRead = 0;
+  BytesWritten = 0;
+  OutHeaders = {};
   Parser.emplace();
   Parser->header_limit(static_cast<uint32_t>(State->Limits.MaxHeaderBytes));
   Parser->body_limit(
@@ -180,6 +240,7 @@
     boost::system::error_code Error;
     size_t Consumed = Parser->put(Buffer.data(), Error);
     Buffer.consume(Consumed);
+    BytesRead += Consumed;
     if (Error && Error != http::error::need_more)
       return reject(statusForParseError(Error));
     if (!reserveBody(*Parser, BodyShare))
@@ -249,6 +310,7 @@
     Response.Headers.remove("content-length");
   bool HasLength = Response.Status != 204 && Response.Status != 304;
   std::string Head = encodeHead(Response, KeepOpen, HasLength);
+  OutHeaders = std::move(Response.Headers);
   write(std::move(Head),
         IsHeadRequest ? message_body() : std::move(Response.Body), KeepOpen);
 }
@@ -267,7 +329,7 @@
       Socket, Buffers,
       [Self = shared_from_this(), KeepOpen](auto Error, size_t) {
         if (Error)
-          return Self->close();
+          return Self->close("write failed");
         Self->onWritten(KeepOpen);
       });
 }
@@ -287,9 +349,10 @@
         Self->Socket, Buffers,
         [Self, End = Offset + Size, KeepOpen](auto Error, size_t) {
           if (Error)
-            return Self->close();
+            return Self->close("write failed");
           if (!Self->Open)
             return;
+          Self->BytesWritten = End;
           Self->OutHead.clear();
           Self->LastProgress = Self->Clock.now();
           Self->writePiece(End, KeepOpen);
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -5,6 +5,7 @@
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/http_server.hpp"
+#include "dragonflyvane/net/unanswered_request.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -27,6 +28,9 @@
   bulk_pacer *Pacer = nullptr;
   /// Whether connections close after their next response.
   bool Closing = false;
+  /// Called for each request that ends without a complete response; may be
+  /// empty.
+  unanswered_callback OnUnanswered;
 };
 
 /// A connection that serves one request at a time. A read stays pending while a
@@ -44,7 +48,8 @@
   /// Begins to read from the accepted socket.
   void start();
   /// Closes the connection; a request that is being served is disconnected.
-  void close();
+  /// `Reason` is reported if a request has no complete response.
+  void close(const char *Reason);
   /// Closes the connection if the timeout of its phase has passed.
   void checkTimeouts(time_point Now);
   /// Ends the connection if it is idle and no request has arrived.
@@ -79,6 +84,11 @@
   void writePiece(size_t Offset, bool KeepOpen);
   void onWritten(bool KeepOpen);
   bool hasUnreadBytes() const;
+  /// The request that a close would leave without a complete response.
+  std::optional<unanswered_request> unansweredRequest() const;
+  /// The header fields of the current request, or of its response once there is
+  /// one.
+  header_list currentHeaders() const;
   /// Closes the connection for writing, and later for reading.
   void linger();
 
@@ -100,6 +110,14 @@
   /// What the body of the request takes.
   memory_share BodyShare;
   std::weak_ptr<exchange> CurrentExchange;
+  /// The bytes of the current request that were read, and when the last of them
+  /// were. While the connection lingers, the bytes that were discarded.
+  size_t BytesRead = 0;
+  time_point LastReadAt{};
+  size_t BytesWritten = 0;
+  /// Whether the connection lingers after a response, not after being idle.
+  bool HasResponded = false;
+  header_list OutHeaders;
   std::string OutHead;
   message_body OutBody;
   /// Set while a large body is sent in pieces.
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -234,3 +234,40 @@
   CHECK(contains(Waiting.readAll(), "GET /3 []"));
   CHECK(Idle.readAll().empty());
 }
+
+// Guards against requests that are lost without a trace: a connection that ends
+// in the middle of a request, or before its response, is reported once.
+TEST_CASE("a server reports requests that end without a response") {
+  std::promise<unanswered_request> Reported;
+  echo_server Server({}, [](const exchange_pointer &) {});
+  Server.Server->onUnanswered(
+      [&](const unanswered_request &Request) { Reported.set_value(Request); });
+  raw_connection Connection(Server.Port);
+  Connection.send("POST /p HTTP/1.1\r\nHost: x\r\nX-Id: 7\r\n"
+                  "Content-Length: 5\r\n\r\nhel");
+  Connection.close();
+  unanswered_request Request = Reported.get_future().get();
+  CHECK((Request.Phase == request_phase::Receiving));
+  CHECK(Request.Headers.find("x-id") == "7");
+  CHECK(Request.BytesRead > 50);
+  CHECK(Request.Reason == "caller closed");
+}
+
+TEST_CASE("a server reports no requests that were answered") {
+  std::mutex Mutex;
+  int Count = 0;
+  {
+    echo_server Server;
+    Server.Server->onUnanswered([&](const unanswered_request &) {
+      std::lock_guard Lock(Mutex);
+      ++Count;
+    });
+    raw_connection Kept(Server.Port);
+    Kept.send("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n");
+    Kept.readUntil("GET /1 []");
+    CHECK(contains(Server.exchange("GET /2 HTTP/1.1\r\nHost: x\r\n"
+                                   "Connection: close\r\n\r\n"),
+                   "GET /2 []"));
+  }
+  CHECK(Count == 0);
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -46,8 +46,8 @@
                  platform_access Platform, http_client &Client,
                  metrics &Metrics)
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
-        OperatorState(this->Platform.OperatorRows,
-                      this->Platform.DecodeOperatorRow),
+        Metrics(Metrics), OperatorState(this->Platform.OperatorRows,
+                                        this->Platform.DecodeOperatorRow),
         Shutdown(Clock, Settings.StopTimeout), Peers(Loop, MaxPeerBodyBytes),
         Pacer(Loop, Clock, Settings.LinkRate),
         RestorableStore(this->Platform.Store, Loop,
@@ -105,7 +105,11 @@
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
         CallerServer(
             Loop, Settings.CallerEndpoint, {},
-            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer) {}
+            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer) {
+    CallerServer.onUnanswered([this](const unanswered_request &Request) {
+      reportUnanswered("callers", Request);
+    });
+  }
 
   void start() {
     writeLog(log_level::Info, "started",
@@ -157,6 +161,24 @@
     Dispatcher.dispatchWaiting();
   }
 
+  void reportUnanswered(const char *Server, const unanswered_request &Request) {
+    std::string Phase = toString(Request.Phase);
+    Metrics.count(
+        "unanswered_requests_total",
+        {{"server", Server}, {"phase", Phase}, {"reason", Request.Reason}});
+    writeRequestLog(
+        "connection ended with a request unanswered",
+        {{"request_id",
+          Request.Headers.find(Platform.Names.RequestId).value_or("")},
+         {"server", Server},
+         {"phase", Phase},
+         {"reason", Request.Reason},
+         {"bytes_read", Request.BytesRead},
+         {"bytes_written", Request.BytesWritten},
+         {"since_last_read_ms", inMilliseconds(Request.SinceLastRead)},
+         {"stopping", Shutdown.hasBegun() ? "yes" : "no"}});
+  }
+
   void servePeer(const exchange_pointer &Exchange) {
     if (auto Report = decodeReport(Exchange->request())) {
       Ownership.coordinator().onReport(Report->Host, Report->Load);
@@ -306,6 +328,7 @@
   settings Settings;
   platform_access Platform;
   boot_clock Clock;
+  metrics &Metrics;
   operator_state OperatorState;
   graceful_shutdown Shutdown;
   peer_client Peers;
