Tests: a loopback proxy with delay and rate, to put in front of a daemon

Requests were lost in planned stops while they were still arriving, and the tests have only fast links. A slow link takes what a side sends at once and delivers it late; the end of a stream and resets arrive after the bytes before them.

--- /dev/null
+++ b/tests/process/slow_link.cpp
@@ -0,0 +1,202 @@
+#include "process/slow_link.hpp"
+
+#include <utility> // Must precede the headers of Boost.Asio 1.74.
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+
+#include <algorithm>
+#include <array>
+#include <deque>
+#include <fcntl.h>
+#include <string>
+#include <thread>
+
+namespace dragonflyvane {
+
+namespace {
+
+using tcp = boost::asio::ip::tcp;
+using boost::system::error_code;
+using std::chrono::steady_clock;
+using socket_pointer = std::shared_ptr<tcp::socket>;
+
+/// Bytes arrive in segments of at most this size, as on a real link.
+constexpr size_t SegmentSize = 1460;
+
+enum class segment_kind { Bytes, End, Reset };
+
+/// Something on its way.
+struct segment {
+  segment_kind Kind;
+  std::string Bytes;
+  steady_clock::time_point ArrivesAt;
+};
+
+/// Processes that a test starts must not hold the connections open.
+void closeOnExec(int Socket) { fcntl(Socket, F_SETFD, FD_CLOEXEC); }
+
+void reset(tcp::socket &Socket) {
+  error_code Ignored;
+  Socket.set_option(boost::asio::socket_base::linger(true, 0), Ignored);
+  Socket.close(Ignored);
+}
+
+/// Carries what one socket receives to another one. The sockets close when both
+/// directions of a connection are gone.
+class one_way : public std::enable_shared_from_this<one_way> {
+public:
+  one_way(socket_pointer From, socket_pointer To, const link_direction &Link)
+      : From(std::move(From)), To(std::move(To)), Link(Link),
+        Timer(this->From->get_executor()) {}
+
+  void read() {
+    From->async_read_some(
+        boost::asio::buffer(Buffer),
+        [Self = shared_from_this()](const error_code &Error, size_t Size) {
+          Self->onRead(Error, Size);
+        });
+  }
+
+private:
+  void onRead(const error_code &Error, size_t Size) {
+    if (Error == boost::asio::error::operation_aborted)
+      return;
+    if (Error == boost::asio::error::eof)
+      return send(segment_kind::End, "");
+    if (Error)
+      return send(segment_kind::Reset, "");
+    send(segment_kind::Bytes, std::string(Buffer.data(), Size));
+    read();
+  }
+
+  void send(segment_kind Kind, std::string Bytes) {
+    LeftAt = std::max(LeftAt, steady_clock::now()) + sendTime(Bytes.size());
+    Segments.push_back({Kind, std::move(Bytes), LeftAt + Link.Delay});
+    if (Segments.size() == 1)
+      awaitArrival();
+  }
+
+  std::chrono::nanoseconds sendTime(size_t Size) const {
+    if (Link.BytesPerSecond == 0)
+      return {};
+    return std::chrono::nanoseconds(std::chrono::seconds(Size)) /
+           Link.BytesPerSecond;
+  }
+
+  void awaitArrival() {
+    Timer.expires_at(Segments.front().ArrivesAt);
+    Timer.async_wait(
+        [Self = shared_from_this()](const error_code &) { Self->deliver(); });
+  }
+
+  void deliver() {
+    error_code Ignored;
+    switch (Segments.front().Kind) {
+    case segment_kind::Bytes:
+      return write();
+    case segment_kind::End:
+      To->shutdown(tcp::socket::shutdown_send, Ignored);
+      return;
+    case segment_kind::Reset:
+      return reset(*To);
+    }
+  }
+
+  /// A failed write means that the receiver is gone. The other direction passes
+  /// that on, so the bytes are dropped here.
+  void write() {
+    boost::asio::async_write(
+        *To, boost::asio::buffer(Segments.front().Bytes),
+        [Self = shared_from_this()](const error_code &, size_t) {
+          Self->Segments.pop_front();
+          if (!Self->Segments.empty())
+            Self->awaitArrival();
+        });
+  }
+
+  socket_pointer From;
+  socket_pointer To;
+  link_direction Link;
+  boost::asio::steady_timer Timer;
+  std::array<char, SegmentSize> Buffer{};
+  std::deque<segment> Segments;
+  /// When the last segment left the sender.
+  steady_clock::time_point LeftAt{};
+};
+
+} // namespace
+
+class slow_link::implementation {
+public:
+  implementation(const endpoint &Target, const link_direction &ToTarget,
+                 const link_direction &FromTarget)
+      : Target(boost::asio::ip::make_address(Target.Address), Target.Port),
+        ToTarget(ToTarget), FromTarget(FromTarget),
+        Acceptor(Io, {boost::asio::ip::address_v4::loopback(), 0}) {
+    closeOnExec(Acceptor.native_handle());
+    accept();
+    Thread = std::thread([this] { Io.run(); });
+  }
+
+  ~implementation() {
+    Io.stop();
+    Thread.join();
+  }
+
+  endpoint localEndpoint() const {
+    tcp::endpoint Local = Acceptor.local_endpoint();
+    return {Local.address().to_string(), Local.port()};
+  }
+
+private:
+  void accept() {
+    Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
+      if (!Error)
+        connect(std::make_shared<tcp::socket>(std::move(Socket)));
+      accept();
+    });
+  }
+
+  void connect(const socket_pointer &Caller) {
+    auto Server = std::make_shared<tcp::socket>(Io, Target.protocol());
+    closeOnExec(Caller->native_handle());
+    closeOnExec(Server->native_handle());
+    Server->async_connect(Target,
+                          [this, Caller, Server](const error_code &Error) {
+                            if (Error)
+                              return reset(*Caller);
+                            carry(Caller, Server);
+                          });
+  }
+
+  void carry(const socket_pointer &Caller, const socket_pointer &Server) const {
+    error_code Ignored;
+    Caller->set_option(tcp::no_delay(true), Ignored);
+    Server->set_option(tcp::no_delay(true), Ignored);
+    std::make_shared<one_way>(Caller, Server, ToTarget)->read();
+    std::make_shared<one_way>(Server, Caller, FromTarget)->read();
+  }
+
+  tcp::endpoint Target;
+  link_direction ToTarget;
+  link_direction FromTarget;
+  boost::asio::io_context Io{1};
+  tcp::acceptor Acceptor;
+  std::thread Thread;
+};
+
+slow_link::slow_link(const endpoint &Target, const link_direction &ToTarget,
+                     const link_direction &FromTarget)
+    : Implementation(
+          std::make_unique<implementation>(Target, ToTarget, FromTarget)) {}
+
+slow_link::~slow_link() = default;
+
+endpoint slow_link::localEndpoint() const {
+  return Implementation->localEndpoint();
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/tests/process/slow_link.hpp
@@ -0,0 +1,44 @@
+/// A TCP proxy that makes connections slow, to test what a process does with
+/// bytes that are still on their way.
+#ifndef DRAGONFLYVANE_TESTS_PROCESS_SLOW_LINK_HPP
+#define DRAGONFLYVANE_TESTS_PROCESS_SLOW_LINK_HPP
+
+#include "dragonflyvane/core/endpoint.hpp"
+
+#include <chrono>
+#include <cstddef>
+#include <memory>
+
+namespace dragonflyvane {
+
+/// How slow one direction of a connection is.
+struct link_direction {
+  std::chrono::milliseconds Delay{0};
+  /// 0 means that the rate is not limited.
+  size_t BytesPerSecond = 0;
+};
+
+/// A proxy in front of an endpoint, on a thread of its own. The link holds any
+/// number of bytes, so what a side sends leaves it at once and arrives late.
+/// The end of a stream and a reset arrive after the bytes that precede them.
+/// Only the opening of a connection takes no time: if the endpoint refuses it,
+/// the caller's connection is reset at once.
+class slow_link {
+public:
+  slow_link(const endpoint &Target, const link_direction &ToTarget,
+            const link_direction &FromTarget);
+  ~slow_link();
+  slow_link(const slow_link &) = delete;
+  slow_link &operator=(const slow_link &) = delete;
+
+  /// The address at which the proxy accepts connections.
+  endpoint localEndpoint() const;
+
+private:
+  class implementation;
+  std::unique_ptr<implementation> Implementation;
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_TESTS_PROCESS_SLOW_LINK_HPP
--- a/tests/raw_connection.cpp
+++ b/tests/raw_connection.cpp
@@ -1,6 +1,7 @@
 #include "raw_connection.hpp"
 
 #include <arpa/inet.h>
+#include <cerrno>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -51,13 +52,16 @@
   }
 }
 
-std::string raw_connection::readAll() const { return readUntil(""); }
+void raw_connection::endSending() const { shutdown(Socket, SHUT_WR); }
 
-std::string raw_connection::readUntil(std::string_view End) const {
+std::string raw_connection::readAll() { return readUntil(""); }
+
+std::string raw_connection::readUntil(std::string_view End) {
   std::string All;
   char Buffer[4096];
   while (End.empty() || All.find(End) == std::string::npos) {
     ssize_t Size = ::recv(Socket, Buffer, sizeof(Buffer), 0);
+    Reset = Size < 0 && errno == ECONNRESET;
     if (Size <= 0)
       break;
     All.append(Buffer, static_cast<size_t>(Size));
--- a/tests/raw_connection.hpp
+++ b/tests/raw_connection.hpp
@@ -22,14 +22,19 @@
   void send(std::string_view Bytes) const;
   /// Reads until the other side closes the connection or sends nothing for
   /// 20 s.
-  std::string readAll() const;
+  std::string readAll();
   /// Reads until the bytes contain `End`, or the other side closes the
   /// connection or sends nothing for 20 s.
-  std::string readUntil(std::string_view End) const;
+  std::string readUntil(std::string_view End);
+  /// Closes the connection for writing.
+  void endSending() const;
+  /// Whether reading ended with a reset.
+  bool wasReset() const { return Reset; }
   void close();
 
 private:
   int Socket;
+  bool Reset = false;
 };
 
 /// Returns a port of 127.0.0.1 that is free at present.
