A planned stop waits for requests that are arriving, and answers them

Uploads were cut in the middle; behind slow links, ordinary orders sent in one write ended 0.3 to 0.5 s after their last byte.

Cause: the stop asked for requests that had begun and for responses being written. A connection on which a request was being received was neither, so the process ended 2.4 s after the signal although more than 3 s of the grace were left. The class: an end of a connection that is decided without looking at the input that is on its way. The timeouts of receiving and of idle connections had it too: they closed the connection, with a reset, in place of an answer.

Change: the stop is a sequence of its own (shutdown_sequence) over all servers (stoppable_server). When no request is open, no more connections are accepted; requests that are arriving are waited for, on new connections also those whose first byte has not come. At the time of the last response, those that have not arrived completely get 503, which says not run. Then idle connections are closed for writing first, and the process ends when callers have closed theirs, at most 0.5 s later (formerly always 0.15 s). A request that takes too long to arrive gets 408; an idle connection is closed for writing first as well.

Weighed: a wait of fixed length (too long for a calm stop, too short for a slow link); refusing uploads as soon as their header has come (callers that write the whole request first would meet a reset); to keep idle connections open until the end of the grace (each stop would take 5.6 s, in which the host's keys have no server).

--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -3,7 +3,6 @@
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/http_server_connection.hpp"
 
-#include <algorithm>
 #include <vector>
 
 namespace dragonflyvane {
@@ -47,18 +46,32 @@
       Connection->close("server closed");
   }
 
-  void finishClosing() {
+  void stopAccepting() {
     acceptWaiting();
     boost::system::error_code Ignored;
     Acceptor.close(Ignored);
     AcceptRetryTimer.cancel();
+  }
+
+  void refuseArriving() {
+    for (const auto &Connection : Connections)
+      Connection->refuseArriving();
+  }
+
+  void finishClosing() {
     for (const auto &Connection : Connections)
       Connection->endIfIdle();
   }
 
-  bool isWriting() const {
-    return std::any_of(Connections.begin(), Connections.end(),
-                       [](const auto &C) { return C->isWriting(); });
+  server_activity activity() const {
+    server_activity Activity;
+    time_point Now = Clock.now();
+    for (const auto &Connection : Connections) {
+      Activity.IsReceiving |= Connection->isReceiving(Now);
+      Activity.IsWriting |= Connection->isWriting();
+      Activity.HasConnections |= Connection->isOpen();
+    }
+    return Activity;
   }
 
   http_server_state &state() { return *State; }
@@ -137,10 +150,16 @@
   Implementation->state().OnUnanswered = std::move(Callback);
 }
 
-bool http_server::isWriting() const { return Implementation->isWriting(); }
+void http_server::startClosing() { Implementation->state().Closing = true; }
+
+void http_server::stopAccepting() { Implementation->stopAccepting(); }
+
+void http_server::refuseArriving() { Implementation->refuseArriving(); }
 
 void http_server::finishClosing() { Implementation->finishClosing(); }
 
-void http_server::startClosing() { Implementation->state().Closing = true; }
+server_activity http_server::activity() const {
+  return Implementation->activity();
+}
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
 
 #include <chrono>
@@ -21,8 +22,8 @@
   size_t MaxBodyBytes = size_t{8} << 20;
   /// Larger request headers are refused with status 431.
   size_t MaxHeaderBytes = size_t{32} << 10;
-  /// A connection is closed if receiving a request header takes longer than
-  /// this, or if no part of a request body arrives for this long.
+  /// A request is refused with status 408 if receiving its header takes longer
+  /// than this, or if no part of its body arrives for this long.
   std::chrono::milliseconds HeaderTimeout{10'000};
   /// A connection is closed if its next request does not begin within this
   /// time, or if writing a response (with a pacer, one piece of it) takes
@@ -36,7 +37,7 @@
 ///     http_server Server(Loop, {"127.0.0.1", 8080}, {}, [](auto Exchange) {
 ///       Exchange->respond({200, {}, "hello\n"});
 ///     });
-class http_server {
+class http_server final : public stoppable_server {
 public:
   /// Listens at once. With a pacer, large responses are sent in pieces. Throws
   /// `step_error` if the endpoint cannot be bound, as when it is in use.
@@ -44,7 +45,7 @@
               const http_limits &Limits, http_handler Handler,
               bulk_pacer *Pacer = nullptr);
   /// Closes the listening socket and all connections.
-  ~http_server();
+  ~http_server() override;
   http_server(const http_server &) = delete;
   http_server &operator=(const http_server &) = delete;
 
@@ -54,14 +55,15 @@
   /// Sets the function that is called for each request whose connection ends
   /// without a complete response, also when the server is destroyed.
   void onUnanswered(unanswered_callback Callback);
-  /// Starts a graceful shutdown: closes each connection after its next
-  /// response. Idle connections stay open, since a request may be on its way.
-  void startClosing();
-  /// Accepts no more connections, and closes the idle ones on which no request
-  /// has arrived: first for writing, so that the callers send nothing more.
-  void finishClosing();
-  /// Whether a response is still being written.
-  bool isWriting() const;
+
+  /// Closes each connection after its next response. Idle connections stay
+  /// open, since a request may be on its way.
+  void startClosing() override;
+  void stopAccepting() override;
+  /// Responds with status 503 to the requests that have not arrived completely.
+  void refuseArriving() override;
+  void finishClosing() override;
+  server_activity activity() const override;
 
 private:
   class implementation;
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -1,6 +1,5 @@
 #include "dragonflyvane/net/http_server_connection.hpp"
 
-#include "dragonflyvane/core/refusal.hpp"
 #include "dragonflyvane/net/body_memory.hpp"
 #include "dragonflyvane/net/http_wire.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
@@ -25,6 +24,11 @@
 constexpr std::chrono::milliseconds LingerTimeout{1000};
 /// Time after which there is likely to be memory for a request again.
 constexpr std::chrono::milliseconds NoMemoryRetryAfter{200};
+/// Usual duration of a restart of the process.
+constexpr std::chrono::milliseconds RestartRetryAfter{900};
+/// A caller that has just opened a connection sends its request within this
+/// time.
+constexpr std::chrono::milliseconds FirstRequestTime{500};
 
 int statusForParseError(const boost::system::error_code &Error) {
   if (Error == http::error::header_limit)
@@ -160,10 +164,12 @@
   bool LingerTimedOut =
       Phase == phase::Lingering && Now - LastProgress > LingerTimeout;
   if (ReadTimedOut)
-    return close("header timeout");
+    return reject(408);
+  if (IdleTimedOut)
+    return linger();
   if (WriteTimedOut)
     return close("write timeout");
-  if (IdleTimedOut || LingerTimedOut)
+  if (LingerTimedOut)
     close("idle");
 }
 
@@ -177,6 +183,20 @@
     linger();
 }
 
+void http_server_connection::refuseArriving() {
+  if (Open && Phase == phase::Reading)
+    reject({503, "stopping", run_state::NotRun, RestartRetryAfter});
+}
+
+bool http_server_connection::isReceiving(time_point Now) const {
+  if (!Open)
+    return false;
+  if (Phase != phase::Idle)
+    return Phase == phase::Reading;
+  bool IsNew = !HasReceived && Now - LastProgress < FirstRequestTime;
+  return IsNew || hasUnreadBytes();
+}
+
 void http_server_connection::linger() {
   boost::system::error_code Ignored;
   Socket.shutdown(socket::shutdown_send, Ignored);
@@ -222,6 +242,7 @@
 
 void http_server_connection::beginRequest() {
   Phase = phase::Reading;
+  HasReceived = true;
   LastProgress = Clock.now();
   ContinueSent = false;
   BytesRead = 0;
@@ -269,16 +290,18 @@
 }
 
 void http_server_connection::reject(int Status) {
+  if (Status == 503)
+    return reject({503, "no-memory", run_state::NotRun, NoMemoryRetryAfter});
+  const char *Code = Status == 408 ? "request-timeout" : "bad-request";
+  reject({Status, Code, run_state::NotRun, {}});
+}
+
+void http_server_connection::reject(const refusal &Refusal) {
   Phase = phase::Serving;
   KeepAlive = false;
   IsHeadRequest = false;
   Parser.reset();
   BodyShare = {};
-  refusal Refusal;
-  Refusal.Status = Status;
-  Refusal.Code = Status == 503 ? "no-memory" : "bad-request";
-  if (Status == 503)
-    Refusal.RetryAfter = NoMemoryRetryAfter;
   respond(toResponse(Refusal));
 }
 
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -3,6 +3,7 @@
 #define DRAGONFLYVANE_NET_HTTP_SERVER_CONNECTION_HPP
 
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/refusal.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/http_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
@@ -50,10 +51,16 @@
   /// Closes the connection; a request that is being served is disconnected.
   /// `Reason` is reported if a request has no complete response.
   void close(const char *Reason);
-  /// Closes the connection if the timeout of its phase has passed.
+  /// Closes the connection if the timeout of its phase has passed. A request
+  /// that was being received is refused first.
   void checkTimeouts(time_point Now);
   /// Ends the connection if it is idle and no request has arrived.
   void endIfIdle();
+  /// Refuses the request that is being received, if there is one.
+  void refuseArriving();
+  /// Whether a request is being received, or has to be expected on a new
+  /// connection.
+  bool isReceiving(time_point Now) const;
   /// Whether the connection has not been closed.
   bool isOpen() const { return Open; }
   /// Whether a response is being written.
@@ -74,9 +81,10 @@
   void onRead(size_t Size);
   void parse();
   void beginRequest();
-  /// Responds with an error to a request that cannot be received completely,
-  /// and closes the connection.
+  /// Responds to a request that is not received completely, and closes the
+  /// connection.
   void reject(int Status);
+  void reject(const refusal &Refusal);
   void sendContinueIfExpected();
   void serve();
   void respond(http_response Response);
@@ -98,6 +106,8 @@
   phase Phase = phase::Idle;
   bool Open = true;
   bool ReadPending = false;
+  /// Whether a request has begun to arrive since the connection was accepted.
+  bool HasReceived = false;
   /// Whether the current request allows the connection to persist.
   bool KeepAlive = true;
   bool IsHeadRequest = false;
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -42,6 +42,24 @@
     Thread.join();
   }
 
+  /// Runs a function on the loop's thread and returns its result.
+  bool onLoop(std::function<bool()> Function) {
+    std::promise<bool> Result;
+    Loop.post([&] { Result.set_value(Function()); });
+    return Result.get_future().get();
+  }
+
+  /// Waits until what the connections are doing satisfies a condition. Returns
+  /// false if it does not within 20 s.
+  bool becomes(const std::function<bool(const server_activity &)> &Condition) {
+    for (int Try = 0; Try < 1000; ++Try) {
+      if (onLoop([&] { return Condition(Server->activity()); }))
+        return true;
+      std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    }
+    return false;
+  }
+
   std::string exchange(std::string_view Bytes) const {
     raw_connection Connection(Port);
     Connection.send(Bytes);
@@ -235,6 +253,63 @@
   CHECK(Idle.readAll().empty());
 }
 
+// Guards against a caller that learns nothing of what became of its request,
+// because its connection is closed in the middle of it.
+TEST_CASE("a request that takes too long to arrive is refused as not run") {
+  http_limits Limits;
+  Limits.HeaderTimeout = std::chrono::milliseconds(200);
+  echo_server Server(Limits);
+  CHECK(contains(Server.exchange("GET / HTTP/1.1\r\nHost: x\r\n"),
+                 "HTTP/1.1 408"));
+  CHECK(contains(Server.exchange("POST / HTTP/1.1\r\nHost: x\r\n"
+                                 "Content-Length: 5\r\n\r\nhel"),
+                 "HTTP/1.1 408"));
+}
+
+// Guards against a planned stop that does not see, or cuts off, a request of
+// which only a part has arrived.
+TEST_CASE("a server that stops knows of requests that arrive, and refuses them "
+          "at the end") {
+  echo_server Server;
+  raw_connection Arriving(Server.Port);
+  Arriving.send("POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nhel");
+  raw_connection Finishing(Server.Port);
+  Finishing.send("POST /2 HTTP/1.1\r\nHost: x\r\nContent-Le");
+  std::this_thread::sleep_for(std::chrono::milliseconds(100));
+  CHECK(Server.onLoop([&] {
+    Server.Server->startClosing();
+    Server.Server->stopAccepting();
+    Server.Server->finishClosing();
+    return Server.Server->activity().IsReceiving;
+  }));
+  Finishing.send("ngth: 2\r\n\r\nab");
+  CHECK(contains(Finishing.readAll(), "POST /2 [ab]"));
+  Server.onLoop([&] {
+    Server.Server->refuseArriving();
+    return true;
+  });
+  std::string Response = Arriving.readAll();
+  CHECK(contains(Response, "HTTP/1.1 503"));
+  CHECK(contains(Response, "Retry-After: "));
+  Arriving.close();
+  Finishing.close();
+  CHECK(Server.becomes([](const server_activity &A) {
+    return !A.IsReceiving && !A.IsWriting && !A.HasConnections;
+  }));
+}
+
+// Guards against a planned stop that ends between the arrival of a connection
+// and that of its first request.
+TEST_CASE("a server that stops expects a request on a new connection for a "
+          "while") {
+  echo_server Server;
+  raw_connection Connection(Server.Port);
+  std::this_thread::sleep_for(std::chrono::milliseconds(50));
+  CHECK(Server.onLoop([&] { return Server.Server->activity().IsReceiving; }));
+  CHECK(
+      Server.becomes([](const server_activity &A) { return !A.IsReceiving; }));
+}
+
 // Guards against requests that are lost without a trace: a connection that ends
 // in the middle of a request, or before its response, is reported once.
 TEST_CASE("a server reports requests that end without a response") {
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -11,6 +11,7 @@
 #include "dragonflyvane/node/relayed_store.hpp"
 #include "dragonflyvane/node/request_router.hpp"
 #include "dragonflyvane/node/restorable_store.hpp"
+#include "dragonflyvane/node/shutdown_sequence.hpp"
 
 #include <cmath>
 
@@ -22,11 +23,6 @@
 constexpr std::chrono::milliseconds ReportPeriod{1000};
 constexpr std::chrono::milliseconds ReportTimeout{1000};
 constexpr std::chrono::milliseconds TokenTimeout{150};
-constexpr std::chrono::milliseconds StopCheckPeriod{50};
-/// After the last response of a graceful shutdown, connections are read for
-/// this long, so that a request that crosses their end is answered or certainly
-/// not processed.
-constexpr std::chrono::milliseconds LingerTime{150};
 
 /// Returns `NAME=RATE+BURST` for each workspace with a rate limit, for the log.
 std::string describeRates(const configuration &Config) {
@@ -105,7 +101,18 @@
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
         CallerServer(
             Loop, Settings.CallerEndpoint, {},
-            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer) {
+            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer),
+        Sequence({Loop, Clock, Shutdown,
+                  [this] { return activeCount() > 0 || !Pacer.isIdle(); },
+                  [this] {
+                    Dispatcher.endAll();
+                    Router.endAll();
+                  },
+                  [this] {
+                    logStop("stopped");
+                    this->Loop.stop();
+                  }}) {
+    Sequence.add(CallerServer);
     CallerServer.onUnanswered([this](const unanswered_request &Request) {
       reportUnanswered("callers", Request);
     });
@@ -281,47 +288,18 @@
   void beginStop() {
     if (Shutdown.hasBegun())
       return;
-    Shutdown.begin();
     logStop("stopping");
-    CallerServer.startClosing();
+    Sequence.begin();
     Dispatcher.onShutdownBegin();
-    StopTimer = Loop.every(StopCheckPeriod, [this] { checkStop(); });
   }
 
-  void checkStop() {
-    time_point Now = Clock.now();
-    bool IsOver = Shutdown.isOver();
-    if (!Shutdown.isDraining() && !IsOver)
-      return;
-    if (IsOver) {
-      Dispatcher.endAll();
-      Router.endAll();
-    }
-    bool HasResponded = hasResponded();
-    if (!ClosingSince && HasResponded) {
-      ClosingSince = Now;
-      CallerServer.finishClosing();
-      PeerServer.startClosing();
-    }
-    bool HasLingered =
-        HasResponded && ClosingSince && Now - *ClosingSince >= LingerTime;
-    if (!HasLingered && Now < Shutdown.end())
-      return;
-    logStop("stopped");
-    Loop.stop();
-  }
-
-  /// Whether no request is left and all responses are written.
-  bool hasResponded() const {
-    return Router.activeCount() + Dispatcher.activeCount() == 0 &&
-           !CallerServer.isWriting() && !PeerServer.isWriting() &&
-           Pacer.isIdle();
+  size_t activeCount() const {
+    return Router.activeCount() + Dispatcher.activeCount();
   }
 
   void logStop(const char *Message) const {
     writeLog(log_level::Info, Message,
-             {{"step", "stop"},
-              {"open", Router.activeCount() + Dispatcher.activeCount()}});
+             {{"step", "stop"}, {"open", activeCount()}});
   }
 
   event_loop &Loop;
@@ -346,10 +324,8 @@
   http_server AdminServer;
   http_server CallerServer;
   std::shared_ptr<const configuration> AppliedConfig;
-  /// When a graceful shutdown began to close the connections.
-  std::optional<time_point> ClosingSince;
+  shutdown_sequence Sequence;
   timer ReportTimer;
-  timer StopTimer;
 };
 
 daemon::daemon(event_loop &Loop, const settings &Settings,
--- /dev/null
+++ b/src/dragonflyvane/node/shutdown_sequence.cpp
@@ -0,0 +1,76 @@
+#include "dragonflyvane/node/shutdown_sequence.hpp"
+
+namespace dragonflyvane {
+
+namespace {
+
+constexpr std::chrono::milliseconds CheckPeriod{50};
+/// Callers close connections that the process has closed within a round trip.
+/// Those that do not are given up after this time.
+constexpr std::chrono::milliseconds LingerTime{500};
+
+} // namespace
+
+void shutdown_sequence::begin() {
+  if (Deps.Shutdown.hasBegun())
+    return;
+  Deps.Shutdown.begin();
+  for (stoppable_server *Server : Servers)
+    Server->startClosing();
+  CheckTimer = Deps.Loop.every(CheckPeriod, [this] { check(); });
+}
+
+void shutdown_sequence::check() {
+  bool IsOver = Deps.Shutdown.isOver();
+  if (!Deps.Shutdown.isDraining() && !IsOver)
+    return;
+  if (IsOver) {
+    Deps.EndWork();
+    for (stoppable_server *Server : Servers)
+      Server->refuseArriving();
+  }
+  advance();
+  if (!isDone() && Deps.Clock.now() < Deps.Shutdown.end())
+    return;
+  CheckTimer.cancel();
+  Deps.OnEnd();
+}
+
+void shutdown_sequence::advance() {
+  if (Step == step::Serving && !Deps.HasWork() && !activity().IsWriting) {
+    Step = step::AwaitingRequests;
+    for (stoppable_server *Server : Servers)
+      Server->stopAccepting();
+  }
+  if (Step == step::AwaitingRequests && !isBusy()) {
+    Step = step::Closing;
+    ClosingSince = Deps.Clock.now();
+    for (stoppable_server *Server : Servers)
+      Server->finishClosing();
+  }
+}
+
+bool shutdown_sequence::isDone() const {
+  if (!ClosingSince || isBusy())
+    return false;
+  return !activity().HasConnections ||
+         Deps.Clock.now() - *ClosingSince >= LingerTime;
+}
+
+server_activity shutdown_sequence::activity() const {
+  server_activity All;
+  for (const stoppable_server *Server : Servers) {
+    server_activity Activity = Server->activity();
+    All.IsReceiving |= Activity.IsReceiving;
+    All.IsWriting |= Activity.IsWriting;
+    All.HasConnections |= Activity.HasConnections;
+  }
+  return All;
+}
+
+bool shutdown_sequence::isBusy() const {
+  server_activity Activity = activity();
+  return Deps.HasWork() || Activity.IsReceiving || Activity.IsWriting;
+}
+
+} // namespace dragonflyvane
--- a/tests/process/slow_link.cpp
+++ b/tests/process/slow_link.cpp
@@ -11,6 +11,8 @@
 #include <array>
 #include <deque>
 #include <fcntl.h>
+#include <mutex>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -151,6 +153,11 @@
     return {Local.address().to_string(), Local.port()};
   }
 
+  bool hasRefused(uint16_t CallerPort) const {
+    std::lock_guard Lock(Mutex);
+    return RefusedPorts.contains(CallerPort);
+  }
+
 private:
   void accept() {
     Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
@@ -167,11 +174,21 @@
     Server->async_connect(Target,
                           [this, Caller, Server](const error_code &Error) {
                             if (Error)
-                              return reset(*Caller);
+                              return refuse(*Caller);
                             carry(Caller, Server);
                           });
   }
 
+  void refuse(tcp::socket &Caller) {
+    error_code Ignored;
+    uint16_t Port = Caller.remote_endpoint(Ignored).port();
+    {
+      std::lock_guard Lock(Mutex);
+      RefusedPorts.insert(Port);
+    }
+    reset(Caller);
+  }
+
   void carry(const socket_pointer &Caller, const socket_pointer &Server) const {
     error_code Ignored;
     Caller->set_option(tcp::no_delay(true), Ignored);
@@ -185,6 +202,8 @@
   link_direction FromTarget;
   boost::asio::io_context Io{1};
   tcp::acceptor Acceptor;
+  mutable std::mutex Mutex;
+  std::set<uint16_t> RefusedPorts;
   std::thread Thread;
 };
 
@@ -199,4 +218,8 @@
   return Implementation->localEndpoint();
 }
 
+bool slow_link::hasRefused(uint16_t CallerPort) const {
+  return Implementation->hasRefused(CallerPort);
+}
+
 } // namespace dragonflyvane
--- a/tests/process/slow_link.hpp
+++ b/tests/process/slow_link.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <cstdint>
 #include <memory>
 
 namespace dragonflyvane {
@@ -33,6 +34,9 @@
 
   /// The address at which the proxy accepts connections.
   endpoint localEndpoint() const;
+  /// Whether the target refused a connection from this port of a caller, which
+  /// a busy machine may reset late.
+  bool hasRefused(uint16_t CallerPort) const;
 
 private:
   class implementation;
--- a/tests/process/slow_link_test.cpp
+++ b/tests/process/slow_link_test.cpp
@@ -77,6 +77,7 @@
   Caller.send("GET / HTTP/1.1\r\n\r\n");
   CHECK(Caller.readAll() == "");
   CHECK(Caller.wasReset());
+  CHECK(!Link.hasRefused(Caller.localPort()));
   CHECK(timeSince(Start) >= milliseconds(40));
 }
 
@@ -86,4 +87,5 @@
   raw_connection Caller(Link.localEndpoint().Port);
   CHECK(Caller.readAll() == "");
   CHECK(Caller.wasReset());
+  CHECK(Link.hasRefused(Caller.localPort()));
 }
--- a/tests/raw_connection.cpp
+++ b/tests/raw_connection.cpp
@@ -1,8 +1,10 @@
 #include "raw_connection.hpp"
 
+#include <algorithm>
 #include <arpa/inet.h>
 #include <cerrno>
 #include <netinet/in.h>
+#include <poll.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -25,14 +27,17 @@
 
 } // namespace
 
-raw_connection::raw_connection(uint16_t Port)
-    : Socket(::socket(AF_INET, SOCK_STREAM, 0)) {
+raw_connection::raw_connection(const endpoint &Remote)
+    : Socket(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   setsockopt(Socket, SOL_SOCKET, SO_RCVTIMEO, &ReadTimeout,
              sizeof(ReadTimeout));
-  sockaddr_in Address = loopback(Port);
+  sockaddr_in Address = loopback(Remote.Port);
+  inet_pton(AF_INET, Remote.Address.c_str(), &Address.sin_addr);
   if (::connect(Socket, reinterpret_cast<sockaddr *>(&Address),
-                sizeof(Address)) != 0)
-    throw std::runtime_error("cannot connect to 127.0.0.1");
+                sizeof(Address)) == 0)
+    return;
+  close();
+  throw std::runtime_error("cannot connect to " + toString(Remote));
 }
 
 raw_connection::~raw_connection() { close(); }
@@ -43,6 +48,13 @@
   Socket = -1;
 }
 
+uint16_t raw_connection::localPort() const {
+  sockaddr_in Address{};
+  socklen_t Size = sizeof(Address);
+  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Size);
+  return ntohs(Address.sin_port);
+}
+
 void raw_connection::send(std::string_view Bytes) const {
   while (!Bytes.empty()) {
     ssize_t Sent = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
@@ -58,17 +70,27 @@
 
 std::string raw_connection::readUntil(std::string_view End) {
   std::string All;
-  char Buffer[4096];
   while (End.empty() || All.find(End) == std::string::npos) {
-    ssize_t Size = ::recv(Socket, Buffer, sizeof(Buffer), 0);
-    Reset = Size < 0 && errno == ECONNRESET;
-    if (Size <= 0)
+    std::string Bytes = readSome();
+    if (Bytes.empty())
       break;
-    All.append(Buffer, static_cast<size_t>(Size));
+    All += Bytes;
   }
   return All;
 }
 
+bool raw_connection::awaitInput(std::chrono::milliseconds Timeout) const {
+  pollfd Entry{Socket, POLLIN, 0};
+  return ::poll(&Entry, 1, static_cast<int>(Timeout.count())) > 0;
+}
+
+std::string raw_connection::readSome() {
+  char Buffer[4096];
+  ssize_t Size = ::recv(Socket, Buffer, sizeof(Buffer), 0);
+  Reset = Size < 0 && errno == ECONNRESET;
+  return {Buffer, static_cast<size_t>(std::max<ssize_t>(Size, 0))};
+}
+
 uint16_t freePort() {
   int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address = loopback(0);
--- a/tests/raw_connection.hpp
+++ b/tests/raw_connection.hpp
@@ -2,17 +2,23 @@
 #ifndef DRAGONFLYVANE_TESTS_RAW_CONNECTION_HPP
 #define DRAGONFLYVANE_TESTS_RAW_CONNECTION_HPP
 
+#include "dragonflyvane/core/endpoint.hpp"
+
+#include <chrono>
 #include <cstdint>
 #include <string>
 #include <string_view>
 
 namespace dragonflyvane {
 
-/// A connection to a port of 127.0.0.1.
+/// A connection to an IPv4 endpoint.
 class raw_connection {
 public:
   /// Throws `std::runtime_error` if the connection fails.
-  explicit raw_connection(uint16_t Port);
+  explicit raw_connection(const endpoint &Remote);
+  /// Connects to a port of 127.0.0.1.
+  explicit raw_connection(uint16_t Port)
+      : raw_connection(endpoint{"127.0.0.1", Port}) {}
   ~raw_connection();
   raw_connection(const raw_connection &) = delete;
   raw_connection &operator=(const raw_connection &) = delete;
@@ -20,6 +26,11 @@
   /// Sends all bytes, unless the other side closes the connection or sending
   /// fails.
   void send(std::string_view Bytes) const;
+  /// Returns whether bytes or the end of the connection arrive in time.
+  bool awaitInput(std::chrono::milliseconds Timeout) const;
+  /// Waits for bytes; empty if the other side closes the connection or sends
+  /// nothing for 20 s.
+  std::string readSome();
   /// Reads until the other side closes the connection or sends nothing for
   /// 20 s.
   std::string readAll();
@@ -30,6 +41,7 @@
   void endSending() const;
   /// Whether reading ended with a reset.
   bool wasReset() const { return Reset; }
+  uint16_t localPort() const;
   void close();
 
 private:
