Peers' requests that are arriving at a stop are awaited, and at its end certainly not run

Callers saw: the daemon that forwards a request is told "may have run" (502) when its peer stops while the body is on its way, although nothing was run, and a request that crosses the stop must be sent to another host.

Cause: a stream whose request has not ended was neither active nor being written, so a stop did not wait for it; GOAWAY's last stream id named it as processed, and the connection was cut. GOAWAY was sent once, with the last stream seen, so streams on their way were refused at once. Connections that waited to be accepted were reset with the listener.

The peer server now takes part in a graceful shutdown by steps (stoppable_server): it accepts what is established, sends the shutdown notice of HTTP/2 and then a PING, whose acknowledgement tells that all streams that crossed the notice have arrived (a peer that does not acknowledge within the timeout of PING is not awaited); requests in arrival are reported as such; at the end they are refused (REFUSED_STREAM: the caller's daemon may send them elsewhere); and the final GOAWAY is followed by a close for writing only, which takes no response from a peer that reads late.

The sequence of the shutdown takes the server of peers through all its steps.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -7,6 +7,7 @@
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
+#include <array>
 #include <charconv>
 
 namespace dragonflyvane {
@@ -28,6 +29,10 @@
 /// A connection on which nothing is received for this long after a PING is
 /// closed.
 constexpr std::chrono::milliseconds PingTimeout{500};
+/// The opaque data of the PING that follows a shutdown notice; others have
+/// zeros.
+constexpr std::array<uint8_t, 8> ShutdownPing{'s', 'h', 'u', 't',
+                                              'd', 'o', 'w', 'n'};
 
 std::string toLower(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
@@ -115,11 +120,12 @@
       });
   nghttp2_session_callbacks_set_on_frame_recv_callback(
       Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
-        bool EndsStream = (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
-        bool IsMessageFrame =
-            Frame->hd.type == NGHTTP2_HEADERS || Frame->hd.type == NGHTTP2_DATA;
-        if (EndsStream && IsMessageFrame)
-          self(User).onMessageEnd(Frame->hd.stream_id);
+        self(User).onFrameReceived(*Frame);
+        return 0;
+      });
+  nghttp2_session_callbacks_set_on_frame_send_callback(
+      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
+        self(User).onFrameSent(*Frame);
         return 0;
       });
   nghttp2_session_callbacks_set_on_stream_close_callback(
@@ -176,24 +182,69 @@
   }
 }
 
-bool peer_connection::isWriting() const {
+server_activity peer_connection::activity() const {
   if (!Open)
-    return false;
+    return {};
+  return {isReceiving(), isWriting(), true};
+}
+
+bool peer_connection::isReceiving() const {
+  return awaitsConfirmation() ||
+         std::any_of(Streams.begin(), Streams.end(), [](const auto &Entry) {
+           const stream &Stream = Entry.second;
+           return !Stream.IsRejected && !Stream.HasArrived;
+         });
+}
+
+bool peer_connection::isWriting() const {
   return Writing ||
          std::any_of(Streams.begin(), Streams.end(), [](const auto &Entry) {
            return Entry.second.IsResponding;
          });
 }
 
-void peer_connection::startClosing() {
-  if (!Open)
+bool peer_connection::awaitsConfirmation() const {
+  return ShutdownNotice == shutdown_notice::Submitted && !Finishing &&
+         Clock.now() - ShutdownNoticeAt <= PingTimeout;
+}
+
+void peer_connection::sendShutdownNotice() {
+  if (!Open || ShutdownNotice != shutdown_notice::None)
     return;
+  ShutdownNotice = shutdown_notice::Submitted;
+  ShutdownNoticeAt = Clock.now();
+  nghttp2_submit_shutdown_notice(Session);
+  flush();
+}
+
+void peer_connection::refuseArriving() {
+  for (auto &[Id, Stream] : Streams)
+    if (!Stream.IsRejected && !Stream.HasArrived)
+      reject(Id, Stream, NGHTTP2_REFUSED_STREAM);
+  flush();
+}
+
+void peer_connection::finishClosing() {
+  if (!Open || Finishing)
+    return;
+  Finishing = true;
+  refuseArriving();
   nghttp2_submit_goaway(Session, NGHTTP2_FLAG_NONE,
                         nghttp2_session_get_last_proc_stream_id(Session),
                         NGHTTP2_NO_ERROR, nullptr, 0);
   flush();
 }
 
+void peer_connection::endIfDone() {
+  if (!Finishing || !Streams.empty())
+    return;
+  // Closing for reading too could reset the connection, and take from the peer
+  // what it has not read yet.
+  ClosedForWriting = true;
+  boost::system::error_code Ignored;
+  Socket.shutdown(socket::shutdown_send, Ignored);
+}
+
 bool peer_connection::acceptsCalls() const {
   return Open && nghttp2_session_check_request_allowed(Session) != 0;
 }
@@ -235,7 +286,7 @@
 }
 
 void peer_connection::flush() {
-  if (Writing || Receiving || !Open)
+  if (Writing || Receiving || !Open || ClosedForWriting)
     return;
   WriteBuffer.clear();
   while (WriteBuffer.size() < WriteBatchSize) {
@@ -248,7 +299,7 @@
     WriteBuffer.append(reinterpret_cast<const char *>(Data), Size);
   }
   if (WriteBuffer.empty())
-    return;
+    return endIfDone();
   Writing = true;
   boost::asio::async_write(Socket, boost::asio::buffer(WriteBuffer),
                            [Self = shared_from_this()](auto Error, size_t) {
@@ -411,6 +462,33 @@
   flush();
 }
 
+void peer_connection::onFrameReceived(const nghttp2_frame &Frame) {
+  bool EndsStream = (Frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0;
+  switch (Frame.hd.type) {
+  case NGHTTP2_HEADERS:
+  case NGHTTP2_DATA:
+    if (EndsStream)
+      onMessageEnd(Frame.hd.stream_id);
+    break;
+  case NGHTTP2_PING:
+    if ((Frame.hd.flags & NGHTTP2_FLAG_ACK) != 0 &&
+        std::equal(ShutdownPing.begin(), ShutdownPing.end(),
+                   Frame.ping.opaque_data))
+      ShutdownNotice = shutdown_notice::Confirmed;
+    break;
+  default:
+    break;
+  }
+}
+
+void peer_connection::onFrameSent(const nghttp2_frame &Frame) {
+  // The PING must follow the notice, so that its acknowledgement tells that the
+  // peer has received the notice and all its streams have arrived.
+  if (Frame.hd.type == NGHTTP2_GOAWAY &&
+      ShutdownNotice == shutdown_notice::Submitted && !Finishing)
+    nghttp2_submit_ping(Session, NGHTTP2_FLAG_NONE, ShutdownPing.data());
+}
+
 void peer_connection::onHeader(stream_id Id, std::string Name,
                                std::string Value) {
   stream &Stream = openStream(Id);
@@ -434,20 +512,23 @@
   if (Found == Streams.end() || Found->second.IsRejected)
     return;
   stream &Stream = Found->second;
-  std::string &Body = Stream.Received;
-  size_t NewSize = Body.size() + Size;
+  size_t NewSize = Stream.Received.size() + Size;
   if (NewSize <= MaxBodyBytes && Stream.ReceivedShare.resize(NewSize)) {
-    Body.append(reinterpret_cast<const char *>(Data), Size);
+    Stream.Received.append(reinterpret_cast<const char *>(Data), Size);
     return;
   }
-  // Frees the memory at once; the stream ends later.
+  // A request that is refused has certainly not been processed.
+  reject(Id, Stream,
+         Role == peer_role::Server ? NGHTTP2_REFUSED_STREAM
+                                   : NGHTTP2_ENHANCE_YOUR_CALM);
+}
+
+void peer_connection::reject(stream_id Id, stream &Stream, uint32_t ErrorCode) {
   Stream.IsRejected = true;
-  Body = std::string();
+  // Frees the memory at once; the stream ends later.
+  Stream.Received = std::string();
   Stream.ReceivedShare = {};
-  // A request that is refused has certainly not been processed.
-  uint32_t Reason = Role == peer_role::Server ? NGHTTP2_REFUSED_STREAM
-                                              : NGHTTP2_ENHANCE_YOUR_CALM;
-  nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id, Reason);
+  nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id, ErrorCode);
 }
 
 void peer_connection::onMessageEnd(stream_id Id) {
@@ -455,6 +536,7 @@
   if (Found == Streams.end() || Found->second.IsRejected)
     return;
   stream &Stream = Found->second;
+  Stream.HasArrived = true;
   message_body Body(std::move(Stream.Received),
                     std::move(Stream.ReceivedShare));
   if (Role == peer_role::Client) {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -10,6 +10,7 @@
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/stoppable_server.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -55,10 +56,18 @@
   bool isOpen() const { return Open; }
   /// Whether no stream is open.
   bool isIdle() const { return Streams.empty(); }
-  /// Whether a response is not written completely.
-  bool isWriting() const;
-  /// Server: tells the peer that no further streams are processed.
-  void startClosing();
+  /// Server: what the streams are doing.
+  server_activity activity() const;
+  /// Server: asks the peer to open no more streams. Those that it opens before
+  /// it knows are served. Later calls have no effect.
+  void sendShutdownNotice();
+  /// Server: refuses the requests that have not arrived completely, which are
+  /// certainly not processed.
+  void refuseArriving();
+  /// Server: tells the peer that no further streams are processed, refuses the
+  /// requests that have not arrived completely, and closes the connection for
+  /// writing once no stream is open. Later calls have no effect.
+  void finishClosing();
   /// Client: whether the peer processes further streams.
   bool acceptsCalls() const;
   /// When bytes were last received; at first, when the object was created.
@@ -90,20 +99,34 @@
     /// What has been received of the body, and the memory that it takes.
     std::string Received;
     memory_share ReceivedShare;
+    /// Whether the message from the peer has arrived completely.
+    bool HasArrived = false;
     /// Whether the response was passed to the session.
     bool IsResponding = false;
-    /// Whether the stream is reset because its body is too large.
+    /// Whether this side resets the stream.
     bool IsRejected = false;
     outgoing_body Out;
     call_callback Callback;
     std::shared_ptr<class peer_exchange> Exchange;
   };
 
+  /// How far the peer knows that it must open no more streams.
+  enum class shutdown_notice { None, Submitted, Confirmed };
+
   void setUpSession();
+  void onFrameReceived(const nghttp2_frame &Frame);
+  void onFrameSent(const nghttp2_frame &Frame);
   void readMore();
   void readAvailable();
   void onRead(const uint8_t *Data, size_t Size);
   void flush();
+  /// Server: closes the connection for writing if it has served its purpose.
+  void endIfDone();
+  /// Whether streams may be on their way that the peer opened before it knew of
+  /// the shutdown.
+  bool awaitsConfirmation() const;
+  bool isReceiving() const;
+  bool isWriting() const;
   void setBody(outgoing_body &Out, const message_body &Body);
   /// Waits for the pacer's next turn, then resumes sending a deferred body.
   void awaitPiece(stream_id Id, outgoing_body &Body);
@@ -120,6 +143,8 @@
   void onData(stream_id Id, const uint8_t *Data, size_t Size);
   void onMessageEnd(stream_id Id);
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
+  /// Resets a stream before its message has arrived, and frees its memory.
+  void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
   void finishCall(stream &Stream, call_outcome Outcome,
                   const std::string &Error);
 
@@ -150,6 +175,11 @@
   bool LivenessCheckActive = false;
   bool PingPending = false;
   std::map<stream_id, stream> Streams;
+  shutdown_notice ShutdownNotice = shutdown_notice::None;
+  time_point ShutdownNoticeAt{};
+  /// Whether the connection ends once no stream is open.
+  bool Finishing = false;
+  bool ClosedForWriting = false;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <map>
+#include <utility>
 #include <vector>
 
 namespace dragonflyvane {
@@ -222,29 +223,41 @@
     accept();
   }
 
-  bool isWriting() const {
-    return std::any_of(Connections.begin(), Connections.end(),
-                       [](const auto &Weak) {
-                         auto Connection = Weak.lock();
-                         return Connection && Connection->isWriting();
-                       });
-  }
-
-  void startClosing() {
+  void stopAccepting() {
+    if (std::exchange(Stopping, true))
+      return;
+    acceptWaiting();
     boost::system::error_code Ignored;
     Acceptor.close(Ignored);
     AcceptRetryTimer.cancel();
-    for (auto &Weak : Connections)
-      if (auto Connection = Weak.lock())
-        Connection->startClosing();
+    forEachConnection([](auto &C) { C.sendShutdownNotice(); });
+  }
+
+  void refuseArriving() {
+    forEachConnection([](auto &C) { C.refuseArriving(); });
+  }
+
+  void finishClosing() {
+    stopAccepting();
+    Finishing = true;
+    forEachConnection([](auto &C) { C.finishClosing(); });
+  }
+
+  server_activity activity() const {
+    server_activity Total;
+    forEachConnection([&](const auto &C) {
+      server_activity Activity = C.activity();
+      Total.IsReceiving |= Activity.IsReceiving;
+      Total.IsWriting |= Activity.IsWriting;
+      Total.HasConnections |= Activity.HasConnections;
+    });
+    return Total;
   }
 
   void close() {
     boost::system::error_code Ignored;
     Acceptor.close(Ignored);
-    for (auto &Weak : Connections)
-      if (auto Connection = Weak.lock())
-        Connection->close("shutting down");
+    forEachConnection([](auto &C) { C.close("server closed"); });
   }
 
 private:
@@ -256,6 +269,8 @@
             return;
           if (!Error)
             Self->addConnection(std::move(Socket));
+          if (Self->Stopping)
+            return;
           if (!Error)
             return Self->accept();
           Self->AcceptRetryTimer = Self->Loop.after(
@@ -263,6 +278,19 @@
         });
   }
 
+  /// Accepts the connections that are established already, which closing the
+  /// acceptor would reset.
+  void acceptWaiting() {
+    boost::system::error_code Error;
+    Acceptor.non_blocking(true, Error);
+    while (!Error) {
+      tcp::socket Socket(Loop.internals().Io);
+      Acceptor.accept(Socket, Error);
+      if (!Error)
+        addConnection(std::move(Socket));
+    }
+  }
+
   void addConnection(tcp::socket Socket) {
     auto Connection = std::make_shared<peer_connection>(
         std::move(Socket), peer_role::Server, MaxBodyBytes, Loop.bodyMemory(),
@@ -270,6 +298,17 @@
     std::erase_if(Connections, [](const auto &Weak) { return Weak.expired(); });
     Connections.push_back(Connection);
     Connection->start();
+    if (Stopping)
+      Connection->sendShutdownNotice();
+    if (Finishing)
+      Connection->finishClosing();
+  }
+
+  template <typename Function>
+  void forEachConnection(const Function &Visit) const {
+    for (const auto &Weak : Connections)
+      if (auto Connection = Weak.lock())
+        Visit(*Connection);
   }
 
   event_loop &Loop;
@@ -278,6 +317,9 @@
   size_t MaxBodyBytes;
   http_handler Handler;
   bulk_pacer *Pacer;
+  /// Whether no more connections are accepted.
+  bool Stopping = false;
+  bool Finishing = false;
   std::vector<std::weak_ptr<peer_connection>> Connections;
 };
 
@@ -295,8 +337,14 @@
 
 peer_server::~peer_server() { Implementation->close(); }
 
-bool peer_server::isWriting() const { return Implementation->isWriting(); }
+void peer_server::stopAccepting() { Implementation->stopAccepting(); }
+
+void peer_server::refuseArriving() { Implementation->refuseArriving(); }
 
-void peer_server::startClosing() { Implementation->startClosing(); }
+void peer_server::finishClosing() { Implementation->finishClosing(); }
+
+server_activity peer_server::activity() const {
+  return Implementation->activity();
+}
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -8,6 +8,7 @@
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/stoppable_server.hpp"
 
 #include <memory>
 
@@ -44,7 +45,7 @@
 
 /// Accepts connections of other daemons. Used on the event loop's thread, on
 /// which it also calls the handler.
-class peer_server {
+class peer_server final : public stoppable_server {
 public:
   /// Listens at once. The stream of a request whose body exceeds `MaxBodyBytes`
   /// is reset. With a pacer, large responses are sent in pieces. Throws
@@ -52,15 +53,19 @@
   peer_server(event_loop &Loop, const endpoint &Listen, size_t MaxBodyBytes,
               http_handler Handler, bulk_pacer *Pacer = nullptr);
   /// Closes the listening socket and all connections.
-  ~peer_server();
+  ~peer_server() override;
   peer_server(const peer_server &) = delete;
   peer_server &operator=(const peer_server &) = delete;
 
-  /// Whether a response is not written completely.
-  bool isWriting() const;
-  /// Accepts no more connections, and tells the peers that requests which
-  /// arrive from now on are not processed.
-  void startClosing();
+  /// Has no effect: peers are told when no more connections are accepted.
+  void startClosing() override {}
+  /// Also asks the peers to begin no more requests on their connections. Those
+  /// that are on their way already are served.
+  void stopAccepting() override;
+  void refuseArriving() override;
+  /// Also tells the peers which requests are certainly not processed.
+  void finishClosing() override;
+  server_activity activity() const override;
 
 private:
   class implementation;
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -32,6 +32,22 @@
   return Result;
 }
 
+/// Runs the loop until a condition holds; fails the test after 10 s.
+template <typename Predicate>
+void runUntil(event_loop &Loop, const Predicate &Condition) {
+  bool TimedOut = false;
+  timer Check = Loop.every(std::chrono::milliseconds(1), [&] {
+    if (Condition())
+      Loop.stop();
+  });
+  timer Limit = Loop.after(std::chrono::seconds(10), [&] {
+    TimedOut = true;
+    Loop.stop();
+  });
+  Loop.run();
+  REQUIRE(!TimedOut);
+}
+
 http_request makeRequest(const std::string &Method, std::string Body) {
   http_request Request;
   Request.Method = Method;
@@ -238,6 +254,12 @@
 
 namespace {
 
+constexpr char DataFrame = 0;
+constexpr char HeadersFrame = 1;
+constexpr char SettingsFrame = 4;
+constexpr char EndStreamFlag = 1;
+constexpr char EndHeadersFlag = 4;
+
 /// A frame of HTTP/2 for the first stream of a client, or for the connection.
 std::string makeFrame(char Type, char Flags, char Stream,
                       const std::string &Payload) {
@@ -255,16 +277,12 @@
 // of the caller: after each byte that a peer sends, with a close and with a
 // reset.
 TEST_CASE("a response of a peer that is cut off is not whole") {
-  constexpr char Data = 0;
-  constexpr char Headers = 1;
-  constexpr char Settings = 4;
-  constexpr char EndStream = 1;
-  constexpr char EndHeaders = 4;
   const std::string StatusOk = "\x88";
-  const std::string Whole = makeFrame(Settings, 0, 0, "") +
-                            makeFrame(Headers, EndHeaders, 1, StatusOk) +
-                            makeFrame(Data, 0, 1, "wh") +
-                            makeFrame(Data, EndStream, 1, "ole");
+  const std::string Whole =
+      makeFrame(SettingsFrame, 0, 0, "") +
+      makeFrame(HeadersFrame, EndHeadersFlag, 1, StatusOk) +
+      makeFrame(DataFrame, 0, 1, "wh") +
+      makeFrame(DataFrame, EndStreamFlag, 1, "ole");
   auto Call = [&](size_t Size, bool WithReset) {
     scripted_server Server([&](scripted_connection &Connection) {
       Connection.readRequest();
@@ -302,7 +320,8 @@
   peer_client Client(Loop, MaxBodyBytes);
   CHECK(callAndWait(Loop, Client, Listen, makeRequest("POST", "x"), LongTimeout)
             .Outcome == call_outcome::Completed);
-  Server.startClosing();
+  Server.stopAccepting();
+  Server.finishClosing();
   // The client does not know yet.
   CHECK(callAndWait(Loop, Client, Listen, makeRequest("POST", "x"), LongTimeout)
             .Outcome == call_outcome::NotSent);
@@ -323,17 +342,156 @@
         http_response Response;
         Response.Body = std::string(3'000'000, 'x');
         Exchange->respond(Response);
-        WasWriting = Server->isWriting();
+        WasWriting = Server->activity().IsWriting;
       });
   peer_client Client(Loop, MaxBodyBytes);
-  CHECK(!Server->isWriting());
+  CHECK(!Server->activity().IsWriting);
   CHECK(callAndWait(Loop, Client, Listen, makeRequest("GET", ""), LongTimeout)
             .Outcome == call_outcome::Completed);
   CHECK(WasWriting);
   timer Check = Loop.every(std::chrono::milliseconds(1), [&] {
-    if (!Server->isWriting())
+    if (!Server->activity().IsWriting)
       Loop.stop();
   });
   Loop.run();
-  CHECK(!Server->isWriting());
+  CHECK(!Server->activity().IsWriting);
+}
+
+namespace {
+
+/// What a client sends first.
+std::string makePreface() {
+  return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+         makeFrame(SettingsFrame, 0, 0, "");
+}
+
+/// The header fields `POST / http` of a request on the first stream, whose body
+/// follows.
+std::string makeHeaders() {
+  return makeFrame(HeadersFrame, EndHeadersFlag, 1, "\x83\x84\x86");
+}
+
+/// A peer server that counts its requests, and responds to them at once or
+/// keeps them.
+struct counting_server {
+  explicit counting_server(bool Responds = true)
+      : Listen{"127.0.0.1", freePort()},
+        Server(std::make_unique<peer_server>(
+            Loop, Listen, MaxBodyBytes,
+            [this, Responds](const exchange_pointer &Exchange) {
+              ++Handled;
+              if (Responds)
+                return Exchange->respond({200, {}, "done"});
+              Held = Exchange;
+            })) {}
+
+  call_result call(peer_client &Client, std::string Body) {
+    return callAndWait(Loop, Client, Listen,
+                       makeRequest("POST", std::move(Body)), LongTimeout);
+  }
+
+  event_loop Loop;
+  endpoint Listen;
+  int Handled = 0;
+  exchange_pointer Held;
+  std::unique_ptr<peer_server> Server;
+};
+
+} // namespace
+
+// Guards against a daemon that ends while the body of a peer's request is on
+// its way.
+TEST_CASE("a peer server is receiving until a request has arrived") {
+  counting_server Setup(false);
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface() + makeHeaders());
+  runUntil(Setup.Loop, [&] { return Setup.Server->activity().IsReceiving; });
+  Peer.send(makeFrame(DataFrame, 0, 1, "or"));
+  Setup.Loop.post([&] { Setup.Loop.stop(); });
+  Setup.Loop.run();
+  CHECK(Setup.Server->activity().IsReceiving);
+  CHECK(Setup.Handled == 0);
+  Peer.send(makeFrame(DataFrame, EndStreamFlag, 1, "der"));
+  runUntil(Setup.Loop, [&] { return Setup.Handled == 1; });
+  CHECK(!Setup.Server->activity().IsReceiving);
+  CHECK(Setup.Held->request().Body == "order");
+}
+
+// Guards against a caller who is told that its request may have run, although
+// the peer ended before it had arrived.
+TEST_CASE("a request that has not arrived is certainly not processed by a peer "
+          "that ends") {
+  counting_server Setup;
+  peer_client Client(Setup.Loop, MaxBodyBytes);
+  std::function<void()> RefuseOnceArriving = [&] {
+    if (!Setup.Server->activity().IsReceiving)
+      return Setup.Loop.post(RefuseOnceArriving);
+    Setup.Server->stopAccepting();
+    Setup.Server->refuseArriving();
+    Setup.Server->finishClosing();
+  };
+  Setup.Loop.post(RefuseOnceArriving);
+  CHECK(Setup.call(Client, std::string(6'000'000, 'x')).Outcome ==
+        call_outcome::NotSent);
+  CHECK(Setup.Handled == 0);
+}
+
+// Guards against requests that peers send before they know of the stop, and
+// which they must send to another host.
+TEST_CASE("a request that crosses the shutdown notice of a peer is served") {
+  counting_server Setup;
+  peer_client Client(Setup.Loop, MaxBodyBytes);
+  REQUIRE(Setup.call(Client, "x").Outcome == call_outcome::Completed);
+  Setup.Server->startClosing();
+  CHECK(Setup.call(Client, "x").Outcome == call_outcome::Completed);
+  Setup.Server->stopAccepting();
+  // The request may be on its way, since the peer does not know yet.
+  CHECK(Setup.Server->activity().IsReceiving);
+  CHECK(Setup.call(Client, "x").Outcome == call_outcome::Completed);
+  CHECK(Setup.Handled == 3);
+  runUntil(Setup.Loop, [&] { return !Setup.Server->activity().IsReceiving; });
+  CHECK(Setup.call(Client, "x").Error == "cannot connect");
+}
+
+// Guards against a reset of connections that wait to be accepted when a daemon
+// stops to listen.
+TEST_CASE("a peer server that stops accepting serves connections that are "
+          "established") {
+  counting_server Setup;
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface() + makeHeaders() +
+            makeFrame(DataFrame, EndStreamFlag, 1, "x"));
+  Setup.Server->stopAccepting();
+  runUntil(Setup.Loop, [&] { return Setup.Handled == 1; });
+  CHECK(!Peer.readUntil("done").empty());
+}
+
+// Guards against a stop that waits for a peer that is gone or does not run.
+TEST_CASE("a peer that does not confirm the shutdown notice is not awaited") {
+  counting_server Setup;
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface());
+  Setup.Server->stopAccepting();
+  CHECK(Setup.Server->activity().IsReceiving);
+  runUntil(Setup.Loop, [&] { return !Setup.Server->activity().IsReceiving; });
+  CHECK(Setup.Server->activity().HasConnections);
+}
+
+// Guards against a reset that takes a response from a peer which has not read
+// it, and against peers that send to a process which ends.
+TEST_CASE("a peer server that finishes closing closes its idle connections for "
+          "writing") {
+  counting_server Setup;
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface() + makeHeaders() +
+            makeFrame(DataFrame, EndStreamFlag, 1, "x"));
+  runUntil(Setup.Loop, [&] { return Setup.Handled == 1; });
+  Setup.Server->finishClosing();
+  runUntil(Setup.Loop, [&] { return !Setup.Server->activity().IsWriting; });
+  Peer.send(makeFrame(DataFrame, 0, 1, "late"));
+  CHECK(Peer.readAll().find("done") != std::string::npos);
+  CHECK(Setup.Server->activity().HasConnections);
+  Peer.close();
+  runUntil(Setup.Loop,
+           [&] { return !Setup.Server->activity().HasConnections; });
 }
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -113,6 +113,7 @@
                     this->Loop.stop();
                   }}) {
     Sequence.add(CallerServer);
+    Sequence.add(PeerServer);
     CallerServer.onUnanswered([this](const unanswered_request &Request) {
       reportUnanswered("callers", Request);
     });
