Send no request on a connection that the server has already closed

What callers saw: a safe request was answered 502 `connection-lost` at once. The backend server had closed the kept connection after its idle timeout; the log says "End of file, took 0 ms". Unsafe requests end the same way, and nobody may send those again.

Cause: the pending read of an idle connection reports a close only when the event loop runs. A loop that is busy, as after a start, takes the connection out of the pool first, writes the request to a socket whose end of file has already arrived, and then finds it. The request counts as sent, so it may have run.

It was not sent once more because the retry budget of a process is empty at its start: it earns a retry with about 15 requests for the service, or with time. Giving each start a retry was weighed and left out: when all hosts of a large cluster start at the same moment, those retries alone reach the cluster's bound, and a process that restarts again and again would be given one each time. A larger allowance would also not have helped unsafe requests.

Change: before a connection is reused, one byte is peeked at. A connection with an end of file, an error or bytes that belong to no call is closed instead, and the next one or a new one takes its place. Nothing has been sent by then, so this is neither a retry nor a second attempt, and it holds for unsafe requests too. Bytes that wait after a response are no longer taken for the response to the next request either.

A request that crosses the close on its way is as before: a safe one goes to another host within the route's attempts and the retry budget, an unsafe one is not sent again, since it may have run.

Evidence: both tests failed before, the first with `ConnectionLost` for a close and for a reset on one connection, the second with the body of the late bytes; they pass now, eight times in a row, and so do the other tests of the library.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -88,10 +88,14 @@
   };
 
   /// Takes the most recently used idle connection from the pool. Closes it and
-  /// tries the next one if it was idle for `MaxIdle` or longer; returns null if
-  /// none is left.
+  /// tries the next one if it cannot be reused; returns null if none is left.
   connection_pointer takeIdle(const endpoint &Remote,
                               const call_options &Options);
+  /// Whether an idle connection is open and was not idle for too long.
+  bool isReusable(connection &C, const call_options &Options) const;
+  /// Whether the server has neither closed the connection nor sent bytes that
+  /// are not read yet.
+  static bool isQuiet(connection &C);
   void closeOldestIdle(const endpoint &Remote);
   void connect(const connection_pointer &C);
   void onConnected(const connection_pointer &C,
@@ -167,17 +171,29 @@
 http_client::implementation::takeIdle(const endpoint &Remote,
                                       const call_options &Options) {
   auto Found = IdleConnections.find(Remote);
-  time_point Now = Clock.now();
   while (Found != IdleConnections.end() && !Found->second.empty()) {
     connection_pointer C = Found->second.back();
     Found->second.pop_back();
-    if (!C->Closed && Now - C->IdleSince < Options.MaxIdle)
+    if (isReusable(*C, Options))
       return C;
     close(*C);
   }
   return nullptr;
 }
 
+bool http_client::implementation::isReusable(
+    connection &C, const call_options &Options) const {
+  return !C.Closed && Clock.now() - C.IdleSince < Options.MaxIdle && isQuiet(C);
+}
+
+bool http_client::implementation::isQuiet(connection &C) {
+  // The pending read notices a close only when the event loop runs again.
+  std::array<char, 1> Byte{};
+  boost::system::error_code Error;
+  C.Socket.receive(boost::asio::buffer(Byte), tcp::socket::message_peek, Error);
+  return Error == boost::asio::error::would_block;
+}
+
 void http_client::implementation::closeOldestIdle(const endpoint &Remote) {
   auto Found = IdleConnections.find(Remote);
   if (Found == IdleConnections.end() || Found->second.empty())
@@ -206,6 +222,7 @@
   }
   boost::system::error_code Ignored;
   C->Socket.set_option(tcp::no_delay(true), Ignored);
+  C->Socket.non_blocking(true, Ignored);
   setTimer(C, C->Options.Timeout);
   write(C);
   if (!C->Closed)
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <atomic>
+#include <thread>
+
 using namespace dragonflyvane;
 
 namespace {
@@ -163,3 +166,59 @@
   CHECK(callCutOff("HTTP/1.1 100 Continue\r\n\r\n", 0, false).Outcome ==
         call_outcome::ConnectionLost);
 }
+
+// Guards against a request that is lost though it need not be: a server closes
+// an idle connection while the event loop is busy, and the request is sent on
+// it before the loop has noticed (incident LOST). An unsafe request must not be
+// sent again after that.
+TEST_CASE("a request is not sent on a connection that the server has closed") {
+  for (bool WithReset : {false, true}) {
+    CAPTURE(WithReset);
+    std::atomic<bool> MayClose{false};
+    scripted_server Server([&](scripted_connection &Connection) {
+      Connection.readRequest();
+      Connection.send(WholeResponse);
+      if (Connection.number() > 0) {
+        Connection.readRest();
+        return;
+      }
+      while (!MayClose)
+        std::this_thread::yield();
+      if (WithReset)
+        Connection.resetOnClose();
+    });
+    event_loop Loop;
+    http_client Client(Loop);
+    CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "ok");
+    // The loop does not run, so that it cannot notice the close.
+    MayClose = true;
+    std::this_thread::sleep_for(std::chrono::milliseconds(100));
+    call_result Result = callAndWait(Loop, Client, Server.port(), "POST");
+    CHECK(Result.Outcome == call_outcome::Completed);
+    CHECK(Server.connections() == 2);
+  }
+}
+
+// Guards against the same for bytes outside a response, which would be taken
+// for the response to the next request.
+TEST_CASE("a connection on which bytes wait after a response is not used "
+          "again") {
+  std::atomic<bool> HasSent{false};
+  scripted_server Server([&](scripted_connection &Connection) {
+    Connection.readRequest();
+    Connection.send(WholeResponse);
+    if (Connection.number() == 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(100));
+      Connection.send("HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nlate");
+      HasSent = true;
+    }
+    Connection.readRest();
+  });
+  event_loop Loop;
+  http_client Client(Loop);
+  CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "ok");
+  while (!HasSent)
+    std::this_thread::yield();
+  std::this_thread::sleep_for(std::chrono::milliseconds(20));
+  CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "ok");
+}
