Reuse an idle connection no longer than the server says

The dispatcher reused connections that were idle for up to 4 s, while servers close them after 1 s or so, and the `Keep-Alive` field in which a server states its timeout was not read.

Change: the client keeps the `timeout` of the last response on a connection and reuses the connection only until half a second before it. The field counts whole seconds, so that a stated second still leaves half a second of reuse; a server that states none is as before. A malformed or missing value changes nothing. The limit holds for every user of the client, backend servers and the store alike.

The margin covers a request that is under way, and a response that the loop has read late; a loop that is held up for longer finds the close in the socket.

Evidence: the test failed before for the three examples with a shorter timeout (a connection idle for 0.7 s of a stated second, twice, and one with timeout 0) and passes now; the other tests of the library pass.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -35,6 +35,9 @@
 /// The parser takes bytes of a body at once, but a chunk's size line and a
 /// trailer only as a whole.
 constexpr size_t MaxUnparsedBytes = MaxHeaderBytes + ReadSize;
+/// A connection is reused only until this long before the server closes it, so
+/// that no request crosses the close.
+constexpr std::chrono::milliseconds KeepAliveMargin{500};
 
 } // namespace
 
@@ -76,6 +79,9 @@
     /// Whether a response has arrived on the connection.
     bool HasResponded = false;
     time_point IdleSince{};
+    /// The time for which the server keeps the connection open while it is
+    /// idle, if its last response says so.
+    std::optional<std::chrono::seconds> KeepAliveTimeout;
     /// The time at which `Timer` ends the call.
     time_point Deadline{};
     /// The request. Changes only while `IsWriting` is false.
@@ -91,7 +97,8 @@
   /// tries the next one if it cannot be reused; returns null if none is left.
   connection_pointer takeIdle(const endpoint &Remote,
                               const call_options &Options);
-  /// Whether an idle connection is open and was not idle for too long.
+  /// Whether an idle connection is open, and stays so until a request that is
+  /// sent now has arrived.
   bool isReusable(connection &C, const call_options &Options) const;
   /// Whether the server has neither closed the connection nor sent bytes that
   /// are not read yet.
@@ -183,7 +190,11 @@
 
 bool http_client::implementation::isReusable(
     connection &C, const call_options &Options) const {
-  return !C.Closed && Clock.now() - C.IdleSince < Options.MaxIdle && isQuiet(C);
+  duration MaxIdle = Options.MaxIdle;
+  if (C.KeepAliveTimeout)
+    MaxIdle =
+        std::min<duration>(MaxIdle, *C.KeepAliveTimeout - KeepAliveMargin);
+  return !C.Closed && Clock.now() - C.IdleSince < MaxIdle && isQuiet(C);
 }
 
 bool http_client::implementation::isQuiet(connection &C) {
@@ -318,6 +329,7 @@
   bool KeepAlive = Message.keep_alive();
   if (Result.Response.Status < 200)
     return resetParser(*C);
+  C->KeepAliveTimeout = keepAliveTimeout(Result.Response.Headers);
   response_match Match = matchOf(*C, Result.Response);
   if (Match != response_match::Matches)
     return skipResponse(C, Match, KeepAlive);
--- a/src/dragonflyvane/net/http_client.hpp
+++ b/src/dragonflyvane/net/http_client.hpp
@@ -33,7 +33,8 @@
   std::chrono::milliseconds Timeout{10'000};
   /// Time to open a connection, at most `Timeout`.
   std::chrono::milliseconds ConnectTimeout{500};
-  /// An idle connection is reused only if it was idle for less than this. One on
+  /// An idle connection is reused only if it was idle for less than this, and
+  /// clearly less than the `Keep-Alive` timeout that the server stated. One on
   /// which the server has closed its side, or has sent bytes, is never reused.
   std::chrono::milliseconds MaxIdle{4000};
   /// Whether a connection may be opened. If not, and if there is no idle one,
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -167,6 +167,22 @@
         call_outcome::ConnectionLost);
 }
 
+namespace {
+
+/// Responds to each request with the number of its connection, and with the
+/// fields of `Headers`.
+scripted_server::script respondWithNumber(const std::string &Headers) {
+  return [=](scripted_connection &Connection) {
+    std::string Head = "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n";
+    Head.append(Headers).append("\r\n");
+    std::string Body = std::to_string(Connection.number());
+    while (!Connection.readRequest().empty())
+      Connection.send(Head + Body);
+  };
+}
+
+} // namespace
+
 // Guards against a request that is lost though it need not be: a server closes
 // an idle connection while the event loop is busy, and the request is sent on
 // it before the loop has noticed (incident LOST). An unsafe request must not be
@@ -222,3 +238,35 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(20));
   CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "ok");
 }
+
+// Guards against a request that crosses the close of its connection, because
+// the server keeps idle connections for a shorter time than the client assumes
+// (incident LOST).
+TEST_CASE("an idle connection is used no longer than the server says") {
+  struct example {
+    const char *Headers;
+    std::chrono::milliseconds Pause;
+    bool IsReused;
+  };
+  const example Examples[] = {
+      {"Keep-Alive: timeout=1\r\n", std::chrono::milliseconds(0), true},
+      {"Keep-Alive: timeout=1\r\n", std::chrono::milliseconds(700), false},
+      {"keep-alive: max=9, Timeout=1\r\n", std::chrono::milliseconds(700),
+       false},
+      {"Keep-Alive: timeout=0\r\n", std::chrono::milliseconds(0), false},
+      {"Keep-Alive: timeout=2\r\n", std::chrono::milliseconds(700), true},
+      {"Keep-Alive: timeout=x\r\n", std::chrono::milliseconds(700), true},
+      {"", std::chrono::milliseconds(700), true},
+  };
+  for (const example &Example : Examples) {
+    CAPTURE(Example.Headers);
+    CAPTURE(Example.Pause.count());
+    scripted_server Server(respondWithNumber(Example.Headers));
+    event_loop Loop;
+    http_client Client(Loop);
+    CHECK(callAndWait(Loop, Client, Server.port()).Response.Body == "0");
+    std::this_thread::sleep_for(Example.Pause);
+    call_result Next = callAndWait(Loop, Client, Server.port());
+    CHECK(Next.Response.Body.text() == (Example.IsReused ? "0" : "1"));
+  }
+}
--- a/src/dragonflyvane/net/http_wire.cpp
+++ b/src/dragonflyvane/net/http_wire.cpp
@@ -2,6 +2,11 @@
 
 #include <boost/beast/http/status.hpp>
 
+#include <algorithm>
+#include <charconv>
+#include <cstdint>
+#include <string_view>
+
 namespace dragonflyvane {
 
 namespace {
@@ -31,6 +36,23 @@
           Request.Method == "DELETE" || Request.Method == "OPTIONS");
 }
 
+std::string_view trim(std::string_view Text) {
+  constexpr std::string_view Blanks = " \t";
+  size_t First = Text.find_first_not_of(Blanks);
+  if (First == std::string_view::npos)
+    return {};
+  return Text.substr(First, Text.find_last_not_of(Blanks) - First + 1);
+}
+
+std::optional<std::chrono::seconds> toSeconds(std::string_view Text) {
+  uint32_t Value = 0;
+  const char *End = Text.data() + Text.size();
+  auto Read = std::from_chars(Text.data(), End, Value);
+  if (Read.ec != std::errc() || Read.ptr != End)
+    return std::nullopt;
+  return std::chrono::seconds(Value);
+}
+
 } // namespace
 
 std::string encodeHead(const http_response &Response, bool KeepAlive,
@@ -59,6 +81,21 @@
   return Head;
 }
 
+std::optional<std::chrono::seconds>
+keepAliveTimeout(const header_list &Headers) {
+  std::string Field = Headers.find("keep-alive").value_or("");
+  std::string_view Rest = Field;
+  while (!Rest.empty()) {
+    std::string_view Parameter = Rest.substr(0, Rest.find(','));
+    Rest.remove_prefix(std::min(Rest.size(), Parameter.size() + 1));
+    size_t Equals = Parameter.find('=');
+    if (Equals != std::string_view::npos &&
+        equalNames(trim(Parameter.substr(0, Equals)), "timeout"))
+      return toSeconds(trim(Parameter.substr(Equals + 1)));
+  }
+  return std::nullopt;
+}
+
 header_list toHeaders(const boost::beast::http::fields &Fields) {
   header_list Headers;
   for (const auto &Field : Fields) {
--- a/src/dragonflyvane/net/http_wire.hpp
+++ b/src/dragonflyvane/net/http_wire.hpp
@@ -9,6 +9,8 @@
 
 #include <boost/beast/http/fields.hpp>
 
+#include <chrono>
+#include <optional>
 #include <string>
 
 namespace dragonflyvane {
@@ -25,6 +27,11 @@
 std::string encodeHead(const http_request &Request);
 /// Copies the header fields of a parsed message.
 header_list toHeaders(const boost::beast::http::fields &Fields);
+/// Returns the parameter `timeout` of `Keep-Alive`: the time for which the
+/// sender keeps the connection open while it is idle. Returns nothing if the
+/// parameter is missing or malformed.
+std::optional<std::chrono::seconds>
+keepAliveTimeout(const header_list &Headers);
 
 } // namespace dragonflyvane
 
