Test: a host that has just started has earned no retry

Not a fault: it shows why a safe request that failed 0.2 s after the start of its daemon was not sent again, though its route allowed a second attempt. With a ratio of 0.2 the first retry is earned by the 16th request for a service.

--- a/src/dragonflyvane/core/admission/retry_budget_test.cpp
+++ b/src/dragonflyvane/core/admission/retry_budget_test.cpp
@@ -43,3 +43,17 @@
   CHECK(Budget.take(Clock.now()));
   CHECK(!Budget.take(Clock.now()));
 }
+
+// Guards against a process that restarts again and again, and is given a retry
+// each time.
+TEST_CASE("a host that has just started has earned no retry") {
+  manual_clock Clock;
+  retry_budget Budget({0.2, 10, std::chrono::seconds(10)}, 6, Clock.now());
+  Budget.onRequest();
+  Clock.advance(std::chrono::milliseconds(200));
+  CHECK(!Budget.take(Clock.now()));
+  for (int I = 0; I < 15; ++I)
+    Budget.onRequest();
+  CHECK(Budget.take(Clock.now()));
+  CHECK(!Budget.take(Clock.now()));
+}
