A daemon closes its connection to a peer that stops, once its calls have ended

The client now closes a connection that takes no more calls when no stream is open and all frames are written.

Result: the new test fails with the close taken out ("a peer client closes a connection that takes no more calls, once it has no calls left").

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -236,7 +236,14 @@
 }
 
 void peer_connection::endIfDone() {
-  if (!Finishing || !Streams.empty())
+  if (!Streams.empty())
+    return;
+  if (Role == peer_role::Client) {
+    if (!acceptsCalls())
+      close("peer accepts no more calls");
+    return;
+  }
+  if (!Finishing)
     return;
   // Closing for reading too could reset the connection, and take from the peer
   // what it has not read yet.
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -27,7 +27,8 @@
 
 /// A connection with its streams. While streams are open and nothing is
 /// received, it checks the peer with an HTTP/2 PING, and is closed if nothing
-/// is received within a timeout after that.
+/// is received within a timeout after that. A client closes it when the peer
+/// accepts no more streams and none is open.
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
   using socket = boost::asio::ip::tcp::socket;
@@ -120,7 +121,8 @@
   void readAvailable();
   void onRead(const uint8_t *Data, size_t Size);
   void flush();
-  /// Server: closes the connection for writing if it has served its purpose.
+  /// Closes the connection if it has served its purpose: on the client side for
+  /// reading and writing, on the server side for writing.
   void endIfDone();
   /// Whether streams may be on their way that the peer opened before it knew of
   /// the shutdown.
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -16,7 +16,7 @@
 
 /// Calls other daemons. The connection to a peer is opened by the first call to
 /// it, and replaced by the next call after it closed or the peer began to close
-/// it. Never retries a request.
+/// it; then it closes once its calls have ended. Never retries a request.
 /// Used on the event loop's thread, on which it also calls back.
 class peer_client {
 public:
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -477,6 +477,29 @@
   CHECK(Setup.Server->activity().HasConnections);
 }
 
+// Guards against a process that has to wait at its end, since its peers keep
+// connections of no use.
+TEST_CASE("a peer client closes a connection that takes no more calls, once it "
+          "has no calls left") {
+  counting_server Setup(false);
+  peer_client Client(Setup.Loop, MaxBodyBytes);
+  call_result Result;
+  Client.send(Setup.Listen, makeRequest("POST", "x"), LongTimeout,
+              [&](call_result Ended) {
+                Result = std::move(Ended);
+                Setup.Loop.stop();
+              });
+  runUntil(Setup.Loop, [&] { return Setup.Handled == 1; });
+  Setup.Server->stopAccepting();
+  runUntil(Setup.Loop, [&] { return !Setup.Server->activity().IsReceiving; });
+  CHECK(Setup.Server->activity().HasConnections);
+  Setup.Held->respond({200, {}, "late"});
+  Setup.Loop.run();
+  CHECK(Result.Response.Body == "late");
+  runUntil(Setup.Loop,
+           [&] { return !Setup.Server->activity().HasConnections; });
+}
+
 // Guards against a reset that takes a response from a peer which has not read
 // it, and against peers that send to a process which ends.
 TEST_CASE("a peer server that finishes closing closes its idle connections for "
