The peer server reports requests that end unanswered

The server for callers reports each connection that ends with a request unanswered; streams of peers ended without a trace.

Each stream that ends with its request incomplete, unserved or its response not written is reported once, with phase, header fields (those of the response once there is one), bytes and reason: "cancelled by the peer", "server closed", or why the connection was lost. Requests that the server refuses (REFUSED_STREAM) are answered and not reported. A stream whose response has been passed to the socket counts until that write has ended.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -173,12 +173,16 @@
   boost::system::error_code Ignored;
   Socket.close(Ignored);
   LivenessTimer.cancel();
+  for (unanswered_request &Request : std::exchange(BeingWritten, {}))
+    reportUnanswered(std::move(Request), Reason);
   std::map<stream_id, stream> Ended;
   Ended.swap(Streams);
   for (auto &[Id, Stream] : Ended) {
     if (Stream.Exchange)
       Stream.Exchange->disconnect();
     finishCall(Stream, call_outcome::ConnectionLost, Reason);
+    if (Role == peer_role::Server && !Stream.IsRejected)
+      reportUnanswered(describe(std::move(Stream)), Reason);
   }
 }
 
@@ -313,6 +317,7 @@
                              Self->Writing = false;
                              if (Error)
                                return Self->close("write failed");
+                             Self->BeingWritten.clear();
                              Self->flush();
                            });
 }
@@ -466,6 +471,7 @@
   nghttp2_data_provider Provider{{.ptr = &Stream.Out}, &readBody};
   nghttp2_submit_response(Session, Id, Pairs.data(), Pairs.size(),
                           Response.Body.empty() ? nullptr : &Provider);
+  Stream.Response.Headers = std::move(Fields);
   flush();
 }
 
@@ -499,6 +505,8 @@
 void peer_connection::onHeader(stream_id Id, std::string Name,
                                std::string Value) {
   stream &Stream = openStream(Id);
+  Stream.BytesRead += Name.size() + Value.size();
+  Stream.LastReadAt = LastRead;
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
@@ -519,6 +527,8 @@
   if (Found == Streams.end() || Found->second.IsRejected)
     return;
   stream &Stream = Found->second;
+  Stream.BytesRead += Size;
+  Stream.LastReadAt = LastRead;
   size_t NewSize = Stream.Received.size() + Size;
   if (NewSize <= MaxBodyBytes && Stream.ReceivedShare.resize(NewSize)) {
     Stream.Received.append(reinterpret_cast<const char *>(Data), Size);
@@ -569,6 +579,38 @@
              ErrorCode == NGHTTP2_REFUSED_STREAM ? call_outcome::NotSent
                                                  : call_outcome::ConnectionLost,
              nghttp2_http2_strerror(ErrorCode));
+  if (Role == peer_role::Client || Ended.IsRejected)
+    return;
+  if (Ended.IsResponding && ErrorCode == NGHTTP2_NO_ERROR)
+    BeingWritten.push_back(describe(std::move(Ended)));
+  else
+    reportUnanswered(describe(std::move(Ended)), "cancelled by the peer");
+}
+
+unanswered_request peer_connection::describe(stream Ended) const {
+  unanswered_request Request;
+  Request.BytesRead = Ended.BytesRead;
+  Request.BytesWritten = Ended.Out.Offset;
+  Request.SinceLastRead = Clock.now() - Ended.LastReadAt;
+  if (Ended.IsResponding) {
+    Request.Phase = request_phase::Responding;
+    Request.Headers = std::move(Ended.Response.Headers);
+  } else if (Ended.Exchange) {
+    Request.Phase = request_phase::Serving;
+    Request.Headers = Ended.Exchange->request().Headers;
+  } else {
+    Request.Headers = std::move(Ended.Request.Headers);
+  }
+  return Request;
+}
+
+void peer_connection::reportUnanswered(unanswered_request Request,
+                                       const std::string &Reason) {
+  if (!OnUnanswered)
+    return;
+  Request.Reason = Reason;
+  // Called from within nghttp2, which no exception may cross.
+  runGuarded("unanswered request", [&] { OnUnanswered(Request); });
 }
 
 void peer_connection::finishCall(stream &Stream, call_outcome Outcome,
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -11,6 +11,7 @@
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
+#include "dragonflyvane/net/unanswered_request.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -19,6 +20,7 @@
 #include <map>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace dragonflyvane {
 
@@ -59,6 +61,11 @@
   bool isIdle() const { return Streams.empty(); }
   /// Server: what the streams are doing.
   server_activity activity() const;
+  /// Server: sets the function that is called for each request whose stream
+  /// ends without a complete response, except for those that were refused.
+  void onUnanswered(unanswered_callback Callback) {
+    OnUnanswered = std::move(Callback);
+  }
   /// Server: asks the peer to open no more streams. Those that it opens before
   /// it knows are served. Later calls have no effect.
   void sendShutdownNotice();
@@ -100,6 +107,10 @@
     /// What has been received of the body, and the memory that it takes.
     std::string Received;
     memory_share ReceivedShare;
+    /// Server: the bytes of the request's fields and body that were read, and
+    /// when the last of them were.
+    size_t BytesRead = 0;
+    time_point LastReadAt{};
     /// Whether the message from the peer has arrived completely.
     bool HasArrived = false;
     /// Whether the response was passed to the session.
@@ -147,6 +158,9 @@
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
+  /// Server: describes the request of a stream that ends.
+  unanswered_request describe(stream Ended) const;
+  void reportUnanswered(unanswered_request Request, const std::string &Reason);
   void finishCall(stream &Stream, call_outcome Outcome,
                   const std::string &Error);
 
@@ -177,6 +191,9 @@
   bool LivenessCheckActive = false;
   bool PingPending = false;
   std::map<stream_id, stream> Streams;
+  unanswered_callback OnUnanswered;
+  /// The requests whose responses end in `WriteBuffer`.
+  std::vector<unanswered_request> BeingWritten;
   shutdown_notice ShutdownNotice = shutdown_notice::None;
   time_point ShutdownNoticeAt{};
   /// Whether the connection ends once no stream is open.
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -223,6 +223,10 @@
     accept();
   }
 
+  void onUnanswered(unanswered_callback Callback) {
+    OnUnanswered = std::move(Callback);
+  }
+
   void stopAccepting() {
     if (std::exchange(Stopping, true))
       return;
@@ -297,6 +301,12 @@
         Handler, Pacer);
     std::erase_if(Connections, [](const auto &Weak) { return Weak.expired(); });
     Connections.push_back(Connection);
+    Connection->onUnanswered(
+        [Weak = weak_from_this()](const unanswered_request &Request) {
+          auto Self = Weak.lock();
+          if (Self && Self->OnUnanswered)
+            Self->OnUnanswered(Request);
+        });
     Connection->start();
     if (Stopping)
       Connection->sendShutdownNotice();
@@ -317,6 +327,7 @@
   size_t MaxBodyBytes;
   http_handler Handler;
   bulk_pacer *Pacer;
+  unanswered_callback OnUnanswered;
   /// Whether no more connections are accepted.
   bool Stopping = false;
   bool Finishing = false;
@@ -337,6 +348,10 @@
 
 peer_server::~peer_server() { Implementation->close(); }
 
+void peer_server::onUnanswered(unanswered_callback Callback) {
+  Implementation->onUnanswered(std::move(Callback));
+}
+
 void peer_server::stopAccepting() { Implementation->stopAccepting(); }
 
 void peer_server::refuseArriving() { Implementation->refuseArriving(); }
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -9,6 +9,7 @@
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
+#include "dragonflyvane/net/unanswered_request.hpp"
 
 #include <memory>
 
@@ -57,6 +58,11 @@
   peer_server(const peer_server &) = delete;
   peer_server &operator=(const peer_server &) = delete;
 
+  /// Sets the function that is called for each request whose stream ends
+  /// without a complete response, also when the server is destroyed. Requests
+  /// that were refused are not reported.
+  void onUnanswered(unanswered_callback Callback);
+
   /// Has no effect: peers are told when no more connections are accepted.
   void startClosing() override {}
   /// Also asks the peers to begin no more requests on their connections. Those
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -12,6 +12,7 @@
 #include "dragonflyvane/net/asio_context.hpp"
 
 using namespace dragonflyvane;
+using namespace std::string_literals;
 
 namespace {
 
@@ -260,14 +261,15 @@
 constexpr char EndStreamFlag = 1;
 constexpr char EndHeadersFlag = 4;
 
-/// A frame of HTTP/2 for the first stream of a client, or for the connection.
-std::string makeFrame(char Type, char Flags, char Stream,
+/// A frame of HTTP/2 for a stream, or for the connection if `Stream` is 0.
+std::string makeFrame(char Type, char Flags, uint16_t Stream,
                       const std::string &Payload) {
   std::string Frame(9, '\0');
   Frame[2] = static_cast<char>(Payload.size());
   Frame[3] = Type;
   Frame[4] = Flags;
-  Frame[8] = Stream;
+  Frame[7] = static_cast<char>(Stream >> 8);
+  Frame[8] = static_cast<char>(Stream & 0xff);
   return Frame + Payload;
 }
 
@@ -518,3 +520,92 @@
   runUntil(Setup.Loop,
            [&] { return !Setup.Server->activity().HasConnections; });
 }
+
+// Guards against requests of peers that are lost without a trace: each stream
+// that ends without a complete response is reported once.
+TEST_CASE("a peer server reports requests that end without a response") {
+  std::vector<unanswered_request> Reported;
+  counting_server Setup(false);
+  Setup.Server->onUnanswered(
+      [&](const unanswered_request &Request) { Reported.push_back(Request); });
+  {
+    raw_connection Peer(Setup.Listen.Port);
+    Peer.send(makePreface() + makeHeaders() + makeFrame(DataFrame, 0, 1, "or"));
+    runUntil(Setup.Loop, [&] { return Setup.Server->activity().IsReceiving; });
+    Peer.close();
+    runUntil(Setup.Loop, [&] { return !Reported.empty(); });
+    CHECK((Reported[0].Phase == request_phase::Receiving));
+    CHECK(Reported[0].BytesRead > 2);
+    CHECK(Reported[0].Reason == "peer closed the connection");
+  }
+  peer_client Client(Setup.Loop, MaxBodyBytes);
+  CHECK(callAndWait(Setup.Loop, Client, Setup.Listen, makeRequest("POST", "x"),
+                    std::chrono::milliseconds(100))
+            .Outcome == call_outcome::TimedOut);
+  runUntil(Setup.Loop, [&] { return Reported.size() == 2; });
+  CHECK((Reported[1].Phase == request_phase::Serving));
+  CHECK(Reported[1].Headers.find("x-some") == "Value");
+  CHECK(Reported[1].Reason == "cancelled by the peer");
+
+  raw_connection Slow(Setup.Listen.Port);
+  Slow.send(makePreface() + makeHeaders() +
+            makeFrame(DataFrame, EndStreamFlag, 1, "x"));
+  runUntil(Setup.Loop, [&] { return Setup.Handled == 2; });
+  http_response Response{200, {}, std::string(3'000'000, 'x')};
+  Response.Headers.add("X-Id", "7");
+  Setup.Held->respond(Response);
+  Setup.Server.reset();
+  REQUIRE(Reported.size() == 3);
+  CHECK((Reported[2].Phase == request_phase::Responding));
+  CHECK(Reported[2].Headers.find("x-id") == "7");
+  CHECK(Reported[2].Reason == "server closed");
+}
+
+// Guards against responses that are lost between the session and the socket:
+// their streams are closed, but the peer does not get them.
+TEST_CASE("a peer server reports responses that a full socket does not take") {
+  constexpr size_t Requests = 1'000;
+  constexpr char WindowUpdateFrame = 8;
+  const std::string LargeWindow = "\x7f\xff\x00\x00"s;
+  counting_server Setup(false);
+  size_t Reports = 0;
+  Setup.Server->onUnanswered([&](const unanswered_request &) { ++Reports; });
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface() + makeFrame(WindowUpdateFrame, 0, 0, LargeWindow));
+  for (size_t I = 0; I < Requests; ++I) {
+    Peer.send(makeFrame(HeadersFrame, EndHeadersFlag | EndStreamFlag,
+                        static_cast<uint16_t>(2 * I + 1), "\x83\x84\x86"));
+    runUntil(Setup.Loop, [&] { return Setup.Held != nullptr; });
+    std::exchange(Setup.Held, nullptr)
+        ->respond({200, {}, std::string(20'000, 'x') + "end"});
+  }
+  Setup.Server.reset();
+  std::string Received = Peer.readAll();
+  size_t Whole = 0;
+  for (size_t I = Received.find("end"); I != std::string::npos;
+       I = Received.find("end", I + 1))
+    ++Whole;
+  CHECK(Whole < Requests);
+  // A part of the responses that are being written may arrive.
+  CHECK(Whole + Reports >= Requests);
+  CHECK(Reports < Requests);
+}
+
+TEST_CASE("a peer server reports no requests that were answered or refused") {
+  int Reports = 0;
+  counting_server Setup;
+  Setup.Server->onUnanswered([&](const unanswered_request &) { ++Reports; });
+  {
+    peer_client Client(Setup.Loop, MaxBodyBytes);
+    CHECK(Setup.call(Client, "x").Outcome == call_outcome::Completed);
+    CHECK(Setup.call(Client, std::string(MaxBodyBytes + 1, 'x')).Outcome ==
+          call_outcome::NotSent);
+  }
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface() + makeHeaders());
+  runUntil(Setup.Loop, [&] { return Setup.Server->activity().IsReceiving; });
+  Setup.Server->finishClosing();
+  runUntil(Setup.Loop, [&] { return !Setup.Server->activity().IsWriting; });
+  Setup.Server.reset();
+  CHECK(Reports == 0);
+}
