--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -91,24 +91,19 @@
   return Status;
 }
 
-local_cluster::local_cluster(int HostCount, std::chrono::milliseconds WorkTime)
-    : HostCount(HostCount), Prefix(choosePrefix()), Daemons(HostCount),
+local_cluster::local_cluster(int HostCount, std::chrono::milliseconds WorkTime,
+                             cluster_services Services)
+    : HostCount(HostCount), WorkTime(WorkTime), Services(Services),
+      Prefix(choosePrefix()), Servers(HostCount), Daemons(HostCount),
       LogSizes(HostCount) {
+  Configuration.HasCatalogue =
+      Services == cluster_services::BookingsAndCatalogue;
   Folder = std::filesystem::temp_directory_path() / "dragonflyvane-XXXXXX";
   if (!mkdtemp(Folder.data()))
     throw std::runtime_error("cannot make a temporary folder");
   startStore();
   for (int Host = 0; Host < HostCount; ++Host) {
-    std::string Address = addressOf(Host);
-    std::string Work = std::to_string(WorkTime.count());
-    Servers.push_back(std::make_unique<child_process>(
-        "standin_backend",
-        std::vector<std::string>{
-            "--listen=" + Address + ":" + std::to_string(ServerPort),
-            "--control=" + Address + ":" + std::to_string(ControlPort),
-            "--domain=" + failureDomainOf(Host), "--work_ms=" + Work,
-            "--run_log=" + folderPath("runs-" + std::to_string(Host))},
-        folderPath("server-" + std::to_string(Host) + ".log")));
+    startServer(Host);
     writeSettings(Host);
   }
 }
@@ -118,7 +113,51 @@
   Servers.clear();
   Store.reset();
   std::error_code Ignored;
-  std::filesystem::remove_all(Folder, Ignored);
+  if (!KeepsFolder)
+    std::filesystem::remove_all(Folder, Ignored);
+}
+
+const std::string &local_cluster::keepFolder() {
+  KeepsFolder = true;
+  return Folder;
+}
+
+std::string local_cluster::serviceOf(int Host) const {
+  return Configuration.HasCatalogue && Host % 2 == 1 ? "catalogue" : "bookings";
+}
+
+void local_cluster::startServer(int Host) {
+  std::string Address = addressOf(Host);
+  std::string Service = serviceOf(Host);
+  std::vector<std::string> Arguments = {
+      "--listen=" + Address + ":" + std::to_string(ServerPort),
+      "--control=" + Address + ":" + std::to_string(ControlPort),
+      "--domain=" + failureDomainOf(Host),
+      "--service=" + Service,
+      "--work_ms=" + std::to_string(WorkTime.count()),
+      "--run_log=" + folderPath("runs-" + std::to_string(Host))};
+  if (Services == cluster_services::BookingsAndCatalogue)
+    Arguments.insert(Arguments.end(),
+                     {"--idle_ms=1000", "--leave_ms=2000",
+                      "--calls=" + toString(callerEndpoint(Host))});
+  if (Service == "catalogue")
+    Arguments.push_back("--keyed=no");
+  Servers.at(Host) = std::make_unique<child_process>(
+      "standin_backend", Arguments,
+      folderPath("server-" + std::to_string(Host) + ".log"));
+}
+
+void local_cluster::replaceEndedServer(int Host) {
+  if (Servers.at(Host)->wait(std::chrono::milliseconds(0)))
+    startServer(Host);
+}
+
+void local_cluster::reconfigure(int FurtherRoutes,
+                                std::chrono::milliseconds RouteTimeout) {
+  ++Configuration.Version;
+  Configuration.FurtherRoutes = FurtherRoutes;
+  Configuration.RouteTimeout = RouteTimeout;
+  configure();
 }
 
 std::string local_cluster::addressOf(int Host) const {
@@ -147,7 +186,7 @@
 
 void local_cluster::writeSettings(int Host) const {
   std::ofstream(settingsPath(Host))
-      << settingsFile(Host, addressOf(Host), storeEndpoint());
+      << settingsFile(Host, serviceOf(Host), addressOf(Host), storeEndpoint());
 }
 
 void local_cluster::startStore() {
@@ -161,7 +200,7 @@
 void local_cluster::configure() const {
   await("the store takes the configuration", [&] {
     return statusOf(storeEndpoint(), "PUT", "/standin/op/config",
-                    configurationFile()) == 200;
+                    configurationFile(Configuration)) == 200;
   });
 }
 
@@ -190,15 +229,36 @@
     return statusOf(callerEndpoint(Host), "GET", "/parts/1", "",
                     StartTimeout) == 200;
   });
+  if (!Configuration.HasCatalogue)
+    return;
+  await("host " + std::to_string(Host) + " serves the catalogue", [&] {
+    return statusOf(callerEndpoint(Host), "GET", "/photos/1", "",
+                    StartTimeout) == 200;
+  });
 }
 
-std::map<std::string, int> local_cluster::runCounts() const {
-  std::map<std::string, int> Counts;
+runs_by_id local_cluster::runs() const {
+  runs_by_id Runs;
   for (int Host = 0; Host < HostCount; ++Host) {
     std::ifstream File(folderPath("runs-" + std::to_string(Host)));
-    for (std::string Id; std::getline(File, Id);)
-      ++Counts[Id];
+    std::string Event;
+    std::string Id;
+    int64_t Milliseconds = 0;
+    while (File >> Event >> Id >> Milliseconds) {
+      time_point At{std::chrono::milliseconds(Milliseconds)};
+      if (Event == "begin")
+        Runs[Id].push_back({At, std::nullopt});
+      else
+        Runs[Id].back().End = At;
+    }
   }
+  return Runs;
+}
+
+std::map<std::string, int> local_cluster::runCounts() const {
+  std::map<std::string, int> Counts;
+  for (const auto &[Id, Runs] : runs())
+    Counts[Id] = static_cast<int>(Runs.size());
   return Counts;
 }
 
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -3,25 +3,50 @@
 #ifndef DRAGONFLYVANE_TESTS_PROCESS_LOCAL_CLUSTER_HPP
 #define DRAGONFLYVANE_TESTS_PROCESS_LOCAL_CLUSTER_HPP
 
+#include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
+#include "platform/standin/cluster_files.hpp"
 #include "process/child_process.hpp"
 
 #include <chrono>
+#include <csignal>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 namespace dragonflyvane {
 
-/// Daemons that serve keyed requests of `cluster.example`: `/parts/` may be
-/// repeated, `/orders/` may not. A wait that times out throws
-/// `std::runtime_error`.
+/// Which services a cluster has.
+enum class cluster_services {
+  /// `bookings` at all hosts. It is keyed.
+  Bookings,
+  /// `bookings` at the even hosts, and `catalogue`, which is not keyed, at the
+  /// odd ones. Servers close idle connections after 1 s, may make calls, and
+  /// drain before they leave.
+  BookingsAndCatalogue,
+};
+
+/// The work of a server on one attempt of a request.
+struct server_run {
+  time_point Begin;
+  /// Nothing if the work has not ended.
+  std::optional<time_point> End;
+};
+
+/// The runs of all requests, by request id.
+using runs_by_id = std::map<std::string, std::vector<server_run>>;
+
+/// Daemons that serve requests of `cluster.example`: `/parts/` and `/orders/`
+/// go to `bookings`, `/photos/` to `catalogue`; only `/orders/` may not be
+/// repeated. A wait that times out throws `std::runtime_error`.
 class local_cluster {
 public:
   /// Starts the store and the servers, each of which works for `WorkTime` on a
   /// request, but no daemons.
-  local_cluster(int HostCount, std::chrono::milliseconds WorkTime);
+  local_cluster(int HostCount, std::chrono::milliseconds WorkTime,
+                cluster_services Services = cluster_services::Bookings);
   ~local_cluster();
   local_cluster(const local_cluster &) = delete;
   local_cluster &operator=(const local_cluster &) = delete;
@@ -38,6 +63,13 @@
   void awaitOutput(int Host) const;
   /// Starts all daemons, and waits until each serves both kinds of requests.
   void start();
+  /// Writes the next version of the configuration, with further routes and
+  /// another timeout of all routes.
+  void reconfigure(int FurtherRoutes, std::chrono::milliseconds RouteTimeout);
+  /// Asks the server of a host to leave.
+  void stopServer(int Host) { Servers.at(Host)->signal(SIGTERM); }
+  /// Starts a new server if that of the host has ended.
+  void replaceEndedServer(int Host);
   /// Ends the store at once, with all connections; `startStore` starts a new
   /// one without any rows but the operator's.
   void killStore() { Store.reset(); }
@@ -49,6 +81,10 @@
   endpoint storeEndpoint() const;
   /// How often each request has begun at the servers, by its id.
   std::map<std::string, int> runCounts() const;
+  /// What the servers ran, from their logs.
+  runs_by_id runs() const;
+  /// Keeps the folder with all logs when the cluster ends. Returns its path.
+  const std::string &keepFolder();
   /// What the daemon of a host has logged.
   std::string log(int Host) const;
   /// Waits until the daemon of a host serves requests.
@@ -58,8 +94,14 @@
   std::string addressOf(int Host) const;
   std::string folderPath(const std::string &Name) const;
   void configure() const;
+  void startServer(int Host);
+  std::string serviceOf(int Host) const;
 
   int HostCount;
+  std::chrono::milliseconds WorkTime;
+  cluster_services Services;
+  platform::standin::configuration_options Configuration;
+  bool KeepsFolder = false;
   std::string Prefix;
   std::string Folder;
   std::unique_ptr<child_process> Store;
