--- a/tests/process/arriving_requests_test.cpp
+++ b/tests/process/arriving_requests_test.cpp
@@ -63,14 +63,6 @@
          " after the last byte; ";
 }
 
-/// Starts the daemons, and lets them learn how long requests usually take.
-void startWarm(local_cluster &Cluster) {
-  Cluster.start();
-  steady_callers Callers(Cluster.callerEndpoint(0), 10, milliseconds(10),
-                         milliseconds(10));
-  std::this_thread::sleep_for(seconds(1));
-}
-
 /// Stops the daemon of host 0 and starts the callers with the signal.
 observed_stop stopWith(local_cluster &Cluster, upload_callers &Callers) {
   observed_stop Stop;
@@ -187,7 +179,8 @@
 // Guards against uploads that are cut off in the middle by the end of a stop.
 TEST_CASE("a planned stop answers the uploads that are arriving") {
   local_cluster Cluster(3, milliseconds(5));
-  startWarm(Cluster);
+  Cluster.start();
+  warmUp(Cluster.callerEndpoint(0));
   upload_callers Callers(Cluster.callerEndpoint(0), "upload",
                          uploadsDuringStop(64));
   observed_stop Stop = stopWith(Cluster, Callers);
@@ -201,7 +194,8 @@
 // last bytes reach the daemon when it has ended.
 TEST_CASE("a planned stop answers requests that arrive over a slow link") {
   local_cluster Cluster(3, milliseconds(5));
-  startWarm(Cluster);
+  Cluster.start();
+  warmUp(Cluster.callerEndpoint(0));
   slow_link Link(Cluster.callerEndpoint(0), {milliseconds(60), 64 << 10},
                  {milliseconds(60)});
   upload_callers Callers(Link.localEndpoint(), "order", ordersDuringStop(80));
@@ -216,7 +210,8 @@
 // callers that are left without an answer when it gives up.
 TEST_CASE("a planned stop refuses uploads that do not arrive in time") {
   local_cluster Cluster(3, milliseconds(5));
-  startWarm(Cluster);
+  Cluster.start();
+  warmUp(Cluster.callerEndpoint(0));
   upload_callers Callers(
       Cluster.callerEndpoint(0), "endless",
       {endlessUpload(upload_form::WithLength, 241, milliseconds(0)),
--- a/tests/process/steady_callers.cpp
+++ b/tests/process/steady_callers.cpp
@@ -78,4 +78,10 @@
   Caller.Pause = Loop.after(Pause, [this, &Caller] { sendNext(Caller); });
 }
 
+void warmUp(const endpoint &Daemon) {
+  steady_callers Callers(Daemon, 10, std::chrono::milliseconds(10),
+                         std::chrono::milliseconds(10));
+  std::this_thread::sleep_for(std::chrono::seconds(1));
+}
+
 } // namespace dragonflyvane
--- a/tests/process/steady_callers.hpp
+++ b/tests/process/steady_callers.hpp
@@ -66,6 +66,10 @@
   std::thread Thread;
 };
 
+/// Sends a daemon requests for a second, so that it learns how long they take
+/// and admits requests late in a planned stop.
+void warmUp(const endpoint &Daemon);
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_TESTS_PROCESS_STEADY_CALLERS_HPP
--- a/tests/process/upload_callers.cpp
+++ b/tests/process/upload_callers.cpp
@@ -1,15 +1,8 @@
 #include "process/upload_callers.hpp"
 
-#include "dragonflyvane/core/ownership/ownership_map.hpp"
-#include "platform/header_names.hpp"
+#include "process/raw_http.hpp"
 #include "raw_connection.hpp"
 
-#include <boost/asio/buffer.hpp>
-#include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
-
-#include <functional>
-#include <optional>
 #include <sstream>
 #include <stdexcept>
 
@@ -17,61 +10,10 @@
 
 namespace {
 
-namespace http = boost::beast::http;
-
 constexpr size_t BodySize = size_t{24} << 10;
 constexpr std::chrono::milliseconds AnswerTimeout{10'000};
 /// Callers send the body unasked after this time.
 constexpr std::chrono::milliseconds ContinueTimeout{1000};
-/// Spreads the keys of the requests over all hosts.
-constexpr uint64_t KeyStep = 7919;
-
-/// Parses one response and the interim responses before it.
-class response_reader {
-public:
-  response_reader() { expectNext(); }
-
-  void take(const std::string &Bytes) {
-    Buffer += Bytes;
-    boost::system::error_code Error;
-    Buffer.erase(0, Parser->put(boost::asio::buffer(Buffer), Error));
-    if (!Parser->is_done() || Parser->get().result_int() >= 200)
-      return;
-    HasInterim = true;
-    expectNext();
-    if (!Buffer.empty())
-      take("");
-  }
-
-  bool hasInterim() const { return HasInterim; }
-  /// 0 if the response is not complete.
-  int status() const {
-    return Parser->is_done() ? static_cast<int>(Parser->get().result_int()) : 0;
-  }
-
-private:
-  void expectNext() {
-    Parser.emplace();
-    Parser->eager(true);
-  }
-
-  std::string Buffer;
-  std::optional<http::response_parser<http::string_body>> Parser;
-  bool HasInterim = false;
-};
-
-std::string makeHead(const std::string &Id, const std::string &RequestLine,
-                     const std::string &Fields) {
-  header_names Names = platform::headerNames();
-  uint64_t Point = std::hash<std::string>()(Id) * KeyStep % (LastPoint + 1);
-  std::stringstream Head;
-  Head << RequestLine << " HTTP/1.1\r\nHost: cluster.example\r\n"
-       << Names.RequestId << ": " << Id << "\r\n"
-       << Names.KeyPoint << ": " << Point << "\r\n"
-       << Names.TimeLeft << ": " << AnswerTimeout.count() << "\r\n"
-       << Fields << "\r\n";
-  return Head.str();
-}
 
 std::string makeUploadHead(const upload_plan &Plan, const std::string &Id) {
   std::string Fields = "Content-Length: " + std::to_string(BodySize) + "\r\n";
@@ -79,8 +21,9 @@
     Fields = "Transfer-Encoding: chunked\r\n";
   if (Plan.Form == upload_form::ExpectContinue)
     Fields += "Expect: 100-continue\r\n";
-  return makeHead(Id, Plan.Idempotent ? "POST /parts/1" : "POST /orders/1",
-                  Fields);
+  return makeRequestHead(Id,
+                         Plan.Idempotent ? "POST /parts/1" : "POST /orders/1",
+                         AnswerTimeout, Fields);
 }
 
 std::string encodeChunk(const std::string &Bytes) {
@@ -129,8 +72,9 @@
 
 private:
   void warmUp() {
-    Connection.emplace(Daemon);
-    Connection->send(makeHead(Upload.RequestId + "-first", "GET /parts/1", ""));
+    Connection = std::make_unique<raw_connection>(Daemon);
+    Connection->send(makeRequestHead(Upload.RequestId + "-first",
+                                     "GET /parts/1", AnswerTimeout));
     response_reader First;
     while (First.status() == 0 && Connection->awaitInput(AnswerTimeout))
       First.take(Connection->readSome());
@@ -143,14 +87,9 @@
     using std::chrono::milliseconds;
     bool IsUsable = Connection && !Connection->awaitInput(milliseconds(0));
     Upload.Plan.IsConnectionKept = IsUsable;
-    Upload.IsOpened = true;
-    if (IsUsable)
-      return;
-    try {
-      Connection.emplace(Daemon);
-    } catch (const std::runtime_error &) {
-      Upload.IsOpened = false;
-    }
+    if (!IsUsable)
+      Connection = tryConnect(Daemon);
+    Upload.IsOpened = Connection != nullptr;
   }
 
   void sendUpload() {
@@ -219,7 +158,7 @@
   endpoint Daemon;
   boot_clock Clock;
   ended_upload Upload;
-  std::optional<raw_connection> Connection;
+  std::unique_ptr<raw_connection> Connection;
   response_reader Response;
   bool IsClosed = false;
 };
--- a/tests/raw_connection.cpp
+++ b/tests/raw_connection.cpp
@@ -91,6 +91,14 @@
   return {Buffer, static_cast<size_t>(std::max<ssize_t>(Size, 0))};
 }
 
+std::unique_ptr<raw_connection> tryConnect(const endpoint &Remote) {
+  try {
+    return std::make_unique<raw_connection>(Remote);
+  } catch (const std::runtime_error &) {
+    return nullptr;
+  }
+}
+
 uint16_t freePort() {
   int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
   sockaddr_in Address = loopback(0);
--- a/tests/raw_connection.hpp
+++ b/tests/raw_connection.hpp
@@ -6,6 +6,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 
@@ -49,6 +50,9 @@
   bool Reset = false;
 };
 
+/// Returns nothing if the connection fails.
+std::unique_ptr<raw_connection> tryConnect(const endpoint &Remote);
+
 /// Returns a port of 127.0.0.1 that is free at present.
 uint16_t freePort();
 
