A stopping server answers pipelined requests before it closes the connection

Cause: the first response during a stop closes its connection, and what was read behind its request was discarded.

Change: a connection closes after its next response only if no further request has arrived on it.

The test failed before (no response to the second request) and passes now.

--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -197,6 +197,11 @@
   return IsNew || hasUnreadBytes();
 }
 
+bool http_server_connection::mustCloseNow() const {
+  bool HasNextRequest = Buffer.size() > 0 || hasUnreadBytes();
+  return State->Closing && !HasNextRequest;
+}
+
 void http_server_connection::linger() {
   boost::system::error_code Ignored;
   Socket.shutdown(socket::shutdown_send, Ignored);
@@ -327,7 +332,7 @@
     return;
   Phase = phase::Writing;
   LastProgress = Clock.now();
-  bool KeepOpen = KeepAlive && !State->Closing && !hasConnectionClose(Response);
+  bool KeepOpen = KeepAlive && !mustCloseNow() && !hasConnectionClose(Response);
   // Only a response to HEAD may state a length other than that of its body.
   if (!IsHeadRequest)
     Response.Headers.remove("content-length");
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -92,6 +92,8 @@
   void writePiece(size_t Offset, bool KeepOpen);
   void onWritten(bool KeepOpen);
   bool hasUnreadBytes() const;
+  /// Whether the server closes connections and no request follows on this one.
+  bool mustCloseNow() const;
   /// The request that a close would leave without a complete response.
   std::optional<unanswered_request> unansweredRequest() const;
   /// The header fields of the current request, or of its response once there is
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -253,6 +253,21 @@
   CHECK(Idle.readAll().empty());
 }
 
+// Guards against requests that were read together with the one before them, and
+// are dropped because its response closes the connection.
+TEST_CASE("a server that closes responds to all pipelined requests") {
+  echo_server Server;
+  Server.onLoop([&] {
+    Server.Server->startClosing();
+    return true;
+  });
+  std::string Responses = Server.exchange("GET /1 HTTP/1.1\r\nHost: x\r\n\r\n"
+                                          "GET /2 HTTP/1.1\r\nHost: x\r\n\r\n");
+  CHECK(contains(Responses, "GET /1 []"));
+  CHECK(contains(Responses, "GET /2 []"));
+  CHECK(count(Responses, "Connection: close\r\n") == 1);
+}
+
 // Guards against a caller that learns nothing of what became of its request,
 // because its connection is closed in the middle of it.
 TEST_CASE("a request that takes too long to arrive is refused as not run") {
