A planned stop answers heartbeats, readiness checks and administration to its end

Callers saw: a heartbeat, leave notice or readiness check that is arriving or being answered when the process ends gets a reset. Targets that get no acknowledgement go to other daemons.

Cause: the servers of the adapter and of the administration API took no part in the shutdown; the process ended under them.

They are control servers of the sequence now: they serve as before, with kept connections and an open listener, until nothing is left to answer for callers and peers. Their requests hold up no step, since one is nearly always on its way; only at the end the process waits for those that are arriving or being answered, not for idle connections.

Ruled out: taking part like the server for callers. Its `Connection: close` and the close of the listener while requests are awaited would cost heartbeats for up to 3 s in which the process still serves.

--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -114,11 +114,16 @@
                   }}) {
     Sequence.add(CallerServer);
     Sequence.add(PeerServer);
+    Sequence.addControl(AdminServer);
     CallerServer.onUnanswered([this](const unanswered_request &Request) {
       reportUnanswered("callers", Request);
     });
   }
 
+  void addControlServer(stoppable_server &Server) {
+    Sequence.addControl(Server);
+  }
+
   void start() {
     writeLog(log_level::Info, "started",
              {{"step", "start"},
@@ -336,6 +341,10 @@
 
 daemon::~daemon() = default;
 
+void daemon::addControlServer(stoppable_server &Server) {
+  Implementation->addControlServer(Server);
+}
+
 void daemon::start() { Implementation->start(); }
 
 std::optional<grant> daemon::onHeartbeat(const heartbeat &Heartbeat) {
--- a/src/dragonflyvane/node/daemon.hpp
+++ b/src/dragonflyvane/node/daemon.hpp
@@ -9,6 +9,7 @@
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
+#include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/node/ownership_manager.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
@@ -43,6 +44,10 @@
   daemon(const daemon &) = delete;
   daemon &operator=(const daemon &) = delete;
 
+  /// Includes a server of the platform's adapter in the graceful shutdown: it
+  /// serves until the end of the process, and its last responses are awaited.
+  /// It must exist until the event loop has stopped.
+  void addControlServer(stoppable_server &Server);
   /// Starts serving. SIGTERM and SIGINT start a graceful shutdown, which stops
   /// the event loop at its end.
   void start();
--- a/src/dragonflyvane/node/shutdown_sequence.cpp
+++ b/src/dragonflyvane/node/shutdown_sequence.cpp
@@ -9,6 +9,18 @@
 /// Those that do not are given up after this time.
 constexpr std::chrono::milliseconds LingerTime{500};
 
+/// What the connections of all servers together are doing.
+server_activity activityOf(const std::vector<stoppable_server *> &Servers) {
+  server_activity All;
+  for (const stoppable_server *Server : Servers) {
+    server_activity Activity = Server->activity();
+    All.IsReceiving |= Activity.IsReceiving;
+    All.IsWriting |= Activity.IsWriting;
+    All.HasConnections |= Activity.HasConnections;
+  }
+  return All;
+}
+
 } // namespace
 
 void shutdown_sequence::begin() {
@@ -45,27 +57,34 @@
   if (Step == step::AwaitingRequests && !isBusy()) {
     Step = step::Closing;
     ClosingSince = Deps.Clock.now();
-    for (stoppable_server *Server : Servers)
-      Server->finishClosing();
+    closeServers();
+  }
+}
+
+void shutdown_sequence::closeServers() {
+  for (stoppable_server *Server : Servers)
+    Server->finishClosing();
+  for (stoppable_server *Server : ControlServers) {
+    Server->startClosing();
+    Server->stopAccepting();
+    Server->finishClosing();
   }
 }
 
 bool shutdown_sequence::isDone() const {
-  if (!ClosingSince || isBusy())
+  if (!ClosingSince || isBusy() || isControlBusy())
     return false;
   return !activity().HasConnections ||
          Deps.Clock.now() - *ClosingSince >= LingerTime;
 }
 
 server_activity shutdown_sequence::activity() const {
-  server_activity All;
-  for (const stoppable_server *Server : Servers) {
-    server_activity Activity = Server->activity();
-    All.IsReceiving |= Activity.IsReceiving;
-    All.IsWriting |= Activity.IsWriting;
-    All.HasConnections |= Activity.HasConnections;
-  }
-  return All;
+  return activityOf(Servers);
+}
+
+bool shutdown_sequence::isControlBusy() const {
+  server_activity Activity = activityOf(ControlServers);
+  return Activity.IsReceiving || Activity.IsWriting;
 }
 
 bool shutdown_sequence::isBusy() const {
--- a/src/dragonflyvane/node/shutdown_sequence.hpp
+++ b/src/dragonflyvane/node/shutdown_sequence.hpp
@@ -20,6 +20,8 @@
 /// 2. When none is open, the servers accept no more connections. Requests that
 ///    are arriving are waited for, and answered.
 /// 3. Idle connections are closed, and the callers get time to close them too.
+///    The control servers, which have gone on until now, close as well; their
+///    callers are not waited for.
 ///
 /// What is left at the time of the last response is answered then, whatever the
 /// step, and the process ends in time in any case.
@@ -43,6 +45,11 @@
 
   /// Adds a server, which must exist until the end of the shutdown.
   void add(stoppable_server &Server) { Servers.push_back(&Server); }
+  /// Adds a control server: one whose requests come all the time, hold no step
+  /// up, and must be answered for as long as the process serves others.
+  void addControl(stoppable_server &Server) {
+    ControlServers.push_back(&Server);
+  }
   /// Starts the shutdown; later calls have no effect.
   void begin();
 
@@ -53,13 +60,16 @@
   /// Goes to the next step, once nothing is left to do in the current one.
   void advance();
   bool isDone() const;
-  /// What the connections of all servers together are doing.
+  void closeServers();
+  /// What the connections of all servers but the control servers are doing.
   server_activity activity() const;
   /// Whether requests or responses are on their way.
   bool isBusy() const;
+  bool isControlBusy() const;
 
   dependencies Deps;
   std::vector<stoppable_server *> Servers;
+  std::vector<stoppable_server *> ControlServers;
   step Step = step::Serving;
   std::optional<time_point> ClosingSince;
   timer CheckTimer;
--- a/src/dragonflyvane/node/shutdown_sequence_test.cpp
+++ b/src/dragonflyvane/node/shutdown_sequence_test.cpp
@@ -34,16 +34,18 @@
   }
 };
 
-/// A process that stops, with a server for callers.
+/// A process that stops, with a server for callers and one for heartbeats.
 struct sequence_fixture {
   sequence_fixture() {
     Sequence.add(Callers);
+    Sequence.addControl(Control);
     Sequence.begin();
   }
 
   manual_scheduler Loop;
   graceful_shutdown Shutdown{Loop.clock(), milliseconds(5600)};
   fake_server Callers;
+  fake_server Control;
   bool HasWork = false;
   int Ends = 0;
   shutdown_sequence Sequence{{Loop, Loop.clock(), Shutdown,
@@ -143,3 +145,46 @@
   F.Loop.runFor(milliseconds(250));
   CHECK(F.Ends == 1);
 }
+
+// Guards against heartbeats that are refused or get a reset while a host stops
+// and still serves others: their senders would turn to other hosts.
+TEST_CASE("control servers go on in a shutdown until the last requests are "
+          "answered") {
+  sequence_fixture F;
+  F.Callers.Activity = {true, false, true};
+  F.Control.Activity = {false, false, true};
+  F.Loop.runFor(milliseconds(4000));
+  CHECK(F.Control.Calls.empty());
+  F.Callers.Activity = {};
+  F.Control.Activity = {true, false, true};
+  F.Loop.runFor(milliseconds(50));
+  CHECK(F.Control.Calls == "start stop finish");
+  CHECK(F.Ends == 0);
+  F.Control.Activity = {false, true, true};
+  F.Loop.runFor(milliseconds(50));
+  CHECK(F.Ends == 0);
+  F.Control.Activity = {false, false, true};
+  F.Loop.runFor(milliseconds(50));
+  CHECK(F.Ends == 1);
+}
+
+// Guards against a stop that is held up by heartbeats, of which there is nearly
+// always one on its way.
+TEST_CASE("requests to control servers do not delay the steps of a shutdown") {
+  sequence_fixture F;
+  F.Control.Activity = {true, true, true};
+  F.Loop.runFor(milliseconds(2250));
+  CHECK(F.Callers.Calls == "start stop finish");
+  CHECK(F.Control.Calls == "start stop finish");
+}
+
+// Guards against heartbeats that are refused before the end of a process that
+// a caller keeps busy.
+TEST_CASE("control servers go on to the end if a response is never read") {
+  sequence_fixture F;
+  F.Callers.Activity = {false, true, true};
+  F.Loop.runFor(milliseconds(5550));
+  CHECK(F.Control.Calls.empty());
+  F.Loop.runFor(milliseconds(50));
+  CHECK(F.Ends == 1);
+}
--- a/tests/process/graceful_shutdown_test.cpp
+++ b/tests/process/graceful_shutdown_test.cpp
@@ -1,6 +1,7 @@
 // Planned stops of real daemons, while callers keep their connections.
 #include "process/local_cluster.hpp"
 #include "process/steady_callers.hpp"
+#include "raw_connection.hpp"
 
 #include <doctest/doctest.h>
 
@@ -152,3 +153,21 @@
   CHECK(Stop.End->isSuccess());
   CHECK(Stop.lost() == "");
 }
+
+// Guards against heartbeats and checks of readiness that are cut in the middle
+// by the end of a process which has nothing else to do.
+TEST_CASE("a planned stop answers a readiness check that is arriving") {
+  local_cluster Cluster(1, milliseconds(5));
+  Cluster.start();
+  Cluster.daemon(0).signal(SIGTERM);
+  std::this_thread::sleep_for(AcceptTime - milliseconds(300));
+  raw_connection Check(Cluster.readinessEndpoint(0));
+  Check.send("GET /unknown HTTP/1.1\r\n");
+  std::this_thread::sleep_for(milliseconds(1000));
+  Check.send("Host: x\r\n\r\n");
+  CHECK(Check.readAll().starts_with("HTTP/1.1 404 "));
+  CHECK(!Check.wasReset());
+  auto End = Cluster.daemon(0).wait(Grace);
+  REQUIRE(End);
+  CHECK(End->isSuccess());
+}
