The peer server listens with the class of the HTTP server

Accepting, the retry while descriptors are exhausted, and accepting what is established before the close stood twice. A listener that was closed while a connection that it had accepted was about to be handed over tried to accept again every 50 ms until the end of the process; it stops now, as the peer server did. Found by reading; it harmed no request, and no test shows it.

--- a/src/dragonflyvane/net/listener.cpp
+++ b/src/dragonflyvane/net/listener.cpp
@@ -32,7 +32,9 @@
       return;
     if (!Error) {
       Self->OnAccepted(std::move(Socket));
-      return Self->accept();
+      if (Self->Acceptor.is_open())
+        Self->accept();
+      return;
     }
     Self->RetryTimer =
         Self->Loop.after(RetryDelay, [Self = Self.get()] { Self->accept(); });
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -1,6 +1,6 @@
 #include "dragonflyvane/net/peer_transport.hpp"
 
-#include "dragonflyvane/core/error.hpp"
+#include "dragonflyvane/net/listener.hpp"
 #include "dragonflyvane/net/peer_connection.hpp"
 
 #include <algorithm>
@@ -17,9 +17,6 @@
 constexpr std::chrono::milliseconds ConnectTimeout{500};
 /// A connection without streams is closed if it received nothing for longer.
 constexpr std::chrono::seconds MaxIdle{60};
-/// Delay after a failed accept, which would fail again at once while file
-/// descriptors are exhausted.
-constexpr std::chrono::milliseconds AcceptRetryDelay{50};
 /// Interval of the check for idle connections.
 constexpr std::chrono::seconds SweepPeriod{10};
 
@@ -211,17 +208,14 @@
 public:
   implementation(event_loop &Loop, size_t MaxBodyBytes, http_handler Handler,
                  bulk_pacer *Pacer)
-      : Loop(Loop), Acceptor(Loop.internals().Io), MaxBodyBytes(MaxBodyBytes),
-        Handler(std::move(Handler)), Pacer(Pacer) {}
-
-  void listen(const endpoint &Listen) {
-    tcp::endpoint Address = toAsio(Listen);
-    Acceptor.open(Address.protocol());
-    Acceptor.set_option(tcp::acceptor::reuse_address(true));
-    Acceptor.bind(Address);
-    Acceptor.listen();
-    accept();
-  }
+      : Loop(Loop),
+        Listener(std::make_shared<listener>(Loop,
+                                            [this](listener::socket Socket) {
+                                              addConnection(std::move(Socket));
+                                            })),
+        MaxBodyBytes(MaxBodyBytes), Handler(std::move(Handler)), Pacer(Pacer) {}
+
+  void listen(const endpoint &Listen) { Listener->listen(Listen); }
 
   void onUnanswered(unanswered_callback Callback) {
     OnUnanswered = std::move(Callback);
@@ -230,10 +224,7 @@
   void stopAccepting() {
     if (std::exchange(Stopping, true))
       return;
-    acceptWaiting();
-    boost::system::error_code Ignored;
-    Acceptor.close(Ignored);
-    AcceptRetryTimer.cancel();
+    Listener->acceptWaitingAndClose();
     forEachConnection([](auto &C) { C.sendShutdownNotice(); });
   }
 
@@ -259,42 +250,11 @@
   }
 
   void close() {
-    boost::system::error_code Ignored;
-    Acceptor.close(Ignored);
+    Listener->close();
     forEachConnection([](auto &C) { C.close("server closed"); });
   }
 
 private:
-  void accept() {
-    Acceptor.async_accept(
-        [Weak = weak_from_this()](auto Error, tcp::socket Socket) {
-          auto Self = Weak.lock();
-          if (!Self || Error == boost::asio::error::operation_aborted)
-            return;
-          if (!Error)
-            Self->addConnection(std::move(Socket));
-          if (Self->Stopping)
-            return;
-          if (!Error)
-            return Self->accept();
-          Self->AcceptRetryTimer = Self->Loop.after(
-              AcceptRetryDelay, [Self = Self.get()] { Self->accept(); });
-        });
-  }
-
-  /// Accepts the connections that are established already, which closing the
-  /// acceptor would reset.
-  void acceptWaiting() {
-    boost::system::error_code Error;
-    Acceptor.non_blocking(true, Error);
-    while (!Error) {
-      tcp::socket Socket(Loop.internals().Io);
-      Acceptor.accept(Socket, Error);
-      if (!Error)
-        addConnection(std::move(Socket));
-    }
-  }
-
   void addConnection(tcp::socket Socket) {
     auto Connection = std::make_shared<peer_connection>(
         std::move(Socket), peer_role::Server, MaxBodyBytes, Loop.bodyMemory(),
@@ -322,8 +282,7 @@
   }
 
   event_loop &Loop;
-  tcp::acceptor Acceptor;
-  timer AcceptRetryTimer;
+  std::shared_ptr<listener> Listener;
   size_t MaxBodyBytes;
   http_handler Handler;
   bulk_pacer *Pacer;
@@ -339,11 +298,7 @@
                          bulk_pacer *Pacer)
     : Implementation(std::make_shared<implementation>(
           Loop, MaxBodyBytes, std::move(Handler), Pacer)) {
-  try {
-    Implementation->listen(Listen);
-  } catch (const std::exception &Error) {
-    throw step_error("listen", toString(Listen), Error.what());
-  }
+  Implementation->listen(Listen);
 }
 
 peer_server::~peer_server() { Implementation->close(); }
