--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -249,7 +249,7 @@
       if (Event == "begin")
         Runs[Id].push_back({At, std::nullopt});
       else
-        Runs[Id].back().End = At;
+        Runs[Id].back() = {Runs[Id].back().Begin, At, Event == "fail"};
     }
   }
   return Runs;
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -33,6 +33,8 @@
   time_point Begin;
   /// Nothing if the work has not ended.
   std::optional<time_point> End;
+  /// Whether the server answered with a failure.
+  bool HasFailed = false;
 };
 
 /// The runs of all requests, by request id.
