Soak: the steps of a run are logged beside the daemons' logs; pauses are exact

A pause could last longer than meant when the loop that ended it was busy with another process. It is now ended by the step that began it, and its true length counts. A failed seed keeps its steps with the times of the daemons' logs.

--- a/tests/process/fault_soak_test.cpp
+++ b/tests/process/fault_soak_test.cpp
@@ -12,6 +12,9 @@
 
 #include <csignal>
 #include <cstdlib>
+#include <ctime>
+#include <fstream>
+#include <iomanip>
 #include <map>
 #include <memory>
 #include <thread>
@@ -86,7 +89,9 @@
         Place, (Seed * HostCount + Host) * CallersPerHost + Number));
   }
 
+  /// The steps are logged with the times of the daemons' logs.
   void perform(const soak_step &Step) {
+    logLine(nameOf(Step.Action), Step.Host);
     child_process &Daemon = Cluster.daemon(Step.Host);
     switch (Step.Action) {
     case soak_action::Stop:
@@ -94,10 +99,7 @@
     case soak_action::Reload:
       return Daemon.signal(SIGHUP);
     case soak_action::Pause:
-      Record.Pauses.push_back({Step.Host, Clock.now()});
-      return Daemon.signal(SIGSTOP);
-    case soak_action::Resume:
-      return Daemon.signal(SIGCONT);
+      return pause(Step.Host);
     case soak_action::Configure:
       return Cluster.reconfigure(draw(Random, 0, 100),
                                  milliseconds(ShortestRouteTimeout) *
@@ -107,6 +109,15 @@
     }
   }
 
+  void pause(int Host) {
+    daemon_pause Pause{Host, Clock.now(), {}};
+    Cluster.daemon(Host).signal(SIGSTOP);
+    std::this_thread::sleep_for(PauseTime);
+    Cluster.daemon(Host).signal(SIGCONT);
+    Pause.End = Clock.now();
+    Record.Pauses.push_back(Pause);
+  }
+
   void stop(int Host) {
     if (!StopOfHost[Host]) {
       StopOfHost[Host] = Record.Stops.size();
@@ -115,6 +126,15 @@
     Cluster.daemon(Host).signal(SIGTERM);
   }
 
+  void logLine(const std::string &What, int Host) const {
+    auto Now = std::chrono::system_clock::now();
+    std::time_t Seconds = std::chrono::system_clock::to_time_t(Now);
+    auto Since = Now - std::chrono::system_clock::from_time_t(Seconds);
+    std::ofstream(Cluster.folder() + "/steps.log", std::ios::app)
+        << std::put_time(std::gmtime(&Seconds), "%T") << "+"
+        << inMilliseconds(Since) << " ms " << What << " " << Host << "\n";
+  }
+
   void watchUntil(time_point End) {
     do {
       for (int Host = 0; Host < HostCount; ++Host) {
@@ -167,7 +187,7 @@
   void report(const std::vector<soak_call> &Calls) {
     std::map<std::string, int> Counts;
     for (const soak_call &Call : Calls)
-      ++Counts[nameOf(Call)];
+      ++Counts[resultOf(Call)];
     std::string Text = "seed " + std::to_string(Seed) + ": " +
                        std::to_string(Calls.size()) + " requests, " +
                        std::to_string(Record.Stops.size()) + " stops;";
@@ -178,9 +198,10 @@
     CHECK(2 * Counts["200"] > static_cast<int>(Calls.size()));
     if (Faults.empty())
       return;
-    std::string Folder = Cluster.keepFolder();
+    Cluster.keepFolder();
     for (const std::string &Fault : Faults)
-      FAIL_CHECK("seed " << Seed << ", logs in " << Folder << ": " << Fault);
+      FAIL_CHECK("seed " << Seed << ", logs in " << Cluster.folder() << ": "
+                         << Fault);
   }
 
   /// A link resets the caller's connection at once if the daemon refuses the
@@ -189,7 +210,7 @@
     return Call.EndedAt - Call.FirstByteAt < Call.RoundTrip / 2;
   }
 
-  static std::string nameOf(const soak_call &Call) {
+  static std::string resultOf(const soak_call &Call) {
     switch (Call.End) {
     case call_end::Answered:
       return std::to_string(Call.Status);
--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -121,11 +121,6 @@
     std::filesystem::remove_all(Folder, Ignored);
 }
 
-const std::string &local_cluster::keepFolder() {
-  KeepsFolder = true;
-  return Folder;
-}
-
 std::string local_cluster::serviceOf(int Host) const {
   return Configuration.HasCatalogue && Host % 2 == 1 ? "catalogue" : "bookings";
 }
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -87,8 +87,10 @@
   std::map<std::string, int> runCounts() const;
   /// What the servers ran, from their logs.
   runs_by_id runs() const;
-  /// Keeps the folder with all logs when the cluster ends. Returns its path.
-  const std::string &keepFolder();
+  /// The folder with all logs.
+  const std::string &folder() const { return Folder; }
+  /// Keeps the folder when the cluster ends.
+  void keepFolder() { KeepsFolder = true; }
   /// What the daemon of a host has logged.
   std::string log(int Host) const;
   /// Waits until the daemon of a host serves requests.
--- a/tests/process/soak_checks.cpp
+++ b/tests/process/soak_checks.cpp
@@ -108,13 +108,12 @@
   /// caller's bytes could have arrived at the daemon.
   duration crossingTime() const {
     duration Time = std::max(duration(LossSlack), Call.RoundTrip);
-    bool IsPaused =
-        std::any_of(Record.Pauses.begin(), Record.Pauses.end(),
-                    [&](const daemon_pause &Pause) {
-                      return Pause.Host == Call.Host &&
-                             Pause.At < Call.EndedAt &&
-                             Pause.At + PauseTime > Call.FirstByteAt;
-                    });
+    bool IsPaused = std::any_of(Record.Pauses.begin(), Record.Pauses.end(),
+                                [&](const daemon_pause &Pause) {
+                                  return Pause.Host == Call.Host &&
+                                         Pause.At < Call.EndedAt &&
+                                         Pause.End > Call.FirstByteAt;
+                                });
     return IsPaused ? Time + PauseTime : Time;
   }
 
--- a/tests/process/soak_checks.hpp
+++ b/tests/process/soak_checks.hpp
@@ -25,10 +25,11 @@
   std::optional<time_point> EndedAt;
 };
 
-/// A SIGSTOP.
+/// The time from SIGSTOP to SIGCONT.
 struct daemon_pause {
   int Host = 0;
   time_point At;
+  time_point End;
 };
 
 /// What servers and signals did while the callers called.
--- a/tests/process/soak_plan.cpp
+++ b/tests/process/soak_plan.cpp
@@ -44,13 +44,27 @@
   for (; At < RunTime; At += drawTime(Random, First, Last)) {
     int Host = draw(Random, 0, HostCount - 1);
     Steps.push_back({At, Action, Host});
-    if (Action == soak_action::Pause)
-      Steps.push_back({At + PauseTime, soak_action::Resume, Host});
   }
 }
 
 } // namespace
 
+const char *nameOf(soak_action Action) {
+  switch (Action) {
+  case soak_action::Stop:
+    return "SIGTERM";
+  case soak_action::Reload:
+    return "SIGHUP";
+  case soak_action::Pause:
+    return "pause";
+  case soak_action::Configure:
+    return "configure";
+  case soak_action::StopServer:
+    return "stop server";
+  }
+  return "";
+}
+
 std::vector<soak_step> drawPlan(std::mt19937 &Random, int HostCount,
                                 duration RunTime) {
   std::vector<soak_step> Steps;
--- a/tests/process/soak_plan.hpp
+++ b/tests/process/soak_plan.hpp
@@ -15,15 +15,17 @@
   Stop,
   /// SIGHUP of a daemon.
   Reload,
-  /// SIGSTOP and SIGCONT of a daemon.
+  /// SIGSTOP of a daemon, and SIGCONT after `PauseTime`.
   Pause,
-  Resume,
   /// A new version of the configuration.
   Configure,
   /// A server is asked to leave.
   StopServer,
 };
 
+/// Returns the name of an action, for logs.
+const char *nameOf(soak_action Action);
+
 struct soak_step {
   /// Since the start of the run.
   duration At{0};
