Soak: log when a daemon has no processor

The soak now logs when the main thread of a daemon waits for a processor, or is busy, for half of an interval. That excuses nothing.

--- a/tests/process/child_process.cpp
+++ b/tests/process/child_process.cpp
@@ -81,6 +81,14 @@
   return End;
 }
 
+processor_times child_process::processorTimes() const {
+  std::ifstream File("/proc/" + std::to_string(Pid) + "/schedstat");
+  int64_t Running = 0;
+  int64_t Waiting = 0;
+  File >> Running >> Waiting;
+  return {std::chrono::nanoseconds(Running), std::chrono::nanoseconds(Waiting)};
+}
+
 size_t child_process::peakMemory() const {
   std::ifstream Status("/proc/" + std::to_string(Pid) + "/status");
   for (std::string Word; Status >> Word;) {
--- a/tests/process/child_process.hpp
+++ b/tests/process/child_process.hpp
@@ -20,6 +20,12 @@
   bool isSuccess() const { return ExitCode == 0; }
 };
 
+/// How long a process has had a processor, and has waited for one.
+struct processor_times {
+  std::chrono::nanoseconds Running{0};
+  std::chrono::nanoseconds Waiting{0};
+};
+
 /// A running process; its destruction kills it.
 class child_process {
 public:
@@ -38,6 +44,8 @@
   std::optional<process_end> wait(std::chrono::milliseconds Timeout);
   /// Returns the largest resident memory so far, in bytes.
   size_t peakMemory() const;
+  /// Returns the times of its main thread so far.
+  processor_times processorTimes() const;
 
 private:
   pid_t Pid;
--- a/tests/process/fault_soak_test.cpp
+++ b/tests/process/fault_soak_test.cpp
@@ -3,6 +3,7 @@
 // `DRAGONFLYVANE_FIRST_SOAK_SEED` and `DRAGONFLYVANE_SOAK_SEEDS` choose the
 // seeds, `DRAGONFLYVANE_SOAK_SECONDS` the length of the run of a seed.
 #include "process/local_cluster.hpp"
+#include "process/processor_watch.hpp"
 #include "process/slow_link.hpp"
 #include "process/soak_caller.hpp"
 #include "process/soak_checks.hpp"
@@ -42,7 +43,7 @@
       : Seed(Seed), Random(Seed),
         Cluster(HostCount, milliseconds(15),
                 cluster_services::BookingsAndCatalogue),
-        StopOfHost(HostCount) {}
+        StopOfHost(HostCount), Watches(HostCount) {}
 
   void run() {
     Cluster.start();
@@ -139,12 +140,20 @@
     do {
       for (int Host = 0; Host < HostCount; ++Host) {
         checkDaemon(Host);
+        logProcessor(Host);
         Cluster.replaceEndedServer(Host);
       }
       std::this_thread::sleep_for(TickTime);
     } while (Clock.now() < End);
   }
 
+  /// Logs when a daemon has no processor or is busy; that excuses nothing.
+  void logProcessor(int Host) {
+    std::string What = Watches[Host].look(Cluster.daemon(Host));
+    if (!What.empty())
+      logLine(What, Host);
+  }
+
   /// Checks how a daemon ended, if it did, and starts the next one.
   void checkDaemon(int Host) {
     auto End = Cluster.daemon(Host).wait(milliseconds(0));
@@ -162,6 +171,7 @@
     StopOfHost[Host].reset();
     Cluster.startDaemon(Host);
     Cluster.awaitOutput(Host);
+    Watches[Host] = processor_watch();
   }
 
   void killLate(int Host) {
@@ -234,6 +244,7 @@
   std::vector<std::unique_ptr<soak_caller>> Callers;
   /// The stop of each host that stops, as an index of those of the record.
   std::vector<std::optional<size_t>> StopOfHost;
+  std::vector<processor_watch> Watches;
   soak_record Record;
   std::vector<std::string> Faults;
 };
