--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -118,6 +118,9 @@
     CallerServer.onUnanswered([this](const unanswered_request &Request) {
       reportUnanswered("callers", Request);
     });
+    PeerServer.onUnanswered([this](const unanswered_request &Request) {
+      reportUnanswered("peers", Request);
+    });
   }
 
   void addControlServer(stoppable_server &Server) {
