Count the write timeout from the last bytes that a caller took

What callers saw: a response was cut off in the middle though its caller kept reading, outside of any stop. A caller on a slow link got 8 of 24 MB.

Cause: the write timeout, the idle timeout of the configuration, counted from the start of a response that is sent as a whole, or of a piece. With a link of 1 Gbit/s pieces are as large as 1 MB, so that nearly all responses are sent as a whole. What counted was the size of the response and of the buffers of the kernel, not whether the caller was reading.

Evidence: the test of a caller that reads 64 KB every 5 ms failed before (9.8 of 25.2 MB, closed 0.8 s after the request, with a timeout of 0.4 s) and passes now; a caller that stops reading is still disconnected, before and now.

Change: each part of a write that the kernel takes counts as progress.

--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -26,8 +26,7 @@
   /// than this, or if no part of its body arrives for this long.
   std::chrono::milliseconds HeaderTimeout{10'000};
   /// A connection is closed if its next request does not begin within this
-  /// time, or if writing a response (with a pacer, one piece of it) takes
-  /// longer.
+  /// time, or if the caller takes no part of a response for this long.
   std::chrono::milliseconds IdleTimeout{60'000};
 };
 
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -4,6 +4,7 @@
 #include "dragonflyvane/net/http_wire.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
 
+#include <boost/asio/completion_condition.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
@@ -354,7 +355,7 @@
   std::array<boost::asio::const_buffer, 2> Buffers = {
       boost::asio::buffer(OutHead), boost::asio::buffer(OutBody.text())};
   boost::asio::async_write(
-      Socket, Buffers,
+      Socket, Buffers, writeWithProgress(),
       [Self = shared_from_this(), KeepOpen](auto Error, size_t) {
         if (Error)
           return Self->close("write failed");
@@ -362,6 +363,16 @@
       });
 }
 
+std::function<size_t(const boost::system::error_code &, size_t)>
+http_server_connection::writeWithProgress() {
+  return [Self = shared_from_this(), Written = size_t{0}](
+             const boost::system::error_code &Error, size_t Size) mutable {
+    if (std::exchange(Written, Size) != Size)
+      Self->LastProgress = Self->Clock.now();
+    return boost::asio::transfer_all()(Error, Size);
+  };
+}
+
 /// Writes the body from `Offset` in pieces. The head is written together with
 /// the first piece.
 void http_server_connection::writePiece(size_t Offset, bool KeepOpen) {
@@ -374,7 +385,7 @@
         boost::asio::buffer(Self->OutHead),
         boost::asio::buffer(Self->OutBody.text().data() + Offset, Size)};
     boost::asio::async_write(
-        Self->Socket, Buffers,
+        Self->Socket, Buffers, Self->writeWithProgress(),
         [Self, End = Offset + Size, KeepOpen](auto Error, size_t) {
           if (Error)
             return Self->close("write failed");
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -90,6 +90,10 @@
   void respond(http_response Response);
   void write(std::string Head, message_body Body, bool KeepOpen);
   void writePiece(size_t Offset, bool KeepOpen);
+  /// The completion condition of a write of all bytes. It notes each time at
+  /// which some of them were written.
+  std::function<size_t(const boost::system::error_code &, size_t)>
+  writeWithProgress();
   void onWritten(bool KeepOpen);
   bool hasUnreadBytes() const;
   /// Whether the server closes connections and no request follows on this one.
@@ -115,7 +119,7 @@
   bool IsHeadRequest = false;
   bool ContinueSent = false;
   /// Start of the phase `Idle`, `Reading` or `Writing`, or the last time that
-  /// body bytes were read or a piece was written in it.
+  /// body bytes were read or bytes were written in it.
   time_point LastProgress{};
   boost::beast::flat_buffer Buffer;
   std::optional<parser> Parser;
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -361,3 +361,49 @@
   }
   CHECK(Count == 0);
 }
+
+// Guards against a response that is cut off at a caller that reads slowly but
+// steadily, because all of it does not pass within the write timeout.
+TEST_CASE("a caller that keeps reading gets a large response, however long it "
+          "takes") {
+  constexpr size_t BodySize = size_t{24} << 20;
+  constexpr size_t PartSize = size_t{64} << 10;
+  http_limits Limits;
+  Limits.IdleTimeout = std::chrono::milliseconds(400);
+  echo_server Server(Limits, [](const exchange_pointer &Exchange) {
+    http_response Response;
+    Response.Body = std::string(BodySize, 'x');
+    Exchange->respond(std::move(Response));
+  });
+  raw_connection Connection(Server.Port);
+  Connection.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  auto Start = std::chrono::steady_clock::now();
+  size_t Received = 0;
+  size_t NextPause = PartSize;
+  for (std::string Part = Connection.readSome(); !Part.empty();
+       Part = Connection.readSome()) {
+    Received += Part.size();
+    if (Received < NextPause)
+      continue;
+    NextPause += PartSize;
+    std::this_thread::sleep_for(std::chrono::milliseconds(5));
+  }
+  CHECK(std::chrono::steady_clock::now() - Start > 3 * Limits.IdleTimeout);
+  CHECK(Received > BodySize);
+}
+
+// Guards against a response that holds memory and a connection for as long as a
+// caller that reads nothing likes.
+TEST_CASE("a caller that stops reading a large response is disconnected") {
+  http_limits Limits;
+  Limits.IdleTimeout = std::chrono::milliseconds(400);
+  echo_server Server(Limits, [](const exchange_pointer &Exchange) {
+    http_response Response;
+    Response.Body = std::string(size_t{24} << 20, 'x');
+    Exchange->respond(std::move(Response));
+  });
+  raw_connection Connection(Server.Port);
+  Connection.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+  std::this_thread::sleep_for(std::chrono::milliseconds(1500));
+  CHECK(Connection.readAll().size() < size_t{24} << 20);
+}
