Do not time out a response that waits for its share of the link

What callers saw: a response that was ready was cut off before its first byte, outside of any stop and though its caller was reading.

Cause: large responses are sent in pieces, the oldest first. The write timeout went on while a response waited for its turn behind others, so that a backlog of the link that was longer than the idle timeout of the configuration closed the connections at its end. A configuration that lowers the timeout does so to responses that are on their way.

Change: the timeout counts only while a piece is being written. A caller that leaves is noticed as before, and one that stops reading is still disconnected.

--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -26,7 +26,8 @@
   /// than this, or if no part of its body arrives for this long.
   std::chrono::milliseconds HeaderTimeout{10'000};
   /// A connection is closed if its next request does not begin within this
-  /// time, or if the caller takes no part of a response for this long.
+  /// time, or if the caller takes no part of a response that is being written
+  /// for this long.
   std::chrono::milliseconds IdleTimeout{60'000};
 };
 
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -160,8 +160,8 @@
   bool IdleTimedOut = Phase == phase::Idle &&
                       Now - LastProgress > State->Limits.IdleTimeout &&
                       !hasUnreadBytes();
-  bool WriteTimedOut =
-      Phase == phase::Writing && Now - LastProgress > State->Limits.IdleTimeout;
+  bool WriteTimedOut = Phase == phase::Writing && !AwaitsTurn &&
+                       Now - LastProgress > State->Limits.IdleTimeout;
   bool LingerTimedOut =
       Phase == phase::Lingering && Now - LastProgress > LingerTimeout;
   if (ReadTimedOut)
@@ -378,7 +378,10 @@
 void http_server_connection::writePiece(size_t Offset, bool KeepOpen) {
   if (Offset == OutBody.size())
     return onWritten(KeepOpen);
+  AwaitsTurn = true;
   Transfer.awaitTurn([Self = shared_from_this(), Offset, KeepOpen] {
+    Self->AwaitsTurn = false;
+    Self->LastProgress = Self->Clock.now();
     size_t Size =
         std::min(Self->Transfer.pieceSize(), Self->OutBody.size() - Offset);
     std::array<boost::asio::const_buffer, 2> Buffers = {
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -138,6 +138,9 @@
   message_body OutBody;
   /// Set while a large body is sent in pieces.
   bulk_transfer Transfer;
+  /// Whether the next piece waits for its turn, so that a lack of progress is
+  /// not the caller's.
+  bool AwaitsTurn = false;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -407,3 +407,36 @@
   std::this_thread::sleep_for(std::chrono::milliseconds(1500));
   CHECK(Connection.readAll().size() < size_t{24} << 20);
 }
+
+// Guards against a response that is cut off because it waits for its share of
+// the link for longer than the write timeout, behind another one.
+TEST_CASE("a response that waits for the link is not timed out") {
+  constexpr double LinkRate = 2e6;
+  constexpr size_t BodySize = size_t{2} << 20;
+  http_limits Limits;
+  Limits.IdleTimeout = std::chrono::milliseconds(400);
+  event_loop Loop;
+  boot_clock Clock;
+  bulk_pacer Pacer(Loop, Clock, LinkRate);
+  uint16_t Port = freePort();
+  http_server Server(
+      Loop, {"127.0.0.1", Port}, Limits,
+      [](const exchange_pointer &Exchange) {
+        http_response Response;
+        Response.Body = std::string(BodySize, 'x');
+        Exchange->respond(std::move(Response));
+      },
+      &Pacer);
+  std::thread Thread([&] { Loop.run(); });
+  auto Receive = [Port] {
+    raw_connection Connection(Port);
+    Connection.send("GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n");
+    return Connection.readAll().size();
+  };
+  auto First = std::async(std::launch::async, Receive);
+  auto Second = std::async(std::launch::async, Receive);
+  CHECK(First.get() > BodySize);
+  CHECK(Second.get() > BodySize);
+  Loop.stop();
+  Thread.join();
+}
