A stop refuses uploads that hang, and closes connections although one is written

One upload that never completes held a stopping host until 5.44 s after the signal, 3 s longer than a calm stop, while its keys and callers had no server; what completed meanwhile was refused all the same. And one response that is never read kept the sequence in its first step: at the end all idle connections were cut off instead of being closed.

Change: requests that are still arriving when all others are answered get 1 s, then 503. At the time of the last response the steps that are left are taken, whatever is being written; control servers refuse what is still arriving too.

--- a/src/dragonflyvane/net/stoppable_server.hpp
+++ b/src/dragonflyvane/net/stoppable_server.hpp
@@ -7,7 +7,8 @@
 /// What the connections of a server are doing.
 struct server_activity {
   /// Whether a request is arriving: a part of it has, or a connection is so new
-  /// that its first request must be expected.
+  /// that its first request must be expected, or a peer has not confirmed yet
+  /// that it begins no more.
   bool IsReceiving = false;
   /// Whether a response is not written completely.
   bool IsWriting = false;
@@ -15,9 +16,9 @@
   bool HasConnections = false;
 };
 
-/// A server that takes part in a graceful shutdown. The functions below are
-/// called in this order; each may be called again, with no further effect on
-/// what it has done already.
+/// A server that takes part in a graceful shutdown, in the order of the
+/// functions below. `refuseArriving` may be left out or called repeatedly, also
+/// after `finishClosing`.
 class stoppable_server {
 public:
   virtual ~stoppable_server() = default;
--- a/src/dragonflyvane/node/shutdown_sequence.cpp
+++ b/src/dragonflyvane/node/shutdown_sequence.cpp
@@ -5,6 +5,9 @@
 namespace {
 
 constexpr std::chrono::milliseconds CheckPeriod{50};
+/// Requests that are still arriving when all others are answered get this long.
+/// They would be refused anyway, and meanwhile the host serves nobody.
+constexpr std::chrono::milliseconds ArrivalTime{1000};
 /// Callers close connections that the process has closed within a round trip.
 /// Those that do not are given up after this time.
 constexpr std::chrono::milliseconds LingerTime{500};
@@ -36,31 +39,45 @@
   bool IsOver = Deps.Shutdown.isOver();
   if (!Deps.Shutdown.isDraining() && !IsOver)
     return;
-  if (IsOver) {
+  if (IsOver)
     Deps.EndWork();
-    for (stoppable_server *Server : Servers)
-      Server->refuseArriving();
-  }
-  advance();
+  advance(IsOver);
   if (!isDone() && Deps.Clock.now() < Deps.Shutdown.end())
     return;
   CheckTimer.cancel();
   Deps.OnEnd();
 }
 
-void shutdown_sequence::advance() {
-  if (Step == step::Serving && !Deps.HasWork() && !activity().IsWriting) {
+void shutdown_sequence::advance(bool IsOver) {
+  bool HasServed = !Deps.HasWork() && !activity().IsWriting;
+  if (Step == step::Serving && (HasServed || IsOver)) {
     Step = step::AwaitingRequests;
+    AwaitingSince = Deps.Clock.now();
     for (stoppable_server *Server : Servers)
       Server->stopAccepting();
   }
-  if (Step == step::AwaitingRequests && !isBusy()) {
+  if (Step != step::Serving && (isArrivalTimeOver() || IsOver))
+    refuseArriving(IsOver);
+  if (Step == step::AwaitingRequests && (!isBusy() || IsOver)) {
     Step = step::Closing;
     ClosingSince = Deps.Clock.now();
     closeServers();
   }
 }
 
+bool shutdown_sequence::isArrivalTimeOver() const {
+  return Deps.Clock.now() - *AwaitingSince >= ArrivalTime;
+}
+
+void shutdown_sequence::refuseArriving(bool OfControlServers) {
+  for (stoppable_server *Server : Servers)
+    Server->refuseArriving();
+  if (!OfControlServers)
+    return;
+  for (stoppable_server *Server : ControlServers)
+    Server->refuseArriving();
+}
+
 void shutdown_sequence::closeServers() {
   for (stoppable_server *Server : Servers)
     Server->finishClosing();
--- a/src/dragonflyvane/node/shutdown_sequence.hpp
+++ b/src/dragonflyvane/node/shutdown_sequence.hpp
@@ -57,8 +57,11 @@
   enum class step { Serving, AwaitingRequests, Closing };
 
   void check();
-  /// Goes to the next step, once nothing is left to do in the current one.
-  void advance();
+  /// Goes to the next step, once nothing is left to do in the current one or
+  /// the time for responses is over.
+  void advance(bool IsOver);
+  bool isArrivalTimeOver() const;
+  void refuseArriving(bool OfControlServers);
   bool isDone() const;
   void closeServers();
   /// What the connections of all servers but the control servers are doing.
@@ -71,6 +74,7 @@
   std::vector<stoppable_server *> Servers;
   std::vector<stoppable_server *> ControlServers;
   step Step = step::Serving;
+  std::optional<time_point> AwaitingSince;
   std::optional<time_point> ClosingSince;
   timer CheckTimer;
 };
