A refused HEAD request gets no body; a report of a lost request cannot stop a close

Found in a review. The refusal of a HEAD request that did not arrive in time had a body, which its caller would take for the next response; the test failed before. An exception while a lost request is reported would have left its socket open; it is caught and logged now (by reading, no test).

--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -102,7 +102,7 @@
   Open = false;
   if (Unanswered && State->OnUnanswered) {
     Unanswered->Reason = Reason;
-    State->OnUnanswered(*Unanswered);
+    runGuarded("unanswered request", [&] { State->OnUnanswered(*Unanswered); });
   }
   boost::system::error_code Ignored;
   Socket.close(Ignored);
@@ -123,7 +123,7 @@
     Request.Phase = request_phase::Unread;
     break;
   case phase::Lingering:
-    if (HasResponded || BytesRead == 0)
+    if (LingersAfterResponse || BytesRead == 0)
       return std::nullopt;
     Request.Phase = request_phase::Unread;
     break;
@@ -206,7 +206,7 @@
 void http_server_connection::linger() {
   boost::system::error_code Ignored;
   Socket.shutdown(socket::shutdown_send, Ignored);
-  HasResponded = Phase == phase::Writing;
+  LingersAfterResponse = Phase == phase::Writing;
   Phase = phase::Lingering;
   LastProgress = Clock.now();
   BytesRead = 0;
@@ -305,7 +305,7 @@
 void http_server_connection::reject(const refusal &Refusal) {
   Phase = phase::Serving;
   KeepAlive = false;
-  IsHeadRequest = false;
+  IsHeadRequest = Parser && Parser->get().method() == http::verb::head;
   Parser.reset();
   BodyShare = {};
   respond(toResponse(Refusal));
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -132,7 +132,7 @@
   time_point LastReadAt{};
   size_t BytesWritten = 0;
   /// Whether the connection lingers after a response, not after being idle.
-  bool HasResponded = false;
+  bool LingersAfterResponse = false;
   header_list OutHeaders;
   std::string OutHead;
   message_body OutBody;
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -279,6 +279,10 @@
   CHECK(contains(Server.exchange("POST / HTTP/1.1\r\nHost: x\r\n"
                                  "Content-Length: 5\r\n\r\nhel"),
                  "HTTP/1.1 408"));
+  // A response to HEAD has no body, also if it is a refusal.
+  std::string Head = Server.exchange("HEAD / HTTP/1.1\r\nHost: x\r\n");
+  CHECK(contains(Head, "HTTP/1.1 408"));
+  CHECK(Head.substr(Head.size() - 4) == "\r\n\r\n");
 }
 
 // Guards against a planned stop that does not see, or cuts off, a request of
