Operators' rows are read when renewals fail and nothing confirms them

Cause: two ways deliver a configuration, a watch and the conflict of a renewal. After a store that was silent for 4.5 s both fail for seconds: a watch that was sent into the silence hangs, and renewals wait behind other writes. Nothing else asked.

Ruled out: rows that are ignored, history that is gone.

Change: after a failed renewal a host whose rows were not confirmed for 3 s reads them. Reads do not wait behind writes. Relays given up and renewals that fail are logged.

--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster_sync.cpp
@@ -405,10 +405,13 @@
   }
   if (Result.Outcome != transaction_outcome::Committed ||
       !acceptEra(Result.Revision)) {
+    noteFailedRenewal(Result);
+    confirmByRead();
     RenewalTimer = Deps.Loop.after(jittered(RenewalRetryDelay),
                                    [this] { renew(RetryBatchDelay); });
     return;
   }
+  noteRenewal();
   LeaseVersion = Result.Revision;
   bool IsFirstOfEra = Eras.onRenewed();
   // Others may have taken over this lease, in rows that the store has lost.
@@ -428,6 +431,28 @@
   scheduleRenewal();
 }
 
+/// Neither renewals nor the watch can be relied on after a gap: writes may wait
+/// behind others, and the watch may hang on a lost connection.
+void cluster_sync::confirmByRead() {
+  duration Age = Deps.OperatorState.confirmationAge(Deps.Clock.now());
+  if (Age > MaxRenewalGap && OperatorSubscription.IsLoaded)
+    readAll(OperatorSubscription);
+}
+
+void cluster_sync::noteFailedRenewal(const transaction_result &Result) {
+  ++FailedRenewals;
+  if (FailedRenewals == 1)
+    writeLog(log_level::Warning, "renewal failed",
+             {{"step", "lease"}, {"reason", Result.Error}});
+}
+
+void cluster_sync::noteRenewal() {
+  if (FailedRenewals > 0)
+    writeLog(log_level::Info, "renewed after failures",
+             {{"step", "lease"}, {"failed", FailedRenewals}});
+  FailedRenewals = 0;
+}
+
 void cluster_sync::scheduleRenewal() {
   if (Deps.IsRelay()) {
     RenewalTimer = Deps.Loop.after(RelayRenewalPeriod,
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster_sync.hpp
@@ -158,6 +158,12 @@
   void renew(std::chrono::milliseconds MaxBatchDelay);
   void scheduleRenewal();
   void onRenewed(time_point SentAt, const transaction_result &Result);
+  /// Reads the operators' rows after a renewal failed, if no renewal has
+  /// confirmed them for long.
+  void confirmByRead();
+  /// Logs the first of several failed renewals, and the renewal that ends them.
+  void noteFailedRenewal(const transaction_result &Result);
+  void noteRenewal();
   void onLeaseConflict(const transaction_result &Result);
   void readMapAfterClaim(row_version ClaimedAt);
 
@@ -198,6 +204,8 @@
   std::string RunId;
   std::mt19937_64 Random;
   uint64_t RenewalCount = 0;
+  /// Failed renewals since the last renewal.
+  uint64_t FailedRenewals = 0;
   /// Version of the lease row according to the last renewal result.
   row_version LeaseVersion = 0;
   /// A renewal by this run was committed, and no conflict has since shown that
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/relayed_store.cpp
@@ -89,12 +89,16 @@
   DirectRetryAt = Deps.Clock.now() + DirectBackoff;
 }
 
-void relayed_store::onRelayResult(const std::string &Host, bool Reached) {
+void relayed_store::onRelayResult(const std::string &Host, bool Reached,
+                                  const std::string &Error) {
   if (Reached) {
     Backoffs.erase(Host);
     return;
   }
   backoff &Backoff = Backoffs[Host];
+  if (Backoff.Failures == 0)
+    writeLog(log_level::Info, "relay failed",
+             {{"step", "store"}, {"peer", Host}, {"reason", Error}});
   Backoff.Until = Deps.Clock.now() + InitialBackoff * (1 << Backoff.Failures);
   Backoff.Failures = std::min(Backoff.Failures + 1, MaxBackoffDoublings);
 }
@@ -113,7 +117,7 @@
                 StoreResult = Decode(CallResult.Response);
               else
                 StoreResult.Error = CallResult.Error;
-              onRelayResult(Host, ReachedStore(StoreResult));
+              onRelayResult(Host, ReachedStore(StoreResult), StoreResult.Error);
               Callback(std::move(StoreResult));
             });
 }
--- a/src/dragonflyvane/node/relayed_store.hpp
+++ b/src/dragonflyvane/node/relayed_store.hpp
@@ -81,7 +81,8 @@
     return Deps.Clock.now() >= DirectRetryAt;
   }
   void onDirectResult(bool Reached);
-  void onRelayResult(const std::string &Host, bool Reached);
+  void onRelayResult(const std::string &Host, bool Reached,
+                     const std::string &Error);
   template <typename Result>
   void callPeer(const relay &Relay, const store_call &Call,
                 std::chrono::milliseconds Timeout,
