Give node/ its rooms: serving, cluster and admin

Moves by git mv, with the paths of includes and the names of include guards that follow from them. No code changes; the flat folder had two jobs and some 60 files.

--- a/include/dragonflyvane/node.hpp
+++ b/include/dragonflyvane/node.hpp
@@ -5,10 +5,10 @@
 
 #include "dragonflyvane/core.hpp"
 #include "dragonflyvane/net.hpp"
+#include "dragonflyvane/node/admin/daemon_flags.hpp"
+#include "dragonflyvane/node/admin/flags.hpp"
+#include "dragonflyvane/node/admin/operator_tool.hpp"
 #include "dragonflyvane/node/daemon.hpp"
-#include "dragonflyvane/node/daemon_flags.hpp"
-#include "dragonflyvane/node/flags.hpp"
-#include "dragonflyvane/node/operator_tool.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #endif // DRAGONFLYVANE_NODE_HPP
--- a/src/dragonflyvane/node/admin.cpp
+++ b/src/dragonflyvane/node/admin/admin.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/admin.hpp"
+#include "dragonflyvane/node/admin/admin.hpp"
 
 #include <nlohmann/json.hpp>
 
--- a/src/dragonflyvane/node/admin.hpp
+++ b/src/dragonflyvane/node/admin/admin.hpp
@@ -1,11 +1,11 @@
 /// The administration API and the metrics page of a daemon.
-#ifndef DRAGONFLYVANE_NODE_ADMIN_HPP
-#define DRAGONFLYVANE_NODE_ADMIN_HPP
+#ifndef DRAGONFLYVANE_NODE_ADMIN_ADMIN_HPP
+#define DRAGONFLYVANE_NODE_ADMIN_ADMIN_HPP
 
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/metrics.hpp"
-#include "dragonflyvane/node/dispatcher.hpp"
-#include "dragonflyvane/node/ownership_manager.hpp"
+#include "dragonflyvane/node/cluster/ownership_manager.hpp"
+#include "dragonflyvane/node/serving/dispatcher.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 namespace dragonflyvane {
@@ -53,4 +53,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_ADMIN_HPP
+#endif // DRAGONFLYVANE_NODE_ADMIN_ADMIN_HPP
--- a/src/dragonflyvane/node/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -1,6 +1,6 @@
-#include "dragonflyvane/node/daemon_flags.hpp"
+#include "dragonflyvane/node/admin/daemon_flags.hpp"
 
-#include "dragonflyvane/node/flags.hpp"
+#include "dragonflyvane/node/admin/flags.hpp"
 
 #include <absl/flags/flag.h>
 
--- a/src/dragonflyvane/node/daemon_flags.hpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.hpp
@@ -1,6 +1,6 @@
 /// Command-line flags of the daemon.
-#ifndef DRAGONFLYVANE_NODE_DAEMON_FLAGS_HPP
-#define DRAGONFLYVANE_NODE_DAEMON_FLAGS_HPP
+#ifndef DRAGONFLYVANE_NODE_ADMIN_DAEMON_FLAGS_HPP
+#define DRAGONFLYVANE_NODE_ADMIN_DAEMON_FLAGS_HPP
 
 #include "dragonflyvane/net/log.hpp"
 
@@ -21,4 +21,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_DAEMON_FLAGS_HPP
+#endif // DRAGONFLYVANE_NODE_ADMIN_DAEMON_FLAGS_HPP
--- a/src/dragonflyvane/node/flags.cpp
+++ b/src/dragonflyvane/node/admin/flags.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/flags.hpp"
+#include "dragonflyvane/node/admin/flags.hpp"
 
 #include "dragonflyvane/core/error.hpp"
 
--- a/src/dragonflyvane/node/flags.hpp
+++ b/src/dragonflyvane/node/admin/flags.hpp
@@ -1,7 +1,7 @@
 /// Command-line flags of all programs, with `DRAGONFLYVANE_*` environment
 /// variables as fallback.
-#ifndef DRAGONFLYVANE_NODE_FLAGS_HPP
-#define DRAGONFLYVANE_NODE_FLAGS_HPP
+#ifndef DRAGONFLYVANE_NODE_ADMIN_FLAGS_HPP
+#define DRAGONFLYVANE_NODE_ADMIN_FLAGS_HPP
 
 #include "dragonflyvane/core/endpoint.hpp"
 
@@ -52,4 +52,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_FLAGS_HPP
+#endif // DRAGONFLYVANE_NODE_ADMIN_FLAGS_HPP
--- a/src/dragonflyvane/node/operator_tool.cpp
+++ b/src/dragonflyvane/node/admin/operator_tool.cpp
@@ -1,8 +1,8 @@
-#include "dragonflyvane/node/operator_tool.hpp"
+#include "dragonflyvane/node/admin/operator_tool.hpp"
 
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 #include "dragonflyvane/net/http_client.hpp"
-#include "dragonflyvane/node/flags.hpp"
+#include "dragonflyvane/node/admin/flags.hpp"
 
 #include <absl/flags/flag.h>
 #include <nlohmann/json.hpp>
--- a/src/dragonflyvane/node/operator_tool.hpp
+++ b/src/dragonflyvane/node/admin/operator_tool.hpp
@@ -1,7 +1,7 @@
 /// The `dragonflyvanectl` program: commands for the administration API of a
 /// daemon.
-#ifndef DRAGONFLYVANE_NODE_OPERATOR_TOOL_HPP
-#define DRAGONFLYVANE_NODE_OPERATOR_TOOL_HPP
+#ifndef DRAGONFLYVANE_NODE_ADMIN_OPERATOR_TOOL_HPP
+#define DRAGONFLYVANE_NODE_ADMIN_OPERATOR_TOOL_HPP
 
 namespace dragonflyvane {
 
@@ -12,4 +12,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_OPERATOR_TOOL_HPP
+#endif // DRAGONFLYVANE_NODE_ADMIN_OPERATOR_TOOL_HPP
--- a/src/dragonflyvane/node/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/cluster_coordinator.hpp"
+#include "dragonflyvane/node/cluster/cluster_coordinator.hpp"
 
 #include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/net/log.hpp"
--- a/src/dragonflyvane/node/cluster_coordinator.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.hpp
@@ -2,14 +2,14 @@
 /// pool: takes over ranges of hosts with expired leases, assigns ranges without
 /// an owner and balances the load. Two coordinators at the same time are
 /// harmless, since every change is a compare-and-set.
-#ifndef DRAGONFLYVANE_NODE_CLUSTER_COORDINATOR_HPP
-#define DRAGONFLYVANE_NODE_CLUSTER_COORDINATOR_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_CLUSTER_COORDINATOR_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_CLUSTER_COORDINATOR_HPP
 
 #include "dragonflyvane/core/ownership/assignment.hpp"
 #include "dragonflyvane/core/ownership/host_lease.hpp"
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
-#include "dragonflyvane/node/cluster_sync.hpp"
+#include "dragonflyvane/node/cluster/cluster_sync.hpp"
 
 #include <map>
 #include <set>
@@ -99,4 +99,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_CLUSTER_COORDINATOR_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_CLUSTER_COORDINATOR_HPP
--- a/src/dragonflyvane/node/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/cluster_sync.hpp"
+#include "dragonflyvane/node/cluster/cluster_sync.hpp"
 
 #include "dragonflyvane/core/cluster/map_recovery.hpp"
 #include "dragonflyvane/core/cluster/store_relays.hpp"
--- a/src/dragonflyvane/node/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -1,7 +1,7 @@
 /// Synchronization of a daemon with the store: reads and watches rows, renews
 /// the host's lease, and writes the host's row and the ownership maps.
-#ifndef DRAGONFLYVANE_NODE_CLUSTER_SYNC_HPP
-#define DRAGONFLYVANE_NODE_CLUSTER_SYNC_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_CLUSTER_SYNC_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_CLUSTER_SYNC_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
@@ -232,4 +232,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_CLUSTER_SYNC_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_CLUSTER_SYNC_HPP
--- a/src/dragonflyvane/node/cluster_sync_test.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/cluster_sync.hpp"
+#include "dragonflyvane/node/cluster/cluster_sync.hpp"
 
 #include "counting_store.hpp"
 #include "dragonflyvane/node/settings.hpp"
--- a/src/dragonflyvane/node/coalescing_store.cpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/coalescing_store.hpp"
+#include "dragonflyvane/node/cluster/coalescing_store.hpp"
 
 #include "dragonflyvane/net/log.hpp"
 
--- a/src/dragonflyvane/node/coalescing_store.hpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.hpp
@@ -1,8 +1,8 @@
 /// Access to the store that a host shares with the hosts that use it as relay:
 /// equal reads and watches are coalesced, and renewals of several hosts are
 /// batched into one transaction.
-#ifndef DRAGONFLYVANE_NODE_COALESCING_STORE_HPP
-#define DRAGONFLYVANE_NODE_COALESCING_STORE_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_COALESCING_STORE_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_COALESCING_STORE_HPP
 
 #include "dragonflyvane/core/cluster/transaction_batch.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
@@ -107,4 +107,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_COALESCING_STORE_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_COALESCING_STORE_HPP
--- a/src/dragonflyvane/node/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/ownership_manager.hpp"
+#include "dragonflyvane/node/cluster/ownership_manager.hpp"
 
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
--- a/src/dragonflyvane/node/ownership_manager.hpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.hpp
@@ -1,13 +1,13 @@
 /// Ownership of keys on one host: connects the rows of the store, the local
 /// backend server and the coordinator role. Communicates only through the
 /// store, in responses to heartbeats and in calls that grant and release keys.
-#ifndef DRAGONFLYVANE_NODE_OWNERSHIP_MANAGER_HPP
-#define DRAGONFLYVANE_NODE_OWNERSHIP_MANAGER_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_OWNERSHIP_MANAGER_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_OWNERSHIP_MANAGER_HPP
 
 #include "dragonflyvane/core/scheduler.hpp"
-#include "dragonflyvane/node/cluster_coordinator.hpp"
-#include "dragonflyvane/node/cluster_sync.hpp"
-#include "dragonflyvane/node/local_server.hpp"
+#include "dragonflyvane/node/cluster/cluster_coordinator.hpp"
+#include "dragonflyvane/node/cluster/cluster_sync.hpp"
+#include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <functional>
 #include <optional>
@@ -118,4 +118,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_OWNERSHIP_MANAGER_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_OWNERSHIP_MANAGER_HPP
--- a/src/dragonflyvane/node/peer_messages.hpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.hpp
@@ -1,7 +1,7 @@
 /// Messages between daemons other than forwarded requests: reports of load and
 /// crashes to the coordinator, and requests for tokens of the rate pool.
-#ifndef DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
-#define DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_PEER_MESSAGES_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_PEER_MESSAGES_HPP
 
 #include "dragonflyvane/core/admission/crash_attribution.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -78,4 +78,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_PEER_MESSAGES_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_PEER_MESSAGES_HPP
--- a/src/dragonflyvane/node/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/peer_messages.hpp"
+#include "dragonflyvane/node/cluster/peer_messages.hpp"
 
 #include <doctest/doctest.h>
 
--- a/src/dragonflyvane/node/relayed_store.cpp
+++ b/src/dragonflyvane/node/cluster/relayed_store.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/relayed_store.hpp"
+#include "dragonflyvane/node/cluster/relayed_store.hpp"
 
 #include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/net/log.hpp"
--- a/src/dragonflyvane/node/relayed_store.hpp
+++ b/src/dragonflyvane/node/cluster/relayed_store.hpp
@@ -1,7 +1,7 @@
 /// Access to the store through the relay of the failure domain, and through any
 /// peer while neither the relay nor the direct path works.
-#ifndef DRAGONFLYVANE_NODE_RELAYED_STORE_HPP
-#define DRAGONFLYVANE_NODE_RELAYED_STORE_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_RELAYED_STORE_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_RELAYED_STORE_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
@@ -108,4 +108,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_RELAYED_STORE_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_RELAYED_STORE_HPP
--- a/src/dragonflyvane/node/relayed_store_test.cpp
+++ b/src/dragonflyvane/node/cluster/relayed_store_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/relayed_store.hpp"
+#include "dragonflyvane/node/cluster/relayed_store.hpp"
 
 #include "counting_store.hpp"
 #include "fake_peers.hpp"
--- a/src/dragonflyvane/node/restorable_store.cpp
+++ b/src/dragonflyvane/node/cluster/restorable_store.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/restorable_store.hpp"
+#include "dragonflyvane/node/cluster/restorable_store.hpp"
 
 #include "dragonflyvane/net/log.hpp"
 
--- a/src/dragonflyvane/node/restorable_store.hpp
+++ b/src/dragonflyvane/node/cluster/restorable_store.hpp
@@ -1,7 +1,7 @@
 /// Access to a store that may come back from an older copy. What was written
 /// since that copy is lost then, and the store gives out versions again.
-#ifndef DRAGONFLYVANE_NODE_RESTORABLE_STORE_HPP
-#define DRAGONFLYVANE_NODE_RESTORABLE_STORE_HPP
+#ifndef DRAGONFLYVANE_NODE_CLUSTER_RESTORABLE_STORE_HPP
+#define DRAGONFLYVANE_NODE_CLUSTER_RESTORABLE_STORE_HPP
 
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/core/store.hpp"
@@ -75,4 +75,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_RESTORABLE_STORE_HPP
+#endif // DRAGONFLYVANE_NODE_CLUSTER_RESTORABLE_STORE_HPP
--- a/src/dragonflyvane/node/daemon.hpp
+++ b/src/dragonflyvane/node/daemon.hpp
@@ -10,7 +10,7 @@
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
-#include "dragonflyvane/node/ownership_manager.hpp"
+#include "dragonflyvane/node/cluster/ownership_manager.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #include <memory>
--- a/src/dragonflyvane/node/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/active_request.hpp"
+#include "dragonflyvane/node/serving/active_request.hpp"
 
 #include "dragonflyvane/core/admission/request_priority.hpp"
 #include "dragonflyvane/net/log.hpp"
--- a/src/dragonflyvane/node/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -1,9 +1,9 @@
 /// The state of one request in the request router. This header is internal to
 /// the library.
-#ifndef DRAGONFLYVANE_NODE_ACTIVE_REQUEST_HPP
-#define DRAGONFLYVANE_NODE_ACTIVE_REQUEST_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_ACTIVE_REQUEST_HPP
+#define DRAGONFLYVANE_NODE_SERVING_ACTIVE_REQUEST_HPP
 
-#include "dragonflyvane/node/request_router.hpp"
+#include "dragonflyvane/node/serving/request_router.hpp"
 
 #include <set>
 
@@ -113,4 +113,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_ACTIVE_REQUEST_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_ACTIVE_REQUEST_HPP
--- a/src/dragonflyvane/node/condition_report.hpp
+++ b/src/dragonflyvane/node/serving/condition_report.hpp
@@ -1,8 +1,8 @@
 /// What one daemon tells another about the condition of a backend server. It
 /// travels with each forwarded request and each result, so that a daemon that
 /// has restarted learns again what its peers are bound by.
-#ifndef DRAGONFLYVANE_NODE_CONDITION_REPORT_HPP
-#define DRAGONFLYVANE_NODE_CONDITION_REPORT_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_CONDITION_REPORT_HPP
+#define DRAGONFLYVANE_NODE_SERVING_CONDITION_REPORT_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
@@ -53,4 +53,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_CONDITION_REPORT_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_CONDITION_REPORT_HPP
--- a/src/dragonflyvane/node/condition_report_test.cpp
+++ b/src/dragonflyvane/node/serving/condition_report_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/condition_report.hpp"
+#include "dragonflyvane/node/serving/condition_report.hpp"
 
 #include <doctest/doctest.h>
 
--- a/src/dragonflyvane/node/crash_guard.cpp
+++ b/src/dragonflyvane/node/serving/crash_guard.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/crash_guard.hpp"
+#include "dragonflyvane/node/serving/crash_guard.hpp"
 
 #include "dragonflyvane/net/log.hpp"
 
--- a/src/dragonflyvane/node/crash_guard.hpp
+++ b/src/dragonflyvane/node/serving/crash_guard.hpp
@@ -1,12 +1,12 @@
 /// Protects the local backend server from requests that crash backend servers:
 /// records crashes, reports them to the coordinator and applies the quarantine
 /// that the coordinator decides on.
-#ifndef DRAGONFLYVANE_NODE_CRASH_GUARD_HPP
-#define DRAGONFLYVANE_NODE_CRASH_GUARD_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_CRASH_GUARD_HPP
+#define DRAGONFLYVANE_NODE_SERVING_CRASH_GUARD_HPP
 
 #include "dragonflyvane/core/admission/crash_attribution.hpp"
-#include "dragonflyvane/node/local_server.hpp"
-#include "dragonflyvane/node/peer_messages.hpp"
+#include "dragonflyvane/node/cluster/peer_messages.hpp"
+#include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <set>
 
@@ -73,4 +73,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_CRASH_GUARD_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_CRASH_GUARD_HPP
--- a/src/dragonflyvane/node/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -1,7 +1,7 @@
 /// Queues, admits and sends requests to the local backend server, and
 /// classifies the results. No other component sends requests to the server.
-#ifndef DRAGONFLYVANE_NODE_DISPATCHER_HPP
-#define DRAGONFLYVANE_NODE_DISPATCHER_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_DISPATCHER_HPP
+#define DRAGONFLYVANE_NODE_SERVING_DISPATCHER_HPP
 
 #include "dragonflyvane/core/admission/admission_queue.hpp"
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
@@ -17,9 +17,9 @@
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
-#include "dragonflyvane/node/crash_guard.hpp"
-#include "dragonflyvane/node/forwarding.hpp"
-#include "dragonflyvane/node/local_server.hpp"
+#include "dragonflyvane/node/serving/crash_guard.hpp"
+#include "dragonflyvane/node/serving/forwarding.hpp"
+#include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <deque>
 #include <functional>
@@ -176,4 +176,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_DISPATCHER_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_DISPATCHER_HPP
--- a/src/dragonflyvane/node/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/dispatcher.hpp"
+#include "dragonflyvane/node/serving/dispatcher.hpp"
 
 #include "manual_scheduler.hpp"
 
--- a/src/dragonflyvane/node/forwarding.cpp
+++ b/src/dragonflyvane/node/serving/forwarding.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/forwarding.hpp"
+#include "dragonflyvane/node/serving/forwarding.hpp"
 
 #include <charconv>
 #include <cstdio>
--- a/src/dragonflyvane/node/forwarding.hpp
+++ b/src/dragonflyvane/node/serving/forwarding.hpp
@@ -1,13 +1,13 @@
 /// The messages between request routers and dispatchers: a forwarded request
 /// and its result.
-#ifndef DRAGONFLYVANE_NODE_FORWARDING_HPP
-#define DRAGONFLYVANE_NODE_FORWARDING_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_FORWARDING_HPP
+#define DRAGONFLYVANE_NODE_SERVING_FORWARDING_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 #include "dragonflyvane/core/refusal.hpp"
-#include "dragonflyvane/node/condition_report.hpp"
+#include "dragonflyvane/node/serving/condition_report.hpp"
 
 #include <chrono>
 #include <optional>
@@ -100,4 +100,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_FORWARDING_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_FORWARDING_HPP
--- a/src/dragonflyvane/node/host_selector.hpp
+++ b/src/dragonflyvane/node/serving/host_selector.hpp
@@ -1,12 +1,12 @@
 /// Selects hosts for requests without keys, by the load that hosts reported and
 /// by the results of calls to them.
-#ifndef DRAGONFLYVANE_NODE_HOST_SELECTOR_HPP
-#define DRAGONFLYVANE_NODE_HOST_SELECTOR_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_HOST_SELECTOR_HPP
+#define DRAGONFLYVANE_NODE_SERVING_HOST_SELECTOR_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
-#include "dragonflyvane/node/forwarding.hpp"
+#include "dragonflyvane/node/serving/forwarding.hpp"
 
 #include <map>
 #include <optional>
@@ -72,4 +72,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_HOST_SELECTOR_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_HOST_SELECTOR_HPP
--- a/src/dragonflyvane/node/host_selector_test.cpp
+++ b/src/dragonflyvane/node/serving/host_selector_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/host_selector.hpp"
+#include "dragonflyvane/node/serving/host_selector.hpp"
 
 #include <doctest/doctest.h>
 
--- a/src/dragonflyvane/node/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/local_server.hpp"
+#include "dragonflyvane/node/serving/local_server.hpp"
 
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/core/ownership/host_lease.hpp"
--- a/src/dragonflyvane/node/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -1,6 +1,6 @@
 /// The local backend server: its heartbeats, its availability and its grants.
-#ifndef DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
-#define DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_LOCAL_SERVER_HPP
+#define DRAGONFLYVANE_NODE_SERVING_LOCAL_SERVER_HPP
 
 #include "dragonflyvane/core/admission/server_condition.hpp"
 #include "dragonflyvane/core/backend_server.hpp"
@@ -10,7 +10,7 @@
 #include "dragonflyvane/core/ownership/call_grants.hpp"
 #include "dragonflyvane/core/ownership/heartbeat_grants.hpp"
 #include "dragonflyvane/core/ownership/incarnation_tracker.hpp"
-#include "dragonflyvane/node/condition_report.hpp"
+#include "dragonflyvane/node/serving/condition_report.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #include <optional>
@@ -161,4 +161,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_LOCAL_SERVER_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_LOCAL_SERVER_HPP
--- a/src/dragonflyvane/node/rate_limiter.cpp
+++ b/src/dragonflyvane/node/serving/rate_limiter.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/rate_limiter.hpp"
+#include "dragonflyvane/node/serving/rate_limiter.hpp"
 
 namespace dragonflyvane {
 
--- a/src/dragonflyvane/node/rate_limiter.hpp
+++ b/src/dragonflyvane/node/serving/rate_limiter.hpp
@@ -1,8 +1,8 @@
 /// Admits requests within the rates of their workspaces. Requests tokens from
 /// the rate pool, which the coordinator keeps, when the share of this host is
 /// used up.
-#ifndef DRAGONFLYVANE_NODE_RATE_LIMITER_HPP
-#define DRAGONFLYVANE_NODE_RATE_LIMITER_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_RATE_LIMITER_HPP
+#define DRAGONFLYVANE_NODE_SERVING_RATE_LIMITER_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
@@ -57,4 +57,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_RATE_LIMITER_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_RATE_LIMITER_HPP
--- a/src/dragonflyvane/node/request_router.cpp
+++ b/src/dragonflyvane/node/serving/request_router.cpp
@@ -1,6 +1,6 @@
-#include "dragonflyvane/node/request_router.hpp"
+#include "dragonflyvane/node/serving/request_router.hpp"
 
-#include "dragonflyvane/node/active_request.hpp"
+#include "dragonflyvane/node/serving/active_request.hpp"
 
 namespace dragonflyvane {
 
--- a/src/dragonflyvane/node/request_router.hpp
+++ b/src/dragonflyvane/node/serving/request_router.hpp
@@ -1,7 +1,7 @@
 /// Routes requests of callers: finds route, workspace and host, forwards the
 /// request, retries where that is allowed, and responds.
-#ifndef DRAGONFLYVANE_NODE_REQUEST_ROUTER_HPP
-#define DRAGONFLYVANE_NODE_REQUEST_ROUTER_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_REQUEST_ROUTER_HPP
+#define DRAGONFLYVANE_NODE_SERVING_REQUEST_ROUTER_HPP
 
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
@@ -13,9 +13,9 @@
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/net/peer_transport.hpp"
-#include "dragonflyvane/node/dispatcher.hpp"
-#include "dragonflyvane/node/host_selector.hpp"
-#include "dragonflyvane/node/rate_limiter.hpp"
+#include "dragonflyvane/node/serving/dispatcher.hpp"
+#include "dragonflyvane/node/serving/host_selector.hpp"
+#include "dragonflyvane/node/serving/rate_limiter.hpp"
 #include "dragonflyvane/node/settings.hpp"
 
 #include <map>
@@ -81,4 +81,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_REQUEST_ROUTER_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_REQUEST_ROUTER_HPP
--- a/src/dragonflyvane/node/shutdown_sequence.hpp
+++ b/src/dragonflyvane/node/serving/shutdown_sequence.hpp
@@ -1,7 +1,7 @@
 /// Carries out the graceful shutdown of a process, in the time plan of
 /// `graceful_shutdown`.
-#ifndef DRAGONFLYVANE_NODE_SHUTDOWN_SEQUENCE_HPP
-#define DRAGONFLYVANE_NODE_SHUTDOWN_SEQUENCE_HPP
+#ifndef DRAGONFLYVANE_NODE_SERVING_SHUTDOWN_SEQUENCE_HPP
+#define DRAGONFLYVANE_NODE_SERVING_SHUTDOWN_SEQUENCE_HPP
 
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
@@ -81,4 +81,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_NODE_SHUTDOWN_SEQUENCE_HPP
+#endif // DRAGONFLYVANE_NODE_SERVING_SHUTDOWN_SEQUENCE_HPP
--- a/src/dragonflyvane/node/shutdown_sequence_test.cpp
+++ b/src/dragonflyvane/node/serving/shutdown_sequence_test.cpp
@@ -1,4 +1,4 @@
-#include "dragonflyvane/node/shutdown_sequence.hpp"
+#include "dragonflyvane/node/serving/shutdown_sequence.hpp"
 
 #include "manual_scheduler.hpp"
 
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -3,10 +3,10 @@
 #ifndef DRAGONFLYVANE_TESTS_OWNERSHIP_SIMULATION_HPP
 #define DRAGONFLYVANE_TESTS_OWNERSHIP_SIMULATION_HPP
 
-#include "dragonflyvane/node/coalescing_store.hpp"
-#include "dragonflyvane/node/ownership_manager.hpp"
-#include "dragonflyvane/node/relayed_store.hpp"
-#include "dragonflyvane/node/restorable_store.hpp"
+#include "dragonflyvane/node/cluster/coalescing_store.hpp"
+#include "dragonflyvane/node/cluster/ownership_manager.hpp"
+#include "dragonflyvane/node/cluster/relayed_store.hpp"
+#include "dragonflyvane/node/cluster/restorable_store.hpp"
 #include "fake_peers.hpp"
 #include "fake_server.hpp"
 #include "fake_store.hpp"
