A leave notice that comes before the server's first heartbeat is kept

Cause: local_server::onLeave dropped a notice of an incarnation that had sent no heartbeat to this process, which had started 0.36 s before; the next heartbeat made the server ready. Ruled out: recallLeaving, which knows only what an earlier run published. Change: the notice is kept and counts from the first heartbeat of that incarnation; one without a start time only within the heartbeat timeout, since a server may start again under its name. The test failed before (ready instead of leaving, both forms).

--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -160,6 +160,7 @@
 void ownership_manager::recallLeaving() {
   const host_info *Published = view().host(Deps.Settings.Host);
   if (!Published || Published->Availability != server_availability::Leaving ||
+      Published->Incarnation.Instance != Server.incarnation().Instance ||
       Server.availability() == server_availability::Leaving)
     return;
   // It is not known since when, so the drain timeout counts as over.
--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -42,6 +42,14 @@
                             LeaseDuration);
 }
 
+/// Whether an announcement of `Sender` is about the incarnation `Known`. An
+/// announcement need not name a start time.
+bool isSameLife(const server_incarnation &Sender,
+                const server_incarnation &Known) {
+  return Sender.Instance == Known.Instance &&
+         (Sender.StartedAtMs == 0 || Sender.StartedAtMs == Known.StartedAtMs);
+}
+
 server_identity identityIn(const settings &Settings) {
   return {Settings.LocalService,
           Settings.ServerEndpoint ? toString(*Settings.ServerEndpoint) : "",
@@ -104,8 +112,10 @@
       Incarnations.onHeartbeat(Heartbeat.Incarnation, Heartbeat.Sequence, Now);
   if (Origin == heartbeat_origin::Outdated)
     return std::nullopt;
-  if (Origin == heartbeat_origin::New)
+  if (Origin == heartbeat_origin::New) {
     startIncarnation();
+    applyEarlyLeave();
+  }
   LastHeartbeatAt = Now;
   if (std::exchange(IsConnectionMissed, false))
     ReconnectUntil = Now + MaxConnectDelay;
@@ -220,15 +230,28 @@
 
 void local_server::onLeave(const server_incarnation &Leaving,
                            time_point Since) {
-  bool IsCurrent = Leaving.Instance == incarnation().Instance &&
-                   (Leaving.StartedAtMs == 0 ||
-                    Leaving.StartedAtMs == incarnation().StartedAtMs);
-  if (!IsCurrent || Availability == server_availability::Leaving)
+  if (!isSameLife(Leaving, incarnation())) {
+    EarlyLeave = {Leaving, Since};
+    return;
+  }
+  if (Availability == server_availability::Leaving)
     return;
   Availability = server_availability::Leaving;
   LeavingSince = Since;
 }
 
+void local_server::applyEarlyLeave() {
+  if (!EarlyLeave || !isSameLife(EarlyLeave->Incarnation, incarnation()))
+    return;
+  // A server that leaves goes on to send heartbeats. One that has been silent
+  // for longer may have been started again under its old name.
+  bool MayBeLaterLife = EarlyLeave->Incarnation.StartedAtMs == 0 &&
+                        Clock.now() - EarlyLeave->Since > HeartbeatTimeout;
+  if (!MayBeLaterLife)
+    onLeave(incarnation(), EarlyLeave->Since);
+  EarlyLeave.reset();
+}
+
 void local_server::onRefusedConnection() {
   time_point Now = Clock.now();
   bool IsConsecutive =
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -61,7 +61,9 @@
   /// the report has changed what this daemon knows.
   bool onReportedCondition(const condition_report &Report);
   /// Called when the server announces that it leaves, or when it becomes known
-  /// that it has been leaving since `Since`.
+  /// that it has been leaving since `Since`. An announcement of an incarnation
+  /// that has sent no heartbeat to this daemon yet counts from its first
+  /// heartbeat on.
   void onLeave(const server_incarnation &Incarnation, time_point Since);
   /// Called when the server refused a connection. Marks a ready server as down
   /// and ends its grants if it has refused connections for more than a
@@ -122,6 +124,9 @@
   void requireOwnServer(const heartbeat &Heartbeat,
                         const grant_context &Context) const;
   void startIncarnation();
+  /// Applies an announcement that arrived before the first heartbeat of the
+  /// current incarnation.
+  void applyEarlyLeave();
   /// Lets no repeated grant open a connection before the next heartbeat.
   void awaitHeartbeat();
   /// Uses the way of the service from now on.
@@ -155,6 +160,12 @@
   time_point FirstRefusal{};
   time_point LastRefusal{};
   time_point LeavingSince{};
+  /// The latest announcement of an incarnation that is not the current one.
+  struct early_leave {
+    server_incarnation Incarnation;
+    time_point Since{};
+  };
+  std::optional<early_leave> EarlyLeave;
   std::optional<time_point> EvacuatedSince;
   time_point ColdUntil{};
 };
--- a/src/dragonflyvane/node/serving/local_server_test.cpp
+++ b/src/dragonflyvane/node/serving/local_server_test.cpp
@@ -126,6 +126,39 @@
   CHECK(!Fixture.Server.acceptsRequests(Fixture.Clock.now()));
 }
 
+// Guards against: a daemon that has just started acknowledges that its server
+// leaves, forgets it, and takes the server for ready at its next heartbeat.
+TEST_CASE_FIXTURE(
+    local_server_fixture,
+    "a leave notice before the first heartbeat is not forgotten") {
+  SUBCASE("with the start time of the server") {
+    Server.onLeave({"i-1", 1000}, Clock.now());
+  }
+  SUBCASE("without a start time") { Server.onLeave({"i-1", 0}, Clock.now()); }
+  Clock.advance(milliseconds(900));
+  sendHeartbeat();
+  CHECK(Server.availability() == server_availability::Leaving);
+  CHECK(Server.acceptsRequests(Clock.now()));
+  Clock.advance(Settings.DrainTimeout - milliseconds(900));
+  sendHeartbeat();
+  CHECK_FALSE(Server.acceptsRequests(Clock.now()));
+}
+
+// Guards against: a server that was started again under its old name gets no
+// requests, because its earlier life had announced that it leaves.
+TEST_CASE_FIXTURE(local_server_fixture,
+                  "a leave notice says nothing about a later life") {
+  SUBCASE("with another start time") {
+    Server.onLeave({"i-1", 900}, Clock.now());
+  }
+  SUBCASE("without a start time, long before the first heartbeat") {
+    Server.onLeave({"i-1", 0}, Clock.now());
+    Clock.advance(std::chrono::seconds(4));
+  }
+  sendHeartbeat();
+  CHECK(Server.availability() == server_availability::Ready);
+}
+
 // A message of another program was believed to be the first heartbeat of the
 // next incarnation, and the keys of the server went to others while it held
 // them.
