--- a/src/dragonflyvane/core/ownership/load_rebalancer.hpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.hpp
@@ -34,6 +34,11 @@
   double ProcessingTime = 0;
   /// The requests per second that the server takes; none if it names no limit.
   std::optional<double> RateLimit = std::nullopt;
+  /// The requests in flight that the server takes well; none if not learned.
+  std::optional<double> ConcurrencyLimit = std::nullopt;
+  /// How much faster the server works than the service usually does; 1 if not
+  /// learned.
+  double Speed = 1;
 };
 
 /// Plans moves from one snapshot of the load of all candidates.
--- a/src/dragonflyvane/node/cluster/peer_messages.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.cpp
@@ -89,6 +89,10 @@
                {"answered", Message.RequestsWithResponse}};
   if (Message.Load.RateLimit)
     Body["limit"] = *Message.Load.RateLimit;
+  if (Message.Load.ConcurrencyLimit)
+    Body["concurrency"] = *Message.Load.ConcurrencyLimit;
+  if (Message.Load.Speed != 1)
+    Body["speed"] = Message.Load.Speed;
   return makeMessage("report", Body);
 }
 
@@ -105,6 +109,10 @@
     Message.Load.Sample = toPoints(requireList(*Body, "sample"));
     if (Body->contains("limit"))
       Message.Load.RateLimit = requireNumber(*Body, "limit");
+    if (Body->contains("concurrency"))
+      Message.Load.ConcurrencyLimit = requireNumber(*Body, "concurrency");
+    if (Body->contains("speed"))
+      Message.Load.Speed = requireNumber(*Body, "speed");
     Message.NewestVersion = requireInteger<row_version>(*Body, "newest");
     Message.Crashes = toCrashes(requireList(*Body, "crashes"));
     Message.RequestsWithResponse =
--- a/src/dragonflyvane/node/cluster/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -41,3 +41,18 @@
   Request.Body = std::string(500'000, '[');
   CHECK(!decodeReport(Request));
 }
+
+// Guards against a learned capacity that is lost on its way to the coordinator.
+TEST_CASE("a report carries what a server takes well") {
+  report_message Message;
+  Message.Host = "a";
+  REQUIRE(decodeReport(encodeReport(Message)));
+  CHECK_FALSE(decodeReport(encodeReport(Message))->Load.ConcurrencyLimit);
+  CHECK(decodeReport(encodeReport(Message))->Load.Speed == 1);
+  Message.Load.ConcurrencyLimit = 5;
+  Message.Load.Speed = 0.5;
+  auto Decoded = decodeReport(encodeReport(Message));
+  REQUIRE(Decoded);
+  CHECK(Decoded->Load.ConcurrencyLimit == 5);
+  CHECK(Decoded->Load.Speed == 0.5);
+}
