Feature switches: what acts only without workspaces, or as flags say

overload_control and learned_capacity are off in deployments whose workspaces have rates, so that these are served as before; operators can turn them on or off.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -21,6 +21,7 @@
 #include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/core/cluster/transaction_batch.hpp"
 #include "dragonflyvane/core/configuration/configuration.hpp"
+#include "dragonflyvane/core/configuration/feature_switch.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/error.hpp"
--- a/src/dragonflyvane/node/admin/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -9,6 +9,12 @@
 ABSL_FLAG(std::string, config, "", "path of the settings file");
 ABSL_FLAG(std::string, log_level, "info",
           "lowest level that is logged: debug, info, warning or error");
+ABSL_FLAG(std::string, overload_control, "auto",
+          "whether requests are ordered and refused by what they can still be "
+          "served for: auto, on or off; auto is on without workspaces");
+ABSL_FLAG(std::string, learned_capacity, "auto",
+          "whether the capacity of backend servers is learned from their "
+          "responses: auto, on or off; auto is on without workspaces");
 
 namespace dragonflyvane {
 
@@ -24,6 +30,13 @@
   return Name == "warning" ? log_level::Warning : log_level::Error;
 }
 
+feature_mode featureFlag(const std::string &Name) {
+  std::string Mode = choiceFlag(Name, {"auto", "on", "off"});
+  if (Mode == "auto")
+    return feature_mode::Automatic;
+  return Mode == "on" ? feature_mode::On : feature_mode::Off;
+}
+
 } // namespace
 
 daemon_flags readDaemonFlags(int Count, char **Arguments) {
@@ -33,7 +46,8 @@
                  "that owns the key");
   if (!Positional.empty())
     rejectFlag("", Positional.front(), "flags only");
-  return {requiredFlag("config"), logLevelFlag()};
+  return {requiredFlag("config"), logLevelFlag(),
+          featureFlag("overload_control"), featureFlag("learned_capacity")};
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/admin/daemon_flags.hpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYVANE_NODE_ADMIN_DAEMON_FLAGS_HPP
 #define DRAGONFLYVANE_NODE_ADMIN_DAEMON_FLAGS_HPP
 
+#include "dragonflyvane/core/configuration/feature_switch.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <string>
@@ -14,6 +15,8 @@
   std::string ConfigPath;
   /// Messages below this level are not logged.
   log_level LogLevel = log_level::Info;
+  feature_mode OverloadControl = feature_mode::Automatic;
+  feature_mode LearnedCapacity = feature_mode::Automatic;
 };
 
 /// Parses and checks the flags; exits with code 2 if one is invalid.
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -3,6 +3,7 @@
 #define DRAGONFLYVANE_NODE_SETTINGS_HPP
 
 #include "dragonflyvane/core/admission/retry_budget.hpp"
+#include "dragonflyvane/core/configuration/feature_switch.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
 
 #include <chrono>
@@ -55,6 +56,11 @@
   /// A backend server gets no new requests once it has been leaving for this
   /// long.
   std::chrono::milliseconds DrainTimeout{2000};
+  /// Whether requests are ordered and refused by what they can still be served
+  /// for.
+  feature_mode OverloadControl = feature_mode::Automatic;
+  /// Whether the capacity of backend servers is learned from their responses.
+  feature_mode LearnedCapacity = feature_mode::Automatic;
   /// Limits for retries, applied to each service separately.
   retry_budget_options RetryBudgetOptions;
 };
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -78,6 +78,8 @@
     settings Settings = retryStep("settings", SettingsTimeout, Signals, [&] {
       return platform::readSettingsFile(Flags.ConfigPath);
     });
+    Settings.OverloadControl = Flags.OverloadControl;
+    Settings.LearnedCapacity = Flags.LearnedCapacity;
     setLogHost(Settings.Host);
     return retryStep("listen", PortTimeout, Signals,
                      [&] { return run(Settings, Signals); });
