Peer connections that make progress stay open; unsent calls end as NotSent

Cause: uploads over a slow link were lost because the PING (and nothing else) stood for the peer's life. It waited behind the upload's bytes, and the receiver sent WINDOW_UPDATE only after half of a 1 MiB window.

Change: liveness_check (core, without I/O) decides. Signs of life are received bytes and bytes that the peer's host accepts (SIOCOUTQ) up to the end of the PING; input that waits unread after a pause of this process prevents a close. While a message arrives, the receiver reports progress by WINDOW_UPDATE at least every 16 KiB or 100 ms. The kernel holds at most 16 KiB unsent (TCP_NOTSENT_LOWAT).

Writes are no longer asynchronous operations, so the number of bytes handed to the socket is exact: a call whose last byte was not handed over when the connection closes, the stream is reset or the call times out ends as NotSent.

Also mended: a peer server that finished closing while no stream was open closed the connection for writing before its GOAWAY was sent.

slow_link moves to tests/, as net_tests use it. Ruled out: counting completed writes as life, since a full send buffer of a lost host would hide the loss (test 'a peer that is gone is detected while calls are sent to it').

--- a/src/dragonflyvane/net/call_result.hpp
+++ b/src/dragonflyvane/net/call_result.hpp
@@ -16,14 +16,15 @@
   /// The connection was refused: no process listens at the endpoint. Only
   /// `http_client` reports this; `peer_client` reports `NotSent`.
   ConnectionRefused,
-  /// The request was certainly not processed: no byte of it was sent, or the
-  /// peer refused its HTTP/2 stream.
+  /// The request was certainly not processed: no byte of it was sent, or, by
+  /// `peer_client`, not its last byte, or the peer refused its HTTP/2 stream.
   NotSent,
   /// The request may have been processed, but no whole and valid response was
   /// received.
   ConnectionLost,
   /// The call timed out after sending had begun. As with `ConnectionLost`, the
-  /// request may have been processed.
+  /// request may have been processed. A call of `peer_client` that timed out
+  /// before its last byte was sent ends as `NotSent`.
   TimedOut,
 };
 
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -4,11 +4,14 @@
 
 #include "dragonflyvane/core/error.hpp"
 
-#include <boost/asio/write.hpp>
+#include <boost/asio/post.hpp>
 
 #include <algorithm>
 #include <array>
 #include <charconv>
+#include <linux/sockios.h>
+#include <netinet/tcp.h>
+#include <sys/ioctl.h>
 
 namespace dragonflyvane {
 
@@ -16,19 +19,24 @@
 
 constexpr size_t ReadSize = size_t{64} << 10;
 /// Frames are collected for one write until they reach this size in bytes.
-constexpr size_t WriteBatchSize = size_t{64} << 10;
+constexpr size_t WriteBatchSize = size_t{16} << 10;
+/// The kernel takes no more bytes while it holds this many that are not sent.
+/// Later bytes stay in this process, where small messages go first and the end
+/// of a request is not lost with the connection.
+constexpr int MaxUnsentInKernel = 16 << 10;
 /// Flow-control windows in bytes.
 constexpr int32_t StreamWindow = 1 << 20;
 constexpr int32_t ConnectionWindow = 16 << 20;
 /// Streams that the peer may have open at once.
 constexpr uint32_t MaxStreams = 4096;
 constexpr std::chrono::milliseconds LivenessCheckPeriod{200};
-/// A PING is sent when nothing was received for this long while streams are
-/// open.
-constexpr std::chrono::milliseconds IdleBeforePing{200};
-/// A connection on which nothing is received for this long after a PING is
-/// closed.
-constexpr std::chrono::milliseconds PingTimeout{500};
+/// While a message arrives, the peer is told of received bytes after this many
+/// bytes or this time, well before its PING times out on a slow link.
+constexpr int32_t ProgressReportSize = 16 << 10;
+constexpr std::chrono::milliseconds ProgressReportPeriod{100};
+/// A peer that has not confirmed a shutdown notice after this time is not
+/// waited for.
+constexpr std::chrono::milliseconds ConfirmationTimeout{500};
 /// The opaque data of the PING that follows a shutdown notice; others have
 /// zeros.
 constexpr std::array<uint8_t, 8> ShutdownPing{'s', 'h', 'u', 't',
@@ -95,7 +103,7 @@
                                  http_handler Handler, bulk_pacer *Pacer)
     : Socket(std::move(Socket)), LivenessTimer(this->Socket.get_executor()),
       Role(Role), MaxBodyBytes(MaxBodyBytes), BodyMemory(BodyMemory),
-      Handler(std::move(Handler)), Pacer(Pacer), LastRead(Clock.now()) {
+      Handler(std::move(Handler)), Pacer(Pacer), Liveness(Clock.now()) {
   setUpSession();
 }
 
@@ -162,8 +170,14 @@
   boost::system::error_code Ignored;
   Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
   Socket.non_blocking(true, Ignored);
+  using not_sent_limit =
+      boost::asio::detail::socket_option::integer<IPPROTO_TCP,
+                                                  TCP_NOTSENT_LOWAT>;
+  Socket.set_option(not_sent_limit(MaxUnsentInKernel), Ignored);
   readMore();
-  flush();
+  // Later, so that the first request leaves together with the preface.
+  boost::asio::post(Socket.get_executor(),
+                    [Self = shared_from_this()] { Self->flush(); });
 }
 
 void peer_connection::close(const std::string &Reason) {
@@ -180,7 +194,10 @@
   for (auto &[Id, Stream] : Ended) {
     if (Stream.Exchange)
       Stream.Exchange->disconnect();
-    finishCall(Stream, call_outcome::ConnectionLost, Reason);
+    finishCall(Stream,
+               mayHaveArrived(Stream) ? call_outcome::ConnectionLost
+                                      : call_outcome::NotSent,
+               Reason);
     if (Role == peer_role::Server && !Stream.IsRejected)
       reportUnanswered(describe(std::move(Stream)), Reason);
   }
@@ -209,7 +226,7 @@
 
 bool peer_connection::awaitsConfirmation() const {
   return ShutdownNotice == shutdown_notice::Submitted && !Finishing &&
-         Clock.now() - ShutdownNoticeAt <= PingTimeout;
+         Clock.now() - ShutdownNoticeAt <= ConfirmationTimeout;
 }
 
 void peer_connection::sendShutdownNotice() {
@@ -231,8 +248,10 @@
 void peer_connection::finishClosing() {
   if (!Open || Finishing)
     return;
-  Finishing = true;
   refuseArriving();
+  // Only now: flushing without open streams ends the connection for writing,
+  // and the peer must get the GOAWAY before.
+  Finishing = true;
   nghttp2_submit_goaway(Session, NGHTTP2_FLAG_NONE,
                         nghttp2_session_get_last_proc_stream_id(Session),
                         NGHTTP2_NO_ERROR, nullptr, 0);
@@ -284,42 +303,122 @@
 }
 
 void peer_connection::onRead(const uint8_t *Data, size_t Size) {
-  LastRead = Clock.now();
-  PingPending = false;
+  Liveness.onReceived(Clock.now());
   Receiving = true;
   ssize_t Consumed = nghttp2_session_mem_recv(Session, Data, Size);
   Receiving = false;
   if (Consumed < 0)
     return close(nghttp2_strerror(static_cast<int>(Consumed)));
+  reportProgress();
   flush();
   if (Open)
     readMore();
 }
 
+void peer_connection::reportProgress() {
+  int32_t Unreported = nghttp2_session_get_effective_recv_data_length(Session);
+  time_point Now = Clock.now();
+  bool IsDue =
+      Unreported >= ProgressReportSize ||
+      (Unreported > 0 && Now - ProgressReportedAt >= ProgressReportPeriod);
+  bool MessageArrives =
+      IsDue && std::any_of(Streams.begin(), Streams.end(), [](const auto &S) {
+        return !S.second.HasArrived && !S.second.Received.empty();
+      });
+  if (!MessageArrives)
+    return;
+  ProgressReportedAt = Now;
+  nghttp2_submit_window_update(Session, NGHTTP2_FLAG_NONE, 0, Unreported);
+}
+
 void peer_connection::flush() {
   if (Writing || Receiving || !Open || ClosedForWriting)
     return;
+  Writing = true;
+  if (fillWriteBuffer())
+    writeAvailable();
+}
+
+bool peer_connection::fillWriteBuffer() {
   WriteBuffer.clear();
+  WriteOffset = 0;
   while (WriteBuffer.size() < WriteBatchSize) {
     const uint8_t *Data = nullptr;
     ssize_t Size = nghttp2_session_mem_send(Session, &Data);
-    if (Size < 0)
-      return close(nghttp2_strerror(static_cast<int>(Size)));
+    // A callback may have closed the connection.
+    if (!Open)
+      return false;
+    if (Size < 0) {
+      close(nghttp2_strerror(static_cast<int>(Size)));
+      return false;
+    }
     if (Size == 0)
       break;
     WriteBuffer.append(reinterpret_cast<const char *>(Data), Size);
+    QueuedBytes += static_cast<uint64_t>(Size);
+    notePositions();
   }
-  if (WriteBuffer.empty())
-    return endIfDone();
-  Writing = true;
-  boost::asio::async_write(Socket, boost::asio::buffer(WriteBuffer),
-                           [Self = shared_from_this()](auto Error, size_t) {
-                             Self->Writing = false;
-                             if (Error)
-                               return Self->close("write failed");
-                             Self->BeingWritten.clear();
-                             Self->flush();
-                           });
+  return true;
+}
+
+void peer_connection::notePositions() {
+  for (stream_id Id : std::exchange(EndingStreams, {})) {
+    auto Found = Streams.find(Id);
+    if (Found != Streams.end())
+      Found->second.Out.EndPosition = QueuedBytes;
+  }
+  if (std::exchange(PingEnding, false))
+    Liveness.onPingQueued(QueuedBytes);
+}
+
+void peer_connection::writeAvailable() {
+  // Written without an asynchronous operation, so that `HandedBytes` is exact
+  // whenever a call ends.
+  while (WriteOffset < WriteBuffer.size()) {
+    boost::system::error_code Error;
+    size_t Size = Socket.write_some(
+        boost::asio::buffer(WriteBuffer) + WriteOffset, Error);
+    if (Error == boost::asio::error::would_block)
+      return awaitWritable();
+    if (Error)
+      // Later, since the caller may be in the middle of a call.
+      return boost::asio::post(
+          Socket.get_executor(),
+          [Self = shared_from_this()] { Self->close("write failed"); });
+    WriteOffset += Size;
+    HandedBytes += Size;
+  }
+  BeingWritten.clear();
+  // Lets other connections have their turn before the next batch.
+  if (WriteBuffer.size() >= WriteBatchSize)
+    return awaitWritable();
+  Writing = false;
+  endIfDone();
+}
+
+void peer_connection::awaitWritable() {
+  Socket.async_wait(socket::wait_write,
+                    [Self = shared_from_this()](auto Error) {
+                      if (!Self->Open)
+                        return;
+                      if (Error)
+                        return Self->close("write failed");
+                      if (Self->WriteOffset < Self->WriteBuffer.size())
+                        return Self->writeAvailable();
+                      Self->Writing = false;
+                      Self->flush();
+                    });
+}
+
+uint64_t peer_connection::acceptedBytes() {
+  int Held = 0;
+  if (ioctl(Socket.native_handle(), SIOCOUTQ, &Held) != 0 || Held < 0)
+    return 0;
+  return HandedBytes - std::min(HandedBytes, static_cast<uint64_t>(Held));
+}
+
+bool peer_connection::mayHaveArrived(const stream &Stream) const {
+  return Stream.Out.EndPosition && *Stream.Out.EndPosition <= HandedBytes;
 }
 
 void peer_connection::checkLiveness() {
@@ -331,15 +430,16 @@
     auto Self = Weak.lock();
     if (Error || !Self || !Self->Open)
       return;
-    time_point Now = Self->Clock.now();
-    if (Self->PingPending && Now - Self->PingSent > PingTimeout)
+    boost::system::error_code Ignored;
+    bool HasInput = Self->Socket.available(Ignored) > 0;
+    liveness_action Action =
+        Self->Streams.empty()
+            ? liveness_action::None
+            : Self->Liveness.check(Self->acceptedBytes(), HasInput,
+                                   Self->Clock.now());
+    if (Action == liveness_action::Close)
       return Self->close("connection timed out: no response to PING");
-    bool PingDue =
-        !Self->Streams.empty() && !Self->PingPending &&
-        Now - std::max(Self->LastRead, Self->ActiveSince) > IdleBeforePing;
-    if (PingDue) {
-      Self->PingPending = true;
-      Self->PingSent = Now;
+    if (Action == liveness_action::SendPing) {
       nghttp2_submit_ping(Self->Session, NGHTTP2_FLAG_NONE, nullptr);
       Self->flush();
     }
@@ -441,19 +541,22 @@
   if (IsNew)
     Stream.ReceivedShare = memory_share(BodyMemory);
   if (!LivenessCheckActive) {
-    ActiveSince = Clock.now();
-    PingPending = false;
+    Liveness.onActive(Clock.now());
     checkLiveness();
   }
   return Stream;
 }
 
-void peer_connection::cancel(stream_id Id) {
-  if (!Open || !Streams.contains(Id))
-    return;
-  Streams[Id].Callback = nullptr;
+bool peer_connection::cancel(stream_id Id) {
+  auto Found = Streams.find(Id);
+  if (!Open || Found == Streams.end())
+    return true;
+  Found->second.Callback = nullptr;
+  // An end that is in `WriteBuffer` is still handed to the socket.
+  bool MayArrive = Found->second.Out.EndPosition.has_value();
   nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id, NGHTTP2_CANCEL);
   flush();
+  return MayArrive;
 }
 
 void peer_connection::respond(stream_id Id, const http_response &Response) {
@@ -497,6 +600,12 @@
 void peer_connection::onFrameSent(const nghttp2_frame &Frame) {
   // The PING must follow the notice, so that its acknowledgement tells that the
   // peer has received the notice and all its streams have arrived.
+  bool IsMessage =
+      Frame.hd.type == NGHTTP2_HEADERS || Frame.hd.type == NGHTTP2_DATA;
+  if (IsMessage && (Frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
+    EndingStreams.push_back(Frame.hd.stream_id);
+  if (Frame.hd.type == NGHTTP2_PING && (Frame.hd.flags & NGHTTP2_FLAG_ACK) == 0)
+    PingEnding = true;
   if (Frame.hd.type == NGHTTP2_GOAWAY &&
       ShutdownNotice == shutdown_notice::Submitted && !Finishing)
     nghttp2_submit_ping(Session, NGHTTP2_FLAG_NONE, ShutdownPing.data());
@@ -506,7 +615,7 @@
                                std::string Value) {
   stream &Stream = openStream(Id);
   Stream.BytesRead += Name.size() + Value.size();
-  Stream.LastReadAt = LastRead;
+  Stream.LastReadAt = Liveness.lastReceived();
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
@@ -528,7 +637,7 @@
     return;
   stream &Stream = Found->second;
   Stream.BytesRead += Size;
-  Stream.LastReadAt = LastRead;
+  Stream.LastReadAt = Liveness.lastReceived();
   size_t NewSize = Stream.Received.size() + Size;
   if (NewSize <= MaxBodyBytes && Stream.ReceivedShare.resize(NewSize)) {
     Stream.Received.append(reinterpret_cast<const char *>(Data), Size);
@@ -575,9 +684,12 @@
   Streams.erase(Found);
   if (Ended.Exchange)
     Ended.Exchange->disconnect();
+  // If this side resets the stream, what is in `WriteBuffer` still arrives.
+  bool MayArrive = Ended.IsRejected ? Ended.Out.EndPosition.has_value()
+                                    : mayHaveArrived(Ended);
+  bool IsNotSent = ErrorCode == NGHTTP2_REFUSED_STREAM || !MayArrive;
   finishCall(Ended,
-             ErrorCode == NGHTTP2_REFUSED_STREAM ? call_outcome::NotSent
-                                                 : call_outcome::ConnectionLost,
+             IsNotSent ? call_outcome::NotSent : call_outcome::ConnectionLost,
              nghttp2_http2_strerror(ErrorCode));
   if (Role == peer_role::Client || Ended.IsRejected)
     return;
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
+#include "dragonflyvane/core/liveness_check.hpp"
 #include "dragonflyvane/core/memory_budget.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
@@ -19,6 +20,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -28,9 +30,9 @@
 enum class peer_role { Client, Server };
 
 /// A connection with its streams. While streams are open and nothing is
-/// received, it checks the peer with an HTTP/2 PING, and is closed if nothing
-/// is received within a timeout after that. A client closes it when the peer
-/// accepts no more streams and none is open.
+/// received, it checks the peer with an HTTP/2 PING, and is closed if the peer
+/// then shows no sign of life (`liveness_check`). A client closes it when the
+/// peer accepts no more streams and none is open.
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
   using socket = boost::asio::ip::tcp::socket;
@@ -53,7 +55,8 @@
   /// Begins to read from and write to the connected socket.
   void start();
   /// Closes the connection. Open calls end as `ConnectionLost` with the reason,
-  /// and open exchanges are disconnected.
+  /// or as `NotSent` if their last byte was never handed to the socket, and
+  /// open exchanges are disconnected.
   void close(const std::string &Reason);
   /// Whether the connection has not been closed.
   bool isOpen() const { return Open; }
@@ -79,13 +82,15 @@
   /// Client: whether the peer processes further streams.
   bool acceptsCalls() const;
   /// When bytes were last received; at first, when the object was created.
-  time_point lastReadTime() const { return LastRead; }
+  time_point lastReadTime() const { return Liveness.lastReceived(); }
 
   /// Client: sends a request on a new stream. If the request cannot be
   /// submitted, calls back with `NotSent` and then returns 0.
   stream_id call(const http_request &Request, call_callback Callback);
   /// Client: cancels a call without calling back, by resetting its stream.
-  void cancel(stream_id Id);
+  /// Returns whether the peer may process the request: false if its end is not
+  /// sent any more.
+  bool cancel(stream_id Id);
   /// Server: sends the response on the stream of its request.
   void respond(stream_id Id, const http_response &Response);
 
@@ -98,6 +103,9 @@
     bulk_transfer Transfer;
     /// Bytes of the current piece that are not sent yet.
     size_t SendableBytes = 0;
+    /// The number of the message's last byte among all bytes that the
+    /// connection sends, once it has its place among them.
+    std::optional<uint64_t> EndPosition;
   };
   /// The request and response of a stream. The client fills `Response` from the
   /// received frames, the server `Request`.
@@ -131,7 +139,22 @@
   void readMore();
   void readAvailable();
   void onRead(const uint8_t *Data, size_t Size);
+  /// Tells the peer of received bytes while a message is incomplete, so that it
+  /// sees progress.
+  void reportProgress();
   void flush();
+  /// Collects frames for the next write. Returns false if the session failed,
+  /// which closes the connection.
+  bool fillWriteBuffer();
+  /// Hands `WriteBuffer` to the socket as far as the socket takes it.
+  void writeAvailable();
+  void awaitWritable();
+  /// Notes the places of the frames that ended with the bytes queued last.
+  void notePositions();
+  /// The number of sent bytes that the peer's host has accepted.
+  uint64_t acceptedBytes();
+  /// Whether the peer may have the whole message that the stream sends.
+  bool mayHaveArrived(const stream &Stream) const;
   /// Closes the connection if it has served its purpose: on the client side for
   /// reading and writing, on the server side for writing.
   void endIfDone();
@@ -143,9 +166,7 @@
   void setBody(outgoing_body &Out, const message_body &Body);
   /// Waits for the pacer's next turn, then resumes sending a deferred body.
   void awaitPiece(stream_id Id, outgoing_body &Body);
-  /// Checks the peer periodically while streams are open: sends a PING if
-  /// nothing was received for a while, and closes the connection if nothing is
-  /// received after the PING either.
+  /// Checks the peer periodically while streams are open.
   void checkLiveness();
   /// Returns the stream with this identifier, created if it is new. Starts the
   /// liveness check if it is not active.
@@ -179,17 +200,25 @@
   bulk_pacer *Pacer;
   nghttp2_session *Session = nullptr;
   bool Open = true;
+  /// Whether frames are collected or written; nothing else may be sent then.
   bool Writing = false;
   /// Whether `nghttp2_session_mem_recv` is running; nothing may be sent then.
   bool Receiving = false;
   std::string WriteBuffer;
-  time_point LastRead;
-  /// When the liveness check became active: a stream was opened after a time
-  /// without streams.
-  time_point ActiveSince;
-  time_point PingSent;
+  /// Bytes of `WriteBuffer` that were handed to the socket.
+  size_t WriteOffset = 0;
+  /// Bytes that were put into `WriteBuffer`, and handed to the socket, since
+  /// the connection was opened.
+  uint64_t QueuedBytes = 0;
+  uint64_t HandedBytes = 0;
+  /// The streams whose messages, and whether a PING, end with the bytes that
+  /// the session returns next.
+  std::vector<stream_id> EndingStreams;
+  bool PingEnding = false;
+  liveness_check Liveness;
   bool LivenessCheckActive = false;
-  bool PingPending = false;
+  /// When the peer was last told of received bytes.
+  time_point ProgressReportedAt{};
   std::map<stream_id, stream> Streams;
   unanswered_callback OnUnanswered;
   /// The requests whose responses end in `WriteBuffer`.
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -159,10 +159,10 @@
     auto Found = Calls.find(Id);
     if (Found == Calls.end())
       return;
-    bool Submitted = Found->second.Submitted;
+    bool MayBeProcessed = Found->second.Submitted;
     if (auto Connection = Found->second.Connection.lock())
-      Connection->cancel(Found->second.StreamId);
-    finish(Id, {Submitted ? call_outcome::TimedOut : call_outcome::NotSent,
+      MayBeProcessed = Connection->cancel(Found->second.StreamId);
+    finish(Id, {MayBeProcessed ? call_outcome::TimedOut : call_outcome::NotSent,
                 {},
                 "timed out"});
   }
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -502,6 +502,30 @@
            [&] { return !Setup.Server->activity().HasConnections; });
 }
 
+// Guards against a connection that is closed for writing before the GOAWAY: the
+// peer could not tell that a request on its way is certainly not processed.
+TEST_CASE("a peer server that finishes closing later than it stopped accepting "
+          "names the streams that it processes") {
+  constexpr char GoawayFrame = 7;
+  counting_server Setup;
+  raw_connection Peer(Setup.Listen.Port);
+  Peer.send(makePreface() + makeHeaders() +
+            makeFrame(DataFrame, EndStreamFlag, 1, "x"));
+  runUntil(Setup.Loop, [&] { return Setup.Handled == 1; });
+  Setup.Server->stopAccepting();
+  runUntil(Setup.Loop, [&] { return !Setup.Server->activity().IsWriting; });
+  Setup.Server->finishClosing();
+  Peer.send(makeFrame(HeadersFrame, EndHeadersFlag | EndStreamFlag, 3,
+                      "\x83\x84\x86"));
+  std::string LastStreamAndNoError = "\0\0\0\1\0\0\0\0"s;
+  CHECK(Peer.readAll().find(makeFrame(
+            GoawayFrame, 0, 0, LastStreamAndNoError)) != std::string::npos);
+  Peer.close();
+  runUntil(Setup.Loop,
+           [&] { return !Setup.Server->activity().HasConnections; });
+  CHECK(Setup.Handled == 1);
+}
+
 // Guards against a reset that takes a response from a peer which has not read
 // it, and against peers that send to a process which ends.
 TEST_CASE("a peer server that finishes closing closes its idle connections for "
--- a/tests/process/arriving_requests_test.cpp
+++ b/tests/process/arriving_requests_test.cpp
@@ -1,6 +1,6 @@
 // Planned stops of real daemons while requests are still arriving.
 #include "process/local_cluster.hpp"
-#include "process/slow_link.hpp"
+#include "slow_link.hpp"
 #include "process/steady_callers.hpp"
 #include "process/upload_callers.hpp"
 
--- a/tests/process/fault_soak_test.cpp
+++ b/tests/process/fault_soak_test.cpp
@@ -4,7 +4,7 @@
 // seeds, `DRAGONFLYVANE_SOAK_SECONDS` the length of the run of a seed.
 #include "process/local_cluster.hpp"
 #include "process/processor_watch.hpp"
-#include "process/slow_link.hpp"
+#include "slow_link.hpp"
 #include "process/soak_caller.hpp"
 #include "process/soak_checks.hpp"
 #include "process/soak_plan.hpp"
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -7,7 +7,7 @@
 #include "dragonflyvane/core/endpoint.hpp"
 #include "platform/standin/cluster_files.hpp"
 #include "process/child_process.hpp"
-#include "process/slow_link.hpp"
+#include "slow_link.hpp"
 
 #include <chrono>
 #include <csignal>
--- a/tests/process/slow_link_test.cpp
+++ b/tests/process/slow_link_test.cpp
@@ -1,4 +1,4 @@
-#include "process/slow_link.hpp"
+#include "slow_link.hpp"
 
 #include "raw_connection.hpp"
 #include "scripted_server.hpp"
--- a/tests/process/slow_link.cpp
+++ b/tests/slow_link.cpp
@@ -1,4 +1,4 @@
-#include "process/slow_link.hpp"
+#include "slow_link.hpp"
 
 #include <utility> // Must precede the headers of Boost.Asio 1.74.
 
--- a/tests/process/slow_link.hpp
+++ b/tests/slow_link.hpp
@@ -1,7 +1,7 @@
 /// A TCP proxy that makes connections slow, to test what a process does with
 /// bytes that are still on their way.
-#ifndef DRAGONFLYVANE_TESTS_PROCESS_SLOW_LINK_HPP
-#define DRAGONFLYVANE_TESTS_PROCESS_SLOW_LINK_HPP
+#ifndef DRAGONFLYVANE_TESTS_SLOW_LINK_HPP
+#define DRAGONFLYVANE_TESTS_SLOW_LINK_HPP
 
 #include "dragonflyvane/core/endpoint.hpp"
 
@@ -45,4 +45,4 @@
 
 } // namespace dragonflyvane
 
-#endif // DRAGONFLYVANE_TESTS_PROCESS_SLOW_LINK_HPP
+#endif // DRAGONFLYVANE_TESTS_SLOW_LINK_HPP
