Admission queue: requests that can be in time go before late ones

Under lasting overload slots went to requests that were late already, while new ones became late behind them. Among the requests of one priority, those that are expected to meet their soft deadline go first in the order of arrival; the others take the room that is left. A request that becomes late while it waits falls back. Admission counts the work that usually overtakes a request (M/G/1 with priorities: the backlog over the share that more urgent work leaves), so that late requests are refused at once under lasting overload. Queued requests that no longer fit are refused with the code 'displaced' instead of waiting for their deadline.

Order by soft deadline was weighed: a new request could then make an admitted one late, and admission would have to check all of them.

A request that misses its soft deadline only because of the queue is no longer refused if there is room for it before its deadline.

--- a/src/dragonflyvane/core/admission/admission_queue.hpp
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -1,17 +1,19 @@
-/// Queue of the requests that wait for a slot of a backend server, ordered by
-/// priority and then by arrival. A request that is expected to finish too late
-/// is refused at once.
+/// Queue of the requests that wait for a slot of a backend server. Requests of
+/// an urgent priority go first; among those of one priority, requests that can
+/// still meet their soft deadlines. A request for which no room is expected is
+/// refused at once.
 #ifndef DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
 #define DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
 
+#include "dragonflyvane/core/admission/priority_demand.hpp"
 #include "dragonflyvane/core/clock.hpp"
 
+#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <utility>
 #include <vector>
 
 namespace dragonflyvane {
@@ -26,31 +28,55 @@
   int Priority = 0;
   /// The time after which the request is refused.
   time_point Deadline;
-  /// The time until which a response is worth most to the caller.
+  /// The time until which a response is worth most to the caller. Without a
+  /// soft timeout it is not before `Deadline`.
   time_point SoftDeadline;
   /// The expected time that the backend server needs to process the request.
   duration ProcessingTime{0};
+  /// By how much the processing time usually differs from the expected one.
+  duration Deviation{0};
+};
+
+/// The two classes of requests of one priority, in the order in which they are
+/// served. Requests of one class are served in the order of arrival, so that a
+/// new request never makes an admitted one of its priority late.
+enum class queue_class {
+  /// The request is expected to meet its soft deadline.
+  InTime,
+  /// The request cannot meet its soft deadline, and takes only the room that
+  /// others leave.
+  Late,
 };
 
 /// The requests that wait for one backend server.
 class admission_queue {
 public:
-  /// Returns whether a request that arrives now is expected to finish by its
-  /// soft deadline, given the slots and the work queued ahead of it. If even an
-  /// immediate start would miss the soft deadline, the deadline counts instead.
-  /// The soft deadline limits the queue, since under lasting overload a longer
-  /// queue would not serve more requests, only delay each of them. `LinkTime`
-  /// is the time that the response spends on the network link after the request
-  /// is processed. `TokenDelay` is the time until the request may start at its
-  /// place in the queue if the rate of the server is limited.
-  bool admits(const queued_request &Request, uint32_t Slots, uint32_t Running,
-              time_point Now, duration LinkTime = duration{0},
-              duration TokenDelay = duration{0}) const;
-  /// Returns the number of queued requests that run before a new request of
-  /// this priority.
-  size_t countAhead(int Priority) const;
+  /// Returns the time until the queued request at a position may start, if the
+  /// rate of the server is limited.
+  using start_delay = std::function<duration(size_t Position)>;
+
+  static duration noDelay(size_t) { return duration{0}; }
+
+  /// Returns the class in which a request that arrives now is expected to be
+  /// served, or nothing if it would have too little time left before its
+  /// deadline. Counts the work queued ahead of it and the work that usually
+  /// arrives and overtakes it. `LinkTime` is the time that the response spends
+  /// on the network link after the request is processed.
+  std::optional<queue_class> admits(const queued_request &Request,
+                                    uint32_t Slots, uint32_t Running,
+                                    time_point Now,
+                                    duration LinkTime = duration{0},
+                                    const start_delay &DelayOf = noDelay) const;
+  /// Records the arrival of the request and queues it if `admits` names a
+  /// class; returns that class.
+  std::optional<queue_class> offer(const queued_request &Request,
+                                   uint32_t Slots, uint32_t Running,
+                                   time_point Now,
+                                   duration LinkTime = duration{0},
+                                   const start_delay &DelayOf = noDelay);
   /// Adds a request, whether or not `admits` holds for it.
-  void push(const queued_request &Request);
+  void push(const queued_request &Request,
+            queue_class Class = queue_class::InTime);
   /// Removes and returns the next request to run, or nothing if the queue is
   /// empty. Requests ahead of it that have too little time left before their
   /// deadlines are removed as well and appended to `TooLate`.
@@ -58,30 +84,54 @@
                                  std::vector<dispatch_id> &TooLate);
   /// Removes a request. Returns false if it is not queued.
   bool remove(dispatch_id Id);
-  /// Returns the time until the queued request at a position may start.
-  using start_delay = std::function<duration(size_t Position)>;
   /// Removes all requests that will have too little time left before their
   /// deadlines when they may start, and appends them to `TooLate`.
-  void expire(
-      time_point Now, std::vector<dispatch_id> &TooLate,
-      const start_delay &DelayOf = [](size_t) { return duration{0}; });
+  void expire(time_point Now, std::vector<dispatch_id> &TooLate,
+              const start_delay &DelayOf = noDelay);
+  /// Removes all requests for which no room is expected any more, since more
+  /// urgent requests or requests in time have arrived, and returns them.
+  std::vector<dispatch_id> takeDisplaced(uint32_t Slots, time_point Now);
   /// Returns the number of queued requests.
   size_t size() const { return Waiting.size(); }
   /// Returns the expected processing time of all queued requests together.
   duration queuedProcessingTime() const { return QueuedProcessingTime; }
 
 private:
-  using queue_key = std::pair<int, dispatch_id>;
-  /// Returns the expected processing time of the queued requests that run
-  /// before a new request of this priority.
-  duration processingTimeAhead(int Priority) const;
+  struct queue_key {
+    int Priority = 0;
+    queue_class Class = queue_class::InTime;
+    dispatch_id Id = 0;
+
+    auto operator<=>(const queue_key &) const = default;
+  };
+  using queue_map = std::map<queue_key, queued_request>;
+
+  /// The queued requests that are served before a new one.
+  struct requests_ahead {
+    size_t Count = 0;
+    duration ProcessingTime{0};
+  };
+
+  requests_ahead countAhead(int Priority, queue_class Class) const;
+  /// Returns the time in which the server processes the work that is ahead of a
+  /// request, and the work that usually overtakes it meanwhile.
+  duration expectedDelay(const queue_key &Key, duration WorkAhead,
+                         uint32_t Slots, time_point Now) const;
   /// Returns whether a request that starts at `Now` has too little time left
   /// before its deadline, compared with its expected processing time.
   static bool isTooLate(const queued_request &Request, time_point Now);
+  /// Returns whether a request with a soft timeout that starts at `Now` misses
+  /// its soft deadline.
+  static bool missesSoftDeadline(const queued_request &Request, time_point Now);
+  queue_map::iterator erase(queue_map::iterator Position);
+  /// Moves requests that can no longer be expected to meet their soft deadlines
+  /// to the second class.
+  void demoteLate(time_point Now);
 
-  std::map<queue_key, queued_request> Waiting;
+  queue_map Waiting;
   /// The sum of `queued_request::ProcessingTime` over all queued requests.
   duration QueuedProcessingTime{0};
+  priority_demand Demand;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/admission_queue_test.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue_test.cpp
@@ -21,7 +21,8 @@
           "deadline") {
   admission_queue Queue;
   dispatch_id Id = 0;
-  while (Queue.admits(request(++Id, 1, 500, 200, 60), 9, 9, Start))
+  while (Queue.admits(request(++Id, 1, 500, 200, 60), 9, 9, Start) ==
+         queue_class::InTime)
     Queue.push(request(Id, 1, 500, 200, 60));
   // The last request admitted has 20 ahead of it:
   // (20 + 1) * 60 ms / 9 slots + 60 ms = 200 ms.
@@ -32,8 +33,10 @@
   admission_queue Queue;
   for (dispatch_id Id = 1; Id <= 21; ++Id)
     Queue.push(request(Id, 2, 500, 200, 60));
-  CHECK(!Queue.admits(request(22, 2, 500, 200, 60), 9, 9, Start));
-  CHECK(Queue.admits(request(22, 1, 500, 200, 60), 9, 9, Start));
+  CHECK(Queue.admits(request(22, 2, 500, 200, 60), 9, 9, Start) !=
+        queue_class::InTime);
+  CHECK(Queue.admits(request(22, 1, 500, 200, 60), 9, 9, Start) ==
+        queue_class::InTime);
   Queue.push(request(22, 1, 500, 200, 60));
   std::vector<dispatch_id> TooLate;
   CHECK(Queue.pop(Start, TooLate) == 22);
--- a/src/dragonflyvane/core/admission/route_costs.cpp
+++ b/src/dragonflyvane/core/admission/route_costs.cpp
@@ -39,6 +39,11 @@
                                : Found->second.ProcessingTime;
 }
 
+duration route_costs::deviationOf(const std::string &Route) const {
+  auto Found = Routes.find(Route);
+  return Found == Routes.end() ? duration{0} : Found->second.Deviation;
+}
+
 std::optional<duration>
 route_costs::processingTimeBound(const std::string &Route) const {
   auto Found = Routes.find(Route);
--- a/src/dragonflyvane/core/admission/route_costs.hpp
+++ b/src/dragonflyvane/core/admission/route_costs.hpp
@@ -21,6 +21,9 @@
   /// Returns the usual processing time of the route, or `meanProcessingTime`
   /// for a route without a response so far.
   duration processingTimeOf(const std::string &Route) const;
+  /// Returns the mean difference of a processing time of the route from the
+  /// usual one, or zero for a route without a response so far.
+  duration deviationOf(const std::string &Route) const;
   /// Returns a time that the processing of the route rarely exceeds, or nothing
   /// for a route without a response so far.
   std::optional<duration> processingTimeBound(const std::string &Route) const;
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -81,8 +81,13 @@
 
 queued_request dispatcher::makeQueuedRequest(dispatch_id Id,
                                              const entry &Entry) const {
-  return {Id, Entry.Metadata.Priority, Entry.Deadline, Entry.SoftDeadline,
-          Costs.processingTimeOf(Entry.Metadata.Route)};
+  const std::string &Route = Entry.Metadata.Route;
+  return {Id,
+          Entry.Metadata.Priority,
+          Entry.Deadline,
+          Entry.SoftDeadline,
+          Costs.processingTimeOf(Route),
+          Costs.deviationOf(Route)};
 }
 
 uint32_t dispatcher::slotCount() const { return Deps.Server.slots(); }
@@ -114,7 +119,7 @@
   }
   queued_request Queued = makeQueuedRequest(Id, Entry);
   updateAllowance();
-  if (!canFinishInTime(Entry, Queued)) {
+  if (!enqueue(Entry, Queued)) {
     writeRequestLog(
         "request refused: queue full",
         {{"request_id",
@@ -133,21 +138,27 @@
     refuse(Id, "queue-full");
     return 0;
   }
-  Queue.push(Queued);
+  refuseDisplaced();
   dispatchWaiting();
   return Id;
 }
 
-bool dispatcher::canFinishInTime(const entry &Entry,
-                                 const queued_request &Queued) const {
+bool dispatcher::enqueue(const entry &Entry, const queued_request &Queued) {
   duration TransferTime{0};
   if (!Entry.Metadata.IsLocal)
     TransferTime =
         Deps.Link.transferTime(Costs.responseBytesOf(Entry.Metadata.Route));
   time_point Now = Deps.Clock.now();
-  size_t Position = Queue.countAhead(Entry.Metadata.Priority);
-  return Queue.admits(Queued, slotCount(), Running, Now, TransferTime,
-                      Allowance.delayOf(Position, Now));
+  auto DelayOf = [this, Now](size_t Position) {
+    return Allowance.delayOf(Position, Now);
+  };
+  return Queue.offer(Queued, slotCount(), Running, Now, TransferTime, DelayOf)
+      .has_value();
+}
+
+void dispatcher::refuseDisplaced() {
+  for (dispatch_id Id : Queue.takeDisplaced(slotCount(), Deps.Clock.now()))
+    refuse(Id, "displaced");
 }
 
 void dispatcher::cancel(dispatch_id Id) {
@@ -452,6 +463,7 @@
   });
   for (dispatch_id Id : TooLate)
     refuse(Id, "waited-too-long");
+  refuseDisplaced();
   std::vector<dispatch_id> Ungranted;
   for (dispatch_id Id : AwaitingGrant) {
     const entry &Entry = Entries.at(Id);
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -118,8 +118,11 @@
   std::string arrivalRefusalCode(const entry &Entry) const;
   bool mustWaitForGrant(const forward_metadata &Metadata) const;
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
-  /// Whether the response can be ready, and sent over the link, in time.
-  bool canFinishInTime(const entry &Entry, const queued_request &Queued) const;
+  /// Queues the request if the response is expected to be ready, and sent over
+  /// the link, in time. Returns whether it is queued.
+  bool enqueue(const entry &Entry, const queued_request &Queued);
+  /// Refuses the queued requests that no longer fit.
+  void refuseDisplaced();
   /// Number of requests that the server runs at the same time.
   uint32_t slotCount() const;
   /// The warm-up rate of a cold server; none for a warm server and for a
