Admission queue: a floor for each priority

Strict priorities let an urgent flood starve the less urgent kinds. Each priority now saves credit for a fraction of its share in the demand (deficit round robin), and is served out of turn once the credit covers a request. Admission counts the floor, so that a less urgent request is queued for which its floor has room. An equal share for each priority was ruled out, since a trickle would be served more often than an urgent flood.

--- a/src/dragonflyvane/core/admission/admission_order_test.cpp
+++ b/src/dragonflyvane/core/admission/admission_order_test.cpp
@@ -213,6 +213,36 @@
   CHECK(Server.Counts[1].LongestHold == duration{0});
 }
 
+// Guards against starvation and priority inversion. Pattern: urgent flood of
+// twice the capacity, with less urgent requests of half of it and a trickle.
+TEST_CASE("under an urgent flood each priority is served a quarter as often as "
+          "all, and none more often than a more urgent one") {
+  served_queue Server;
+  Server.run(seconds(30),
+             {usualKind(0, 300), usualKind(1, 75), usualKind(2, 4)});
+  int Arrived = 0;
+  int Served = 0;
+  for (const auto &[Priority, Kind] : Server.Counts) {
+    Arrived += Kind.Arrived;
+    Served += Kind.InTime + Kind.Late;
+  }
+  double ServedShare = 1.0 * Served / Arrived;
+  for (auto &[Priority, Kind] : Server.Counts)
+    CHECK(Kind.servedShare() > ServedShare / 4);
+  CHECK(Server.Counts[1].servedShare() < Server.Counts[0].servedShare());
+  CHECK(Server.Counts[2].servedShare() < Server.Counts[1].servedShare() + 0.05);
+}
+
+// Guards against a floor that takes room from urgent requests without need.
+// Pattern: all priorities together need 0.8 of the capacity.
+TEST_CASE("without overload the floors delay no urgent request") {
+  served_queue Server;
+  Server.run(seconds(10),
+             {usualKind(0, 60), usualKind(1, 40), usualKind(2, 20)});
+  for (auto &[Priority, Kind] : Server.Counts)
+    CHECK(Kind.InTime >= 0.97 * Kind.Arrived);
+}
+
 // Guards against a change for routes without a soft timeout. Pattern: a queue
 // that is filled up to the deadline.
 TEST_CASE("without a soft timeout the deadline limits the queue, and the order "
--- a/src/dragonflyvane/core/admission/admission_queue.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -1,6 +1,8 @@
 #include "dragonflyvane/core/admission/admission_queue.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace dragonflyvane {
 
@@ -12,6 +14,9 @@
 /// Lower bound of the share of the slots that is expected to be left over by
 /// requests that go first. It keeps the expected delay finite.
 constexpr double MinShareLeft = 0.02;
+/// The floor of a priority with a smaller share of the slots is not counted on.
+constexpr double MinFloorShare = 0.0005;
+constexpr dispatch_id MaxId = std::numeric_limits<dispatch_id>::max();
 
 } // namespace
 
@@ -27,15 +32,46 @@
          Now + Request.ProcessingTime > Request.SoftDeadline;
 }
 
-duration admission_queue::expectedDelay(const queue_key &Key,
-                                        duration WorkAhead, uint32_t Slots,
-                                        time_point Now) const {
-  double Overtaking = Demand.admittedBefore(Key.Priority, Now);
-  if (Key.Class == queue_class::Late)
-    Overtaking += Demand.inTimeOf(Key.Priority, Now);
+duration admission_queue::expectedDelay(const queued_request &Request,
+                                        queue_class Class,
+                                        const requests_ahead &Ahead,
+                                        uint32_t Slots, time_point Now) const {
   double SlotCount = std::max(1U, Slots);
-  double SlotsLeft = std::max(SlotCount - Overtaking, SlotCount * MinShareLeft);
-  return std::chrono::duration_cast<duration>(WorkAhead / SlotsLeft);
+  duration InTurn = delayInTurn(Request.Priority, Class,
+                                Ahead.ProcessingTime + Request.ProcessingTime,
+                                SlotCount, Now);
+  return std::min(
+      InTurn, delayByFloor(Request, Class, Ahead.OfPriority, SlotCount, Now));
+}
+
+duration admission_queue::delayInTurn(int Priority, queue_class Class,
+                                      duration Work, double Slots,
+                                      time_point Now) const {
+  double Overtaking = Demand.admittedBefore(Priority, Now);
+  if (Class == queue_class::Late)
+    Overtaking += Demand.inTimeOf(Priority, Now);
+  double SlotsLeft = std::max(Slots - Overtaking, Slots * MinShareLeft);
+  return std::chrono::duration_cast<duration>(Work / SlotsLeft);
+}
+
+duration admission_queue::delayByFloor(const queued_request &Request,
+                                       queue_class Class, duration WorkAhead,
+                                       double Slots, time_point Now) const {
+  std::map<int, double> Shares = Demand.shares(Now);
+  auto Share = Shares.find(Request.Priority);
+  if (Share == Shares.end())
+    return duration::max();
+  double FloorSlots = Slots * Share->second * priority_floor::FractionOfShare;
+  if (Class == queue_class::Late)
+    FloorSlots -= Demand.inTimeOf(Request.Priority, Now);
+  if (FloorSlots < Slots * MinFloorShare)
+    return duration::max();
+  duration Work = WorkAhead + Request.ProcessingTime;
+  duration Missing =
+      std::max(duration{0}, Work - Floor.creditOf(Request.Priority));
+  auto UntilSlotIsFree = Request.ProcessingTime / Slots;
+  return std::chrono::duration_cast<duration>(Missing / FloorSlots +
+                                              UntilSlotIsFree);
 }
 
 std::optional<queue_class>
@@ -48,9 +84,8 @@
     duration TokenDelay = DelayOf(Ahead.Count);
     if (HasFreeSlot)
       return TokenDelay;
-    queue_key Key{Request.Priority, Class, Request.Id};
-    duration Work = Ahead.ProcessingTime + Request.ProcessingTime;
-    return std::max(TokenDelay, expectedDelay(Key, Work, Slots, Now));
+    return std::max(TokenDelay,
+                    expectedDelay(Request, Class, Ahead, Slots, Now));
   };
   bool HasSoftTimeout = Request.SoftDeadline < Request.Deadline;
   duration Delay = StartDelay(queue_class::InTime);
@@ -97,6 +132,8 @@
       break;
     ++Ahead.Count;
     Ahead.ProcessingTime += Other.ProcessingTime;
+    if (Key.Priority == Priority)
+      Ahead.OfPriority += Other.ProcessingTime;
   }
   return Ahead;
 }
@@ -115,9 +152,8 @@
 void admission_queue::demoteLate(time_point Now) {
   std::vector<queued_request> Demoted;
   for (auto It = Waiting.begin(); It != Waiting.end();) {
-    bool IsDemoted =
-        It->first.Class == queue_class::InTime &&
-        missesSoftDeadline(It->second, Now + It->second.Deviation);
+    bool IsDemoted = It->first.Class == queue_class::InTime &&
+                     missesSoftDeadline(It->second, Now + It->second.Deviation);
     if (!IsDemoted) {
       ++It;
       continue;
@@ -129,15 +165,30 @@
     push(Request, queue_class::Late);
 }
 
+admission_queue::queue_map::iterator admission_queue::nextToRun() {
+  auto Head = Waiting.begin();
+  while (Head != Waiting.end()) {
+    int Priority = Head->first.Priority;
+    if (Floor.creditOf(Priority) >= Head->second.ProcessingTime)
+      return Head;
+    Head = Waiting.upper_bound({Priority, queue_class::Late, MaxId});
+  }
+  return Waiting.begin();
+}
+
 std::optional<dispatch_id>
 admission_queue::pop(time_point Now, std::vector<dispatch_id> &TooLate) {
   demoteLate(Now);
   while (!Waiting.empty()) {
-    queued_request First = Waiting.begin()->second;
-    erase(Waiting.begin());
-    if (!isTooLate(First, Now))
-      return First.Id;
-    TooLate.push_back(First.Id);
+    auto Next = nextToRun();
+    queued_request Request = Next->second;
+    erase(Next);
+    if (isTooLate(Request, Now)) {
+      TooLate.push_back(Request.Id);
+      continue;
+    }
+    Floor.onStart(Request.Priority, Request.ProcessingTime, Demand, Now);
+    return Request.Id;
   }
   return std::nullopt;
 }
@@ -170,15 +221,20 @@
                                                         time_point Now) {
   demoteLate(Now);
   std::vector<dispatch_id> Displaced;
-  duration WorkAhead{0};
+  requests_ahead Ahead;
+  int Priority = 0;
   for (auto It = Waiting.begin(); It != Waiting.end();) {
-    duration Delay = expectedDelay(It->first, WorkAhead, Slots, Now);
-    if (!isTooLate(It->second, Now + Delay)) {
-      WorkAhead += It->second.ProcessingTime;
+    const auto &[Key, Request] = *It;
+    if (std::exchange(Priority, Key.Priority) != Key.Priority)
+      Ahead.OfPriority = duration{0};
+    duration Delay = expectedDelay(Request, Key.Class, Ahead, Slots, Now);
+    if (!isTooLate(Request, Now + Delay)) {
+      Ahead.ProcessingTime += Request.ProcessingTime;
+      Ahead.OfPriority += Request.ProcessingTime;
       ++It;
       continue;
     }
-    Displaced.push_back(It->second.Id);
+    Displaced.push_back(Request.Id);
     It = erase(It);
   }
   return Displaced;
--- a/src/dragonflyvane/core/admission/admission_queue.hpp
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -1,11 +1,12 @@
 /// Queue of the requests that wait for a slot of a backend server. Requests of
 /// an urgent priority go first; among those of one priority, requests that can
-/// still meet their soft deadlines. A request for which no room is expected is
-/// refused at once.
+/// still meet their soft deadlines. Each priority keeps a small share of the
+/// slots. A request for which no room is expected is refused at once.
 #ifndef DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
 #define DRAGONFLYVANE_CORE_ADMISSION_ADMISSION_QUEUE_HPP
 
 #include "dragonflyvane/core/admission/priority_demand.hpp"
+#include "dragonflyvane/core/admission/priority_floor.hpp"
 #include "dragonflyvane/core/clock.hpp"
 
 #include <compare>
@@ -110,13 +111,25 @@
   struct requests_ahead {
     size_t Count = 0;
     duration ProcessingTime{0};
+    /// The part of `ProcessingTime` that is of the priority of the new one.
+    duration OfPriority{0};
   };
 
   requests_ahead countAhead(int Priority, queue_class Class) const;
-  /// Returns the time in which the server processes the work that is ahead of a
-  /// request, and the work that usually overtakes it meanwhile.
-  duration expectedDelay(const queue_key &Key, duration WorkAhead,
-                         uint32_t Slots, time_point Now) const;
+  /// Returns the time until a request is served behind the given work, either
+  /// in its turn or by the floor of its priority.
+  duration expectedDelay(const queued_request &Request, queue_class Class,
+                         const requests_ahead &Ahead, uint32_t Slots,
+                         time_point Now) const;
+  /// The same, in its turn: counts the work that usually overtakes it.
+  duration delayInTurn(int Priority, queue_class Class, duration Work,
+                       double Slots, time_point Now) const;
+  /// The same, by the floor of its priority.
+  duration delayByFloor(const queued_request &Request, queue_class Class,
+                        duration WorkAhead, double Slots, time_point Now) const;
+  /// The next request to run: the most urgent one, unless the floor of a less
+  /// urgent priority is due. The queue must not be empty.
+  queue_map::iterator nextToRun();
   /// Returns whether a request that starts at `Now` has too little time left
   /// before its deadline, compared with its expected processing time.
   static bool isTooLate(const queued_request &Request, time_point Now);
@@ -132,6 +145,7 @@
   /// The sum of `queued_request::ProcessingTime` over all queued requests.
   duration QueuedProcessingTime{0};
   priority_demand Demand;
+  priority_floor Floor;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/priority_demand.cpp
+++ b/src/dragonflyvane/core/admission/priority_demand.cpp
@@ -49,16 +49,16 @@
   return Found == Priorities.end() ? 0 : Found->second.InTime.at(Now);
 }
 
-double priority_demand::shareOf(int Priority, time_point Now) const {
-  double Own = 0;
+std::map<int, double> priority_demand::shares(time_point Now) const {
+  std::map<int, double> Shares;
   double Sum = 0;
-  for (const auto &[Other, Rates] : Priorities) {
-    double Rate = Rates.Arriving.at(Now);
-    Sum += Rate;
-    if (Other == Priority)
-      Own = Rate;
-  }
-  return Sum > 0 ? Own / Sum : 0;
+  for (const auto &[Priority, Rates] : Priorities)
+    Sum += Shares[Priority] = Rates.Arriving.at(Now);
+  if (Sum <= 0)
+    return {};
+  for (auto &[Priority, Share] : Shares)
+    Share /= Sum;
+  return Shares;
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/priority_demand.hpp
+++ b/src/dragonflyvane/core/admission/priority_demand.hpp
@@ -33,8 +33,8 @@
   double admittedBefore(int Priority, time_point Now) const;
   /// The arriving work of a priority that can be in time, admitted or not.
   double inTimeOf(int Priority, time_point Now) const;
-  /// The share of a priority in all arriving work; 0 without arrivals.
-  double shareOf(int Priority, time_point Now) const;
+  /// The share of each priority in all arriving work.
+  std::map<int, double> shares(time_point Now) const;
 
 private:
   struct rates {
--- a/src/dragonflyvane/core/admission/priority_demand_test.cpp
+++ b/src/dragonflyvane/core/admission/priority_demand_test.cpp
@@ -18,8 +18,8 @@
   CHECK(Demand.admittedBefore(2, Now) == doctest::Approx(6).epsilon(0.05));
   CHECK(Demand.admittedBefore(1, Now) == 0);
   CHECK(Demand.inTimeOf(1, Now) == doctest::Approx(3).epsilon(0.05));
-  CHECK(Demand.shareOf(1, Now) == doctest::Approx(1));
-  CHECK(Demand.shareOf(2, Now) == 0);
+  CHECK(Demand.shares(Now).at(1) == doctest::Approx(1));
+  CHECK(!Demand.shares(Now).contains(2));
 }
 
 // Guards against a wave that limits others long after its end.
