Limit hot key points under overload

Cause: one key, or a narrow hot range, that asks for more than its server processes fills the queue, and requests for all other keys of the server are refused or late.

hot_points finds points and groups of cells of 64 points far above the median in the arrivals of the last second, and shares out among them what the other points leave of the server's rate (max-min fairness). It acts only while more arrives than the server processes and no slot is free. Refused requests are told ascending retry times at the rate of the limit.

Ruled out: fair queueing for all points, which costs time for each request and changes the order without a hot point; a fixed quota for each point, which refuses while there is room.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/admission/crash_attribution.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
+#include "dragonflyvane/core/admission/hot_points.hpp"
 #include "dragonflyvane/core/admission/request_priority.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/net/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflyvane {
 
@@ -112,6 +113,8 @@
     AwaitingGrant.push_back(Id);
     return Id;
   }
+  if (refuseHotPoint(Id))
+    return 0;
   queued_request Queued = makeQueuedRequest(Id, Entry);
   updateAllowance();
   if (!canFinishInTime(Entry, Queued)) {
@@ -138,6 +141,42 @@
   return Id;
 }
 
+double dispatcher::processableRate() const {
+  double Seconds =
+      std::chrono::duration<double>(Costs.meanProcessingTime()).count();
+  double Rate = std::max(1U, slotCount()) / std::max(Seconds, 0.001);
+  return std::min(Rate, Deps.Server.condition().RateLimit.value_or(Rate));
+}
+
+bool dispatcher::refuseHotPoint(dispatch_id Id) {
+  const entry &Entry = Entries.at(Id);
+  if (!Entry.Metadata.Point)
+    return false;
+  key_point Point = *Entry.Metadata.Point;
+  server_room Room{processableRate(), Running >= slotCount()};
+  auto RetryAfter = HotPoints.admit(Point, Room, Deps.Clock.now());
+  if (!RetryAfter)
+    return false;
+  hot_span Span = HotPoints.limitOf(Point).value_or(hot_span{Point, Point});
+  Deps.Metrics.count("hot_point_refusals_total");
+  writeRequestLog(
+      "request refused: hot key point",
+      {{"request_id",
+        Entry.Request.Headers.find(Deps.Names.RequestId).value_or("")},
+       {"point", Point},
+       {"first_point", Span.First},
+       {"last_point", Span.Last},
+       {"demand_per_s", std::lround(Span.Demand)},
+       {"limit_per_s", std::lround(Span.Limit)},
+       {"server_per_s", std::lround(Room.Rate)},
+       {"running", Running},
+       {"waiting", Queue.size()},
+       {"retry_after_ms", inMilliseconds(*RetryAfter)}});
+  refuse(Id, "hot-key",
+         std::chrono::duration_cast<std::chrono::milliseconds>(*RetryAfter));
+  return true;
+}
+
 bool dispatcher::canFinishInTime(const entry &Entry,
                                  const queued_request &Queued) const {
   duration TransferTime{0};
@@ -437,8 +476,13 @@
 }
 
 void dispatcher::refuse(dispatch_id Id, const std::string &Code) {
+  refuse(Id, Code, retryAfter());
+}
+
+void dispatcher::refuse(dispatch_id Id, const std::string &Code,
+                        std::chrono::milliseconds RetryAfter) {
   forward_result Result = notRun(Code);
-  Result.RetryAfter = retryAfter();
+  Result.RetryAfter = RetryAfter;
   finish(Id, std::move(Result));
 }
 
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
+#include "dragonflyvane/core/admission/hot_points.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -118,6 +119,11 @@
   std::string arrivalRefusalCode(const entry &Entry) const;
   bool mustWaitForGrant(const forward_metadata &Metadata) const;
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
+  /// Refuses a request for a hot key point that asks for more than its share of
+  /// the server. Returns whether it did.
+  bool refuseHotPoint(dispatch_id Id);
+  /// The requests per second that the server can process.
+  double processableRate() const;
   /// Whether the response can be ready, and sent over the link, in time.
   bool canFinishInTime(const entry &Entry, const queued_request &Queued) const;
   /// Number of requests that the server runs at the same time.
@@ -148,6 +154,8 @@
   bool isFromServer(const http_response &Response) const;
   void finish(dispatch_id Id, forward_result Result);
   void refuse(dispatch_id Id, const std::string &Code);
+  void refuse(dispatch_id Id, const std::string &Code,
+              std::chrono::milliseconds RetryAfter);
   /// Estimated time until there is room for another request.
   std::chrono::milliseconds retryAfter() const;
   /// Checks for a crash of the server, and refuses requests that have waited
@@ -166,6 +174,7 @@
   sent_requests SentRequests;
   route_costs Costs;
   point_sample Sample;
+  hot_points HotPoints;
   /// Submitted requests, and time for which slots were in use, since
   /// `ReportedAt`.
   uint64_t Arrivals = 0;
