--- a/src/dragonflyvane/core/admission/capacity_estimator.hpp
+++ b/src/dragonflyvane/core/admission/capacity_estimator.hpp
@@ -20,6 +20,9 @@
   /// The number of requests in flight up to which the throughput grows, from 1
   /// to the slots; the slots if nothing else is known.
   uint32_t concurrencyLimit(time_point Now) const { return Knee.limit(Now); }
+  /// The same without the requests that the check of a limit allows at
+  /// intervals; for log, reports and other hosts.
+  uint32_t settledLimit(time_point Now) const { return Knee.settledLimit(Now); }
   /// How much faster the server works than the service usually does, over its
   /// routes; 1 if not known.
   double speed() const { return Speed; }
--- a/src/dragonflyvane/core/admission/throughput_knee.cpp
+++ b/src/dragonflyvane/core/admission/throughput_knee.cpp
@@ -152,16 +152,17 @@
   Comparisons.clear();
 }
 
-uint32_t throughput_knee::limit(time_point Now) const {
+uint32_t throughput_knee::settledLimit(time_point Now) const {
   uint32_t Most = std::max(1U, Slots);
-  if (!Knee)
-    return Most;
+  bool IsInForce = Knee && Now - FoundAt < KneeLifetime + MaxCheckTime;
+  return IsInForce ? std::min(*Knee, Most) : Most;
+}
+
+uint32_t throughput_knee::limit(time_point Now) const {
   duration CheckTime = Now - FoundAt - KneeLifetime;
-  if (CheckTime >= MaxCheckTime)
-    return Most;
   bool AllowsAll =
       CheckTime >= duration{0} && CheckTime / CheckInterval % 2 == 0;
-  return AllowsAll ? Most : std::min(*Knee, Most);
+  return AllowsAll ? std::max(1U, Slots) : settledLimit(Now);
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/throughput_knee.hpp
+++ b/src/dragonflyvane/core/admission/throughput_knee.hpp
@@ -32,6 +32,8 @@
   /// The number of requests in flight to allow, from 1 to the slots. A knee
   /// that was found long ago is checked again by allowing more at intervals.
   uint32_t limit(time_point Now) const;
+  /// The same without the requests that a check allows at intervals.
+  uint32_t settledLimit(time_point Now) const;
 
 private:
   /// What the responses of one block of time show.
--- a/src/dragonflyvane/node/admin/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -9,6 +9,9 @@
 ABSL_FLAG(std::string, config, "", "path of the settings file");
 ABSL_FLAG(std::string, log_level, "info",
           "lowest level that is logged: debug, info, warning or error");
+ABSL_FLAG(std::string, learned_capacity, "on",
+          "whether the capacity of the backend server is learned from its "
+          "responses: on or off");
 
 namespace dragonflyvane {
 
@@ -33,7 +36,8 @@
                  "that owns the key");
   if (!Positional.empty())
     rejectFlag("", Positional.front(), "flags only");
-  return {requiredFlag("config"), logLevelFlag()};
+  return {requiredFlag("config"), logLevelFlag(),
+          choiceFlag("learned_capacity", {"on", "off"}) == "on"};
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/admin/daemon_flags.hpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.hpp
@@ -14,6 +14,8 @@
   std::string ConfigPath;
   /// Messages below this level are not logged.
   log_level LogLevel = log_level::Info;
+  /// Whether the capacity of the local backend server is learned.
+  bool LearnsCapacity = true;
 };
 
 /// Parses and checks the flags; exits with code 2 if one is invalid.
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -83,7 +83,8 @@
              },
              [this](const condition_report &Report) {
                Ownership.onReportedCondition(Report);
-             }}),
+             },
+             Settings.LearnsCapacity}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -43,7 +43,9 @@
 } // namespace
 
 dispatcher::dispatcher(dependencies Dependencies)
-    : Deps(std::move(Dependencies)), ReportedAt(Deps.Clock.now()) {
+    : Deps(std::move(Dependencies)),
+      Capacity(Deps.Server, Deps.Metrics, Deps.LearnsCapacity),
+      ReportedAt(Deps.Clock.now()) {
   Tick = Deps.Loop.every(TickPeriod, [this] { tick(); });
 }
 
@@ -85,7 +87,9 @@
           Costs.processingTimeOf(Entry.Metadata.Route)};
 }
 
-uint32_t dispatcher::slotCount() const { return Deps.Server.slots(); }
+uint32_t dispatcher::slotCount() const {
+  return Capacity.concurrencyLimit(Deps.Clock.now());
+}
 
 dispatch_id dispatcher::submit(forward_metadata Metadata, http_request Request,
                                callback Callback) {
@@ -244,7 +248,7 @@
   Entry.IsRunning = true;
   Entry.SentAt = Deps.Clock.now();
   Entry.Incarnation = Deps.Server.incarnation();
-  ++Running;
+  Entry.InFlight = ++Running;
   Allowance.take(Entry.SentAt);
   Deps.Metrics.count("server_requests_total");
   Entry.Call =
@@ -287,6 +291,7 @@
   BusyTime += Elapsed;
   if (Result.Outcome == call_outcome::Completed && Result.Response.Status < 400)
     Costs.observe(Entry.Metadata.Route, Elapsed, Result.Response.Body.size());
+  observeCapacity(Entry, Result, Elapsed);
   if (Result.Outcome == call_outcome::ConnectionLost)
     Deps.CrashGuard.onConnectionLost(Entry.Request, Entry.Metadata.Workspace,
                                      Entry.Incarnation);
@@ -338,6 +343,16 @@
     Deps.OnCondition(Latest);
 }
 
+void dispatcher::observeCapacity(const entry &Entry, const call_result &Result,
+                                 duration Elapsed) {
+  bool IsSuccess = Result.Outcome == call_outcome::Completed &&
+                   Result.Response.Status < 400 &&
+                   isFromServer(Result.Response);
+  if (IsSuccess && Entry.Incarnation == Deps.Server.incarnation())
+    Capacity.observe({Entry.Metadata.Route, Elapsed, Entry.InFlight},
+                     Deps.Clock.now());
+}
+
 bool dispatcher::isFromServer(const http_response &Response) const {
   return Response.Headers.find(Deps.Names.Signature) &&
          !Response.Headers.find("content-encoding");
@@ -411,7 +426,7 @@
 
 dispatcher_load dispatcher::load() const {
   return {Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
-          Deps.Server.slots(),
+          Capacity.settledLimit(Deps.Clock.now()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Costs.meanProcessingTime()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -480,6 +495,7 @@
       std::chrono::duration<double>(Costs.meanProcessingTime()).count();
   Report.RateLimit = Deps.Server.condition().RateLimit;
   Report.Sample = Sample.points(Now);
+  Capacity.addTo(Report, Now);
   ReportedAt = Now;
   Arrivals = 0;
   BusyTime = duration{0};
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -19,6 +19,7 @@
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/node/serving/crash_guard.hpp"
 #include "dragonflyvane/node/serving/forwarding.hpp"
+#include "dragonflyvane/node/serving/learned_capacity.hpp"
 #include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <deque>
@@ -68,6 +69,9 @@
     std::function<void(const server_condition &)> OnCondition;
     /// Called with the condition of the server that a peer knows.
     std::function<void(const condition_report &)> OnReportedCondition;
+    /// Whether the number of requests that the server runs at the same time,
+    /// and its speed, are learned from its responses.
+    bool LearnsCapacity = true;
   };
 
   /// Starts the periodic check for timeouts and crashes.
@@ -95,6 +99,8 @@
   dispatcher_load load() const;
   /// The load since the last call; resets the counts.
   load_report takeLoadReport();
+  /// The learned capacity of the server.
+  learned_capacity &capacity() { return Capacity; }
 
 private:
   struct entry {
@@ -107,6 +113,8 @@
     time_point SoftDeadline;
     time_point SentAt{};
     call_id Call = 0;
+    /// The requests in flight when this one was sent, with this one.
+    uint32_t InFlight = 0;
     bool IsRunning = false;
     /// The incarnation of the server that the request was sent to.
     server_incarnation Incarnation;
@@ -120,7 +128,7 @@
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
   /// Whether the response can be ready, and sent over the link, in time.
   bool canFinishInTime(const entry &Entry, const queued_request &Queued) const;
-  /// Number of requests that the server runs at the same time.
+  /// Number of requests that the server may run at the same time.
   uint32_t slotCount() const;
   /// The warm-up rate of a cold server; none for a warm server and for a
   /// service without a warm-up rate, 0 while the configuration of the service
@@ -136,6 +144,9 @@
   /// Sets the header fields that backend servers expect.
   http_request makeServerRequest(const entry &Entry) const;
   void onResult(dispatch_id Id, call_result Result);
+  /// Learns the capacity of the server from a response.
+  void observeCapacity(const entry &Entry, const call_result &Result,
+                       duration Elapsed);
   /// Logs why a call of the server ended without a response.
   void logFailure(const entry &Entry, const call_result &Result) const;
   /// Learns the condition of the server from its response to a request.
@@ -165,6 +176,7 @@
   dispatch_allowance Allowance;
   sent_requests SentRequests;
   route_costs Costs;
+  learned_capacity Capacity;
   point_sample Sample;
   /// Submitted requests, and time for which slots were in use, since
   /// `ReportedAt`.
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -11,9 +11,12 @@
 namespace {
 
 /// A dispatcher whose backend server of a service without keys responds after
-/// 20 ms with the header fields in `ServerHeaders`.
+/// `ServerTime` with the header fields in `ServerHeaders`.
 struct dispatcher_fixture {
-  dispatcher_fixture() { sendHeartbeat(1000); }
+  explicit dispatcher_fixture(bool LearnsCapacity = true)
+      : LearnsCapacity(LearnsCapacity) {
+    sendHeartbeat(1000);
+  }
 
   void sendHeartbeat(int64_t StartedAtMs) {
     heartbeat Heartbeat;
@@ -40,8 +43,10 @@
     Result.Response.Headers.add(Names.Signature, "s");
     Result.Response.Headers.add(Names.RequestId,
                                 *Request.Headers.find(Names.RequestId));
-    Loop.postDelayed(milliseconds(20),
-                     [Callback, Result] { Callback(Result); });
+    Loop.postDelayed(ServerTime(++InFlight), [this, Callback, Result] {
+      --InFlight;
+      Callback(Result);
+    });
     return ++LastCall;
   }
 
@@ -62,10 +67,12 @@
   }
 
   /// Submits a request every 5 ms.
-  void submitFor(duration Span) {
-    for (duration Elapsed{0}; Elapsed < Span; Elapsed += milliseconds(5)) {
+  void submitFor(duration Span) { submitEvery(milliseconds(5), Span); }
+
+  void submitEvery(duration Period, duration Span) {
+    for (duration Elapsed{0}; Elapsed < Span; Elapsed += Period) {
       submit();
-      Loop.runFor(milliseconds(5));
+      Loop.runFor(Period);
     }
   }
 
@@ -82,6 +89,12 @@
     return Most;
   }
 
+  bool LearnsCapacity;
+  /// The time at the server by the number of requests in flight.
+  std::function<milliseconds(size_t)> ServerTime = [](size_t) {
+    return milliseconds(20);
+  };
+  size_t InFlight = 0;
   header_names Names;
   header_list ServerHeaders;
   std::vector<time_point> Arrivals;
@@ -119,7 +132,8 @@
                          },
                          [this](const condition_report &Report) {
                            Server.onReportedCondition(Report);
-                         }}};
+                         },
+                         LearnsCapacity}};
 };
 
 } // namespace
@@ -175,6 +189,44 @@
   CHECK(Fixture.Results.size() == 7);
 }
 
+// Guards against the estimate of an earlier server that binds the next one.
+// Pattern: a server that is slower than the service usually is, then restarts.
+TEST_CASE("a new incarnation starts with speed unknown and all its slots") {
+  dispatcher_fixture Fixture;
+  Fixture.Dispatcher.capacity().setServiceTimes({{"peek", milliseconds(10)}});
+  Fixture.submitFor(seconds(2));
+  load_report Report = Fixture.Dispatcher.takeLoadReport();
+  CHECK(Report.Speed < 0.6);
+  CHECK(Report.Speed > 0.4);
+  CHECK(Report.ConcurrencyLimit == 6);
+  Fixture.sendHeartbeat(2000);
+  CHECK_FALSE(Fixture.Dispatcher.capacity().speed());
+  Fixture.Loop.runFor(milliseconds(100));
+  CHECK_FALSE(Fixture.Dispatcher.takeLoadReport().ConcurrencyLimit);
+  CHECK(Fixture.Dispatcher.load().Slots == 6);
+  Fixture.submitFor(seconds(2));
+  CHECK(Fixture.Dispatcher.capacity().speed().value_or(1) < 0.6);
+}
+
+// Guards against more requests at a server than it handles well. Pattern: a
+// server whose throughput stops growing at 2 in flight, and a load around it.
+TEST_CASE("a server that slows before it is full runs fewer requests, unless "
+          "learning is turned off") {
+  for (bool LearnsCapacity : {true, false}) {
+    dispatcher_fixture Fixture(LearnsCapacity);
+    Fixture.ServerTime = [](size_t InFlight) {
+      return milliseconds(std::max<size_t>(20, InFlight * 10));
+    };
+    for (int I = 0; I < 30; ++I) {
+      Fixture.submitEvery(milliseconds(20), milliseconds(800));
+      Fixture.submitEvery(milliseconds(5), milliseconds(200));
+    }
+    uint32_t Expected = LearnsCapacity ? 3 : 6;
+    CHECK(Fixture.Dispatcher.load().Slots <= Expected);
+    CHECK(Fixture.Dispatcher.load().Slots >= Expected - 1);
+  }
+}
+
 // Guards against a limit that outlives its server or the need.
 TEST_CASE("a limit ends with a response without it and with the incarnation") {
   dispatcher_fixture Fixture;
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -55,6 +55,9 @@
   /// A backend server gets no new requests once it has been leaving for this
   /// long.
   std::chrono::milliseconds DrainTimeout{2000};
+  /// Whether the load that the local backend server handles well is learned
+  /// from its responses.
+  bool LearnsCapacity = true;
   /// Limits for retries, applied to each service separately.
   retry_budget_options RetryBudgetOptions;
 };
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -78,6 +78,7 @@
     settings Settings = retryStep("settings", SettingsTimeout, Signals, [&] {
       return platform::readSettingsFile(Flags.ConfigPath);
     });
+    Settings.LearnsCapacity = Flags.LearnsCapacity;
     setLogHost(Settings.Host);
     return retryStep("listen", PortTimeout, Signals,
                      [&] { return run(Settings, Signals); });
