--- a/src/dragonflyvane/node/cluster/peer_messages.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.cpp
@@ -11,6 +11,7 @@
 /// Only daemons send this field; the request router removes it from requests of
 /// callers.
 constexpr const char *KindField = "x-dragonflyvane-kind";
+constexpr const char *RouteTimesField = "route_times";
 /// Longer than any delay, and small enough to calculate with.
 constexpr int64_t MaxDelayMs = int64_t{1} << 40;
 
@@ -76,6 +77,29 @@
   return Points;
 }
 
+/// Converts to whole microseconds.
+json toJson(const route_times &Times) {
+  json Object = json::object();
+  for (const auto &[Route, Time] : Times)
+    Object[Route] =
+        std::chrono::duration_cast<std::chrono::microseconds>(Time).count();
+  return Object;
+}
+
+/// Reads at most `MaxReportedRoutes` routes of the field; none if it is absent.
+route_times routeTimesIn(const json &Body) {
+  route_times Times;
+  if (!Body.contains(RouteTimesField))
+    return Times;
+  for (const auto &[Route, Time] : Body.at(RouteTimesField).items()) {
+    if (Times.size() >= MaxReportedRoutes)
+      break;
+    Times[Route] = std::chrono::microseconds(
+        toInteger<int64_t>(Time, RouteTimesField, 1, MaxDelayMs));
+  }
+  return Times;
+}
+
 } // namespace
 
 http_request encodeReport(const report_message &Message) {
@@ -93,6 +117,10 @@
     Body["concurrency"] = *Message.Load.ConcurrencyLimit;
   if (Message.Load.Speed != 1)
     Body["speed"] = Message.Load.Speed;
+  if (!Message.UsualTimes.empty()) {
+    Body["service"] = Message.Service;
+    Body[RouteTimesField] = toJson(Message.UsualTimes);
+  }
   return makeMessage("report", Body);
 }
 
@@ -117,6 +145,9 @@
     Message.Crashes = toCrashes(requireList(*Body, "crashes"));
     Message.RequestsWithResponse =
         toFingerprints(requireList(*Body, "answered"));
+    Message.UsualTimes = routeTimesIn(*Body);
+    if (!Message.UsualTimes.empty())
+      Message.Service = requireText(*Body, "service");
   } catch (const std::exception &) {
     return std::nullopt;
   }
@@ -124,11 +155,13 @@
 }
 
 http_response encodeResponse(const report_response &Response) {
-  return jsonResponse(200, json{{"steward", Response.IsCoordinator},
-                                {"newest", Response.NewestVersion},
-                                {"suspects", Response.Suspects},
-                                {"quarantined", Response.Quarantined}}
-                               .dump());
+  json Body = {{"steward", Response.IsCoordinator},
+               {"newest", Response.NewestVersion},
+               {"suspects", Response.Suspects},
+               {"quarantined", Response.Quarantined}};
+  if (!Response.ServiceTimes.empty())
+    Body[RouteTimesField] = toJson(Response.ServiceTimes);
+  return jsonResponse(200, Body.dump());
 }
 
 std::optional<report_response>
@@ -142,7 +175,8 @@
     return report_response{Body->at("steward").get<bool>(),
                            requireInteger<row_version>(*Body, "newest"),
                            {Suspects.begin(), Suspects.end()},
-                           {Quarantined.begin(), Quarantined.end()}};
+                           {Quarantined.begin(), Quarantined.end()},
+                           routeTimesIn(*Body)};
   } catch (const std::exception &) {
     return std::nullopt;
   }
--- a/src/dragonflyvane/node/cluster/peer_messages.hpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_NODE_CLUSTER_PEER_MESSAGES_HPP
 
 #include "dragonflyvane/core/admission/crash_attribution.hpp"
+#include "dragonflyvane/core/admission/recent_route_times.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/ownership/load_rebalancer.hpp"
@@ -26,6 +27,10 @@
   std::vector<crash> Crashes;
   /// Suspect requests that did not crash the local backend server.
   std::vector<request_fingerprint> RequestsWithResponse;
+  /// The service of the local backend server; empty if `UsualTimes` is.
+  std::string Service;
+  /// The usual times at the local backend server; at most `MaxReportedRoutes`.
+  route_times UsualTimes;
 };
 
 /// The response to a report.
@@ -38,6 +43,9 @@
   std::set<request_fingerprint> Suspects;
   /// Requests that must not run.
   std::set<request_fingerprint> Quarantined;
+  /// The usual times at the servers of the service of the reporting host; empty
+  /// if not known, and from peers that do not know of them.
+  route_times ServiceTimes;
 };
 
 /// A request for tokens of a workspace from the rate pool.
--- a/src/dragonflyvane/node/cluster/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -56,3 +56,37 @@
   CHECK(Decoded->Load.ConcurrencyLimit == 5);
   CHECK(Decoded->Load.Speed == 0.5);
 }
+
+// Guards against usual times that are lost on their way, and against peers of
+// an earlier version, which do not send any.
+TEST_CASE("usual times pass to the coordinator and back") {
+  report_message Message;
+  Message.Host = "a";
+  Message.Service = "desk";
+  Message.UsualTimes = {{"peek", std::chrono::microseconds(140'250)}};
+  auto Report = decodeReport(encodeReport(Message));
+  REQUIRE(Report);
+  CHECK(Report->Service == "desk");
+  CHECK(Report->UsualTimes == Message.UsualTimes);
+  Message.UsualTimes.clear();
+  CHECK(decodeReport(encodeReport(Message))->UsualTimes.empty());
+  report_response Response;
+  CHECK(decodeReportResponse(encodeResponse(Response))->ServiceTimes.empty());
+  Response.ServiceTimes = {{"find", std::chrono::milliseconds(20)}};
+  CHECK(decodeReportResponse(encodeResponse(Response))->ServiceTimes ==
+        Response.ServiceTimes);
+}
+
+// Guards against a message that makes a daemon keep any number of routes.
+TEST_CASE("usual times of too many routes are cut off, odd ones rejected") {
+  report_message Message;
+  Message.Host = "a";
+  Message.Service = "desk";
+  for (int I = 0; I < 100; ++I)
+    Message.UsualTimes["r" + std::to_string(I)] = std::chrono::milliseconds(9);
+  auto Report = decodeReport(encodeReport(Message));
+  REQUIRE(Report);
+  CHECK(Report->UsualTimes.size() == MaxReportedRoutes);
+  Message.UsualTimes = {{"peek", std::chrono::milliseconds(-1)}};
+  CHECK_FALSE(decodeReport(encodeReport(Message)));
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/daemon.hpp"
 
+#include "dragonflyvane/core/admission/service_route_times.hpp"
 #include "dragonflyvane/net/http_server.hpp"
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/peer_transport.hpp"
@@ -201,7 +202,7 @@
       Ownership.coordinator().onReport(Report->Host, Report->Load);
       Ownership.onClusterVersion(Report->NewestVersion);
       Guard.onReport(*Report);
-      return Exchange->respond(encodeResponse(makeReportResponse()));
+      return Exchange->respond(encodeResponse(makeReportResponse(*Report)));
     }
     if (auto TokenRequest = decodeTokenRequest(Exchange->request())) {
       duration PoolRetryAfter{0};
@@ -216,9 +217,15 @@
       serveForwarded(Exchange);
   }
 
-  report_response makeReportResponse() const {
+  report_response makeReportResponse(const report_message &Report) {
     report_response Response;
     Response.IsCoordinator = Ownership.coordinator().isActive();
+    if (Response.IsCoordinator) {
+      ServiceTimes.onReport(Report.Host, Report.Service, Report.UsualTimes,
+                            Clock.now());
+      Response.ServiceTimes =
+          ServiceTimes.mediansOf(Report.Service, Clock.now());
+    }
     Response.NewestVersion = Ownership.sync().newestVersion();
     Guard.addQuarantine(Response);
     return Response;
@@ -252,12 +259,14 @@
     Report.Host = Settings.Host;
     Report.Load = Dispatcher.takeLoadReport();
     Report.NewestVersion = Ownership.sync().newestVersion();
+    Report.Service = Ownership.server().service();
+    Report.UsualTimes = Dispatcher.capacity().usualTimes(Clock.now());
     Guard.addCrashReport(Report);
     auto Peer = coordinatorEndpoint();
     if (!Peer) {
       Ownership.coordinator().onReport(Report.Host, Report.Load);
       Guard.onReport(Report);
-      return Guard.onReportResponse(makeReportResponse());
+      return applyReportResponse(makeReportResponse(Report));
     }
     Peers.send(*Peer, encodeReport(Report), ReportTimeout,
                [this](const call_result &Result) { onReportResult(Result); });
@@ -271,11 +280,18 @@
       return;
     if (Response->IsCoordinator) {
       Ownership.coordinator().onCoordinatorContact();
-      Guard.onReportResponse(*Response);
+      applyReportResponse(*Response);
     }
     Ownership.onClusterVersion(Response->NewestVersion);
   }
 
+  /// A host without usual times in the response goes on with the last ones.
+  void applyReportResponse(const report_response &Response) {
+    Guard.onReportResponse(Response);
+    if (!Response.ServiceTimes.empty())
+      Dispatcher.capacity().setServiceTimes(Response.ServiceTimes);
+  }
+
   void requestTokens(const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
     auto Peer = coordinatorEndpoint();
@@ -327,6 +343,8 @@
   ownership_manager Ownership;
   crash_guard Guard;
   dispatcher Dispatcher;
+  /// Used while this host is the coordinator.
+  service_route_times ServiceTimes;
   rate_limiter Rates;
   request_router Router;
   admin Admin;
