Placement of keys takes the learned limit and speed as capacity

Where a report has them; else the processing time scales the slots as before. A processing time is that of the mix of requests, so cheap requests hide a slow server. Both values are bounded.

--- a/src/dragonflyvane/core/ownership/load_rebalancer.cpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.cpp
@@ -43,13 +43,10 @@
   MeanProcessingTime = Count > 0 ? MeanProcessingTime / Count : 0;
   for (const candidate &C : All) {
     auto Found = Loads.find(C.Host);
-    double Speed = 1;
-    if (Found != Loads.end() && Found->second.ProcessingTime > 0)
-      Speed = std::clamp(MeanProcessingTime / Found->second.ProcessingTime,
-                         MinSpeed, MaxSpeed);
     host_load Candidate;
     Candidate.Host = C.Host;
-    Candidate.Capacity = C.Capacity * Speed;
+    Candidate.Capacity =
+        capacityOf(C, Found != Loads.end() ? &Found->second : nullptr);
     if (Found != Loads.end() && Found->second.RateLimit)
       Candidate.MaxRate = *Found->second.RateLimit * LimitUse;
     Candidates.push_back(std::move(Candidate));
@@ -64,6 +61,22 @@
             });
 }
 
+double load_rebalancer::capacityOf(const candidate &Candidate,
+                                   const load_report *Report) const {
+  if (!Report)
+    return Candidate.Capacity;
+  if (Report->ConcurrencyLimit) {
+    double Most = std::max(1.0, Candidate.Capacity);
+    return std::clamp(*Report->ConcurrencyLimit, 1.0, Most) *
+           std::clamp(Report->Speed, MinSpeed, MaxSpeed);
+  }
+  if (Report->ProcessingTime <= 0)
+    return Candidate.Capacity;
+  return Candidate.Capacity *
+         std::clamp(MeanProcessingTime / Report->ProcessingTime, MinSpeed,
+                    MaxSpeed);
+}
+
 bool load_rebalancer::hasLoadData() const {
   double Rate = 0;
   for (const weighted_point &Point : Points)
--- a/src/dragonflyvane/core/ownership/load_rebalancer.hpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.hpp
@@ -78,6 +78,11 @@
     double Rate = 0;
   };
 
+  /// The slots of a candidate as slots of a server of usual speed. Takes the
+  /// learned limit and speed if the candidate reports them, else its processing
+  /// time relative to the mean. `Report` is null if there is none.
+  double capacityOf(const candidate &Candidate,
+                    const load_report *Report) const;
   /// Returns the load of each candidate once all planned moves are done.
   std::vector<host_load> hostLoadsIn(const ownership_map &Map) const;
   /// The requests per second that the server of a candidate can process.
--- a/src/dragonflyvane/core/ownership/load_rebalancer_test.cpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer_test.cpp
@@ -136,3 +136,56 @@
   CHECK(Map == evenMap());
   CHECK(!load_rebalancer(candidates(), {}).hasLoadData());
 }
+
+namespace {
+
+/// Hosts with the same rate, each spread over its range.
+std::map<std::string, load_report> evenLoads(double Rate) {
+  std::map<std::string, load_report> Loads;
+  for (int I = 0; I < Hosts; ++I) {
+    std::vector<key_point> Points;
+    for (key_point K = 0; K < 40; ++K)
+      Points.push_back(static_cast<key_point>(I * 16384 + K * 400));
+    Loads[nameOf(I)] = report(Rate, Points);
+    Loads[nameOf(I)].ConcurrencyLimit = 9;
+  }
+  return Loads;
+}
+
+} // namespace
+
+// Guards against keys that stay at a server which handles fewer requests at
+// once than it has slots, and at one that is slow by its learned speed while
+// its processing time hides it (it gets cheap requests).
+TEST_CASE("the learned limit and speed of a server decide about its share") {
+  for (bool IsLimited : {true, false}) {
+    auto Loads = evenLoads(120);
+    load_report &Weak = Loads[nameOf(0)];
+    if (IsLimited)
+      Weak.ConcurrencyLimit = 4;
+    else
+      Weak.Speed = 0.45;
+    ownership_map Map = evenMap();
+    CHECK(load_rebalancer(candidates(), Loads).plan(Map));
+    auto Rates = ratesAfter(Map, Loads);
+    CHECK(Rates[nameOf(0)] < 80);
+    for (int I = 1; I < Hosts; ++I)
+      CHECK(Rates[nameOf(I)] > 120);
+  }
+}
+
+// Guards against a report of a peer that gives a server all keys, or none.
+TEST_CASE("an odd learned limit or speed is bounded") {
+  auto Loads = evenLoads(120);
+  Loads[nameOf(0)].ConcurrencyLimit = 1e9;
+  Loads[nameOf(0)].Speed = 1e9;
+  Loads[nameOf(1)].ConcurrencyLimit = -5;
+  Loads[nameOf(1)].Speed = -5;
+  ownership_map Map = evenMap();
+  load_rebalancer(candidates(), Loads).plan(Map);
+  auto Rates = ratesAfter(Map, Loads);
+  // The total is 480 for capacities of 18, 0.35, 9 and 9.
+  CHECK(Rates[nameOf(0)] < 300);
+  CHECK(Rates[nameOf(1)] < 60);
+  CHECK(Rates[nameOf(2)] > 60);
+}
