--- a/src/dragonflyvane/core/admission/admission_queue.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -78,6 +78,10 @@
 admission_queue::admits(const queued_request &Request, uint32_t Slots,
                         uint32_t Running, time_point Now, duration LinkTime,
                         const start_delay &DelayOf) const {
+  if (Policy == queue_policy::Arrival)
+    return admitsByArrival(Request, Slots, Running, Now, LinkTime, DelayOf)
+               ? std::optional(queue_class::InTime)
+               : std::nullopt;
   bool HasFreeSlot = Running < Slots && Waiting.empty();
   auto StartDelay = [&](queue_class Class) {
     requests_ahead Ahead = countAhead(Request.Priority, Class);
@@ -108,16 +112,41 @@
   return Class;
 }
 
+bool admission_queue::admitsByArrival(const queued_request &Request,
+                                      uint32_t Slots, uint32_t Running,
+                                      time_point Now, duration LinkTime,
+                                      const start_delay &DelayOf) const {
+  requests_ahead Ahead = countAhead(Request.Priority, queue_class::Late);
+  duration StartDelay = DelayOf(Ahead.Count);
+  if (isTooLate(Request, Now + LinkTime + StartDelay))
+    return false;
+  if (Running >= Slots || !Waiting.empty())
+    StartDelay = std::max<duration>(
+        StartDelay,
+        (Ahead.ProcessingTime + Request.ProcessingTime) / std::max(1U, Slots));
+  bool MissesSoftDeadline = Now + Request.ProcessingTime > Request.SoftDeadline;
+  if (MissesSoftDeadline)
+    return !isTooLate(Request, Now + StartDelay + LinkTime);
+  bool RespondsWithoutDelay =
+      StartDelay == duration{0} && LinkTime == duration{0};
+  return RespondsWithoutDelay ||
+         Now + StartDelay + Request.ProcessingTime + LinkTime <=
+             Request.SoftDeadline;
+}
+
 std::optional<queue_class>
 admission_queue::offer(const queued_request &Request, uint32_t Slots,
                        uint32_t Running, time_point Now, duration LinkTime,
                        const start_delay &DelayOf) {
-  Demand.recordArrival(Request.Priority, Request.ProcessingTime,
-                       !missesSoftDeadline(Request, Now), Now);
+  bool IsCounted = Policy == queue_policy::Usefulness;
+  if (IsCounted)
+    Demand.recordArrival(Request.Priority, Request.ProcessingTime,
+                         !missesSoftDeadline(Request, Now), Now);
   auto Class = admits(Request, Slots, Running, Now, LinkTime, DelayOf);
   if (!Class)
     return std::nullopt;
-  Demand.recordAdmission(Request.Priority, Request.ProcessingTime, Now);
+  if (IsCounted)
+    Demand.recordAdmission(Request.Priority, Request.ProcessingTime, Now);
   push(Request, *Class);
   return Class;
 }
@@ -150,6 +179,8 @@
 }
 
 void admission_queue::demoteLate(time_point Now) {
+  if (Policy == queue_policy::Arrival)
+    return;
   std::vector<queued_request> Demoted;
   for (auto It = Waiting.begin(); It != Waiting.end();) {
     bool IsDemoted = It->first.Class == queue_class::InTime &&
@@ -166,6 +197,8 @@
 }
 
 admission_queue::queue_map::iterator admission_queue::nextToRun() {
+  if (Policy == queue_policy::Arrival)
+    return Waiting.begin();
   auto Head = Waiting.begin();
   while (Head != Waiting.end()) {
     int Priority = Head->first.Priority;
@@ -187,7 +220,8 @@
       TooLate.push_back(Request.Id);
       continue;
     }
-    Floor.onStart(Request.Priority, Request.ProcessingTime, Demand, Now);
+    if (Policy == queue_policy::Usefulness)
+      Floor.onStart(Request.Priority, Request.ProcessingTime, Demand, Now);
     return Request.Id;
   }
   return std::nullopt;
@@ -219,6 +253,8 @@
 
 std::vector<dispatch_id> admission_queue::takeDisplaced(uint32_t Slots,
                                                         time_point Now) {
+  if (Policy == queue_policy::Arrival)
+    return {};
   demoteLate(Now);
   std::vector<dispatch_id> Displaced;
   requests_ahead Ahead;
--- a/src/dragonflyvane/core/admission/admission_queue.hpp
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -49,9 +49,20 @@
   Late,
 };
 
+/// How the requests of one priority are ordered and admitted.
+enum class queue_policy {
+  /// By arrival. A request that cannot meet its soft deadline is admitted if it
+  /// can meet its deadline.
+  Arrival,
+  /// By class and then by arrival, with a floor for each priority.
+  Usefulness,
+};
+
 /// The requests that wait for one backend server.
 class admission_queue {
 public:
+  /// Applies to the requests that are offered, popped or displaced from now on.
+  void setPolicy(queue_policy Value) { Policy = Value; }
   /// Returns the time until the queued request at a position may start, if the
   /// rate of the server is limited.
   using start_delay = std::function<duration(size_t Position)>;
@@ -116,6 +127,10 @@
   };
 
   requests_ahead countAhead(int Priority, queue_class Class) const;
+  /// `admits` for `queue_policy::Arrival`.
+  bool admitsByArrival(const queued_request &Request, uint32_t Slots,
+                       uint32_t Running, time_point Now, duration LinkTime,
+                       const start_delay &DelayOf) const;
   /// Returns the time until a request is served behind the given work, either
   /// in its turn or by the floor of its priority.
   duration expectedDelay(const queued_request &Request, queue_class Class,
@@ -141,6 +156,7 @@
   /// to the second class.
   void demoteLate(time_point Now);
 
+  queue_policy Policy = queue_policy::Usefulness;
   queue_map Waiting;
   /// The sum of `queued_request::ProcessingTime` over all queued requests.
   duration QueuedProcessingTime{0};
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -44,7 +44,11 @@
 } // namespace
 
 dispatcher::dispatcher(dependencies Dependencies)
-    : Deps(std::move(Dependencies)), ReportedAt(Deps.Clock.now()) {
+    : Deps(std::move(Dependencies)),
+      OverloadControl(Deps.OverloadControl, Deps.OperatorState),
+      Capacity(Deps.Server, Deps.Metrics,
+               {Deps.LearnedCapacity, Deps.OperatorState}),
+      ReportedAt(Deps.Clock.now()) {
   Tick = Deps.Loop.every(TickPeriod, [this] { tick(); });
 }
 
@@ -91,7 +95,9 @@
           Costs.deviationOf(Route)};
 }
 
-uint32_t dispatcher::slotCount() const { return Deps.Server.slots(); }
+uint32_t dispatcher::slotCount() const {
+  return Capacity.concurrencyLimit(Deps.Clock.now());
+}
 
 dispatch_id dispatcher::submit(forward_metadata Metadata, http_request Request,
                                callback Callback) {
@@ -155,7 +161,7 @@
 
 bool dispatcher::refuseHotPoint(dispatch_id Id) {
   const entry &Entry = Entries.at(Id);
-  if (!Entry.Metadata.Point)
+  if (!Entry.Metadata.Point || !OverloadControl.isOn())
     return false;
   key_point Point = *Entry.Metadata.Point;
   server_room Room{processableRate(), Running >= slotCount()};
@@ -191,6 +197,8 @@
   auto DelayOf = [this, Now](size_t Position) {
     return Allowance.delayOf(Position, Now);
   };
+  Queue.setPolicy(OverloadControl.isOn() ? queue_policy::Usefulness
+                                         : queue_policy::Arrival);
   return Queue.offer(Queued, slotCount(), Running, Now, TransferTime, DelayOf)
       .has_value();
 }
@@ -294,7 +302,7 @@
   Entry.IsRunning = true;
   Entry.SentAt = Deps.Clock.now();
   Entry.Incarnation = Deps.Server.incarnation();
-  ++Running;
+  Entry.InFlight = ++Running;
   Allowance.take(Entry.SentAt);
   Deps.Metrics.count("server_requests_total");
   Entry.Call =
@@ -337,6 +345,7 @@
   BusyTime += Elapsed;
   if (Result.Outcome == call_outcome::Completed && Result.Response.Status < 400)
     Costs.observe(Entry.Metadata.Route, Elapsed, Result.Response.Body.size());
+  observeCapacity(Entry, Result, Elapsed);
   if (Result.Outcome == call_outcome::ConnectionLost)
     Deps.CrashGuard.onConnectionLost(Entry.Request, Entry.Metadata.Workspace,
                                      Entry.Incarnation);
@@ -388,6 +397,16 @@
     Deps.OnCondition(Latest);
 }
 
+void dispatcher::observeCapacity(const entry &Entry, const call_result &Result,
+                                 duration Elapsed) {
+  bool IsSuccess = Result.Outcome == call_outcome::Completed &&
+                   Result.Response.Status < 400 &&
+                   isFromServer(Result.Response);
+  if (IsSuccess && Entry.Incarnation == Deps.Server.incarnation())
+    Capacity.observe({Entry.Metadata.Route, Elapsed, Entry.InFlight},
+                     Deps.Clock.now());
+}
+
 bool dispatcher::isFromServer(const http_response &Response) const {
   return Response.Headers.find(Deps.Names.Signature) &&
          !Response.Headers.find("content-encoding");
@@ -461,7 +480,7 @@
 
 dispatcher_load dispatcher::load() const {
   return {Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
-          Deps.Server.slots(),
+          Capacity.settledLimit(Deps.Clock.now()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Costs.meanProcessingTime()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -536,6 +555,7 @@
       std::chrono::duration<double>(Costs.meanProcessingTime()).count();
   Report.RateLimit = Deps.Server.condition().RateLimit;
   Report.Sample = Sample.points(Now);
+  Capacity.addTo(Report, Now);
   ReportedAt = Now;
   Arrivals = 0;
   BusyTime = duration{0};
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -11,6 +11,7 @@
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/configuration/feature_switch.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
 #include "dragonflyvane/core/header_names.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
@@ -20,6 +21,7 @@
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/node/serving/crash_guard.hpp"
 #include "dragonflyvane/node/serving/forwarding.hpp"
+#include "dragonflyvane/node/serving/learned_capacity.hpp"
 #include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <deque>
@@ -69,6 +71,9 @@
     std::function<void(const server_condition &)> OnCondition;
     /// Called with the condition of the server that a peer knows.
     std::function<void(const condition_report &)> OnReportedCondition;
+    /// Whether the number of requests that the server runs at the same time,
+    feature_mode LearnedCapacity = feature_mode::On;
+    feature_mode OverloadControl = feature_mode::On;
   };
 
   /// Starts the periodic check for timeouts and crashes.
@@ -96,6 +101,8 @@
   dispatcher_load load() const;
   /// The load since the last call; resets the counts.
   load_report takeLoadReport();
+  /// The learned capacity of the server.
+  learned_capacity &capacity() { return Capacity; }
 
 private:
   struct entry {
@@ -108,6 +115,8 @@
     time_point SoftDeadline;
     time_point SentAt{};
     call_id Call = 0;
+    /// The requests in flight when this one was sent, with this one.
+    uint32_t InFlight = 0;
     bool IsRunning = false;
     /// The incarnation of the server that the request was sent to.
     server_incarnation Incarnation;
@@ -129,7 +138,7 @@
   bool refuseHotPoint(dispatch_id Id);
   /// The requests per second that the server can process.
   double processableRate() const;
-  /// Number of requests that the server runs at the same time.
+  /// Number of requests that the server may run at the same time.
   uint32_t slotCount() const;
   /// The warm-up rate of a cold server; none for a warm server and for a
   /// service without a warm-up rate, 0 while the configuration of the service
@@ -145,6 +154,9 @@
   /// Sets the header fields that backend servers expect.
   http_request makeServerRequest(const entry &Entry) const;
   void onResult(dispatch_id Id, call_result Result);
+  /// Learns the capacity of the server from a response.
+  void observeCapacity(const entry &Entry, const call_result &Result,
+                       duration Elapsed);
   /// Logs why a call of the server ended without a response.
   void logFailure(const entry &Entry, const call_result &Result) const;
   /// Learns the condition of the server from its response to a request.
@@ -166,6 +178,7 @@
   void tick();
 
   dependencies Deps;
+  feature_switch OverloadControl;
   std::unordered_map<dispatch_id, entry> Entries;
   admission_queue Queue;
   /// Requests for keys that the server does not hold yet, in order of arrival.
@@ -176,6 +189,7 @@
   dispatch_allowance Allowance;
   sent_requests SentRequests;
   route_costs Costs;
+  learned_capacity Capacity;
   point_sample Sample;
   hot_points HotPoints;
   /// Submitted requests, and time for which slots were in use, since
