Large requests between daemons go out in pieces, and their time counts

peer_client sends large bodies through the host's bulk_pacer, like the servers their responses, so small calls pass an upload (new test over a link of 10 Mbit/s: each within 150 ms while 1 MB is on its way). The request router adds the time of the request's bytes to that of the response's when it judges whether the link is too slow, and refuses at once as not run (link-full). The times passed on are reduced by the upload's transfer, because the other host counts them from the arrival of the whole request. A cancelled upload frees the link at once. A connection that closes with open streams is logged.

Ruled out: adding the two transfer times, which counts the backlog twice.

--- a/src/dragonflyvane/core/admission/bulk_pacer.cpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer.cpp
@@ -42,6 +42,15 @@
   return backlog() + durationOf(static_cast<double>(Bytes), BulkRate);
 }
 
+duration bulk_pacer::transferTime(size_t RequestBytes,
+                                  size_t ResponseBytes) const {
+  size_t BulkBytes = 0;
+  for (size_t Bytes : {RequestBytes, ResponseBytes})
+    if (isBulk(Bytes))
+      BulkBytes += Bytes;
+  return transferTime(BulkBytes);
+}
+
 uint64_t bulk_pacer::beginTransfer(size_t Bytes) {
   Transfers[++LastId].RemainingBytes = Bytes;
   BacklogBytes += Bytes;
--- a/src/dragonflyvane/core/admission/bulk_pacer.hpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer.hpp
@@ -32,6 +32,9 @@
   /// Returns how long a message of this size would take behind all transfers in
   /// progress; zero if it is not sent in pieces.
   duration transferTime(size_t Bytes) const;
+  /// Returns the same for a request and its response, which cross the link one
+  /// after the other. The transfers in progress count once.
+  duration transferTime(size_t RequestBytes, size_t ResponseBytes) const;
   /// Returns the time until all transfers in progress have ended.
   duration backlog() const;
 
--- a/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
@@ -76,6 +76,18 @@
   CHECK(Pacer.backlog() > milliseconds(440));
 }
 
+// Guards against an upload that is admitted although the link cannot carry it
+// in time, and against small requests that are refused beside it.
+TEST_CASE("a large request and its response count, small ones do not") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  download First(Pacer, 937'500);
+  CHECK(Pacer.transferTime(93'750, 500) == milliseconds(1100));
+  CHECK(Pacer.transferTime(500, 93'750) == milliseconds(1100));
+  CHECK(Pacer.transferTime(93'750, 93'750) == milliseconds(1200));
+  CHECK(Pacer.transferTime(10'000, 10'000) == duration{0});
+}
+
 TEST_CASE("a cancelled download frees the link at once") {
   manual_scheduler Loop;
   bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/net/peer_connection.hpp"
 
+#include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
 
 #include "dragonflyvane/core/error.hpp"
@@ -191,6 +192,8 @@
     reportUnanswered(std::move(Request), Reason);
   std::map<stream_id, stream> Ended;
   Ended.swap(Streams);
+  if (!Ended.empty())
+    logLoss(Reason, Ended.size());
   for (auto &[Id, Stream] : Ended) {
     if (Stream.Exchange)
       Stream.Exchange->disconnect();
@@ -203,6 +206,18 @@
   }
 }
 
+void peer_connection::logLoss(const std::string &Reason,
+                              size_t OpenStreams) const {
+  time_point Now = Clock.now();
+  writeLog(log_level::Warning, "peer connection closed with open streams",
+           {{"step", "peers"},
+            {"role", Role == peer_role::Client ? "client" : "server"},
+            {"reason", Reason},
+            {"streams", OpenStreams},
+            {"unwritten_bytes", QueuedBytes - HandedBytes},
+            {"since_read_ms", inMilliseconds(Now - Liveness.lastReceived())}});
+}
+
 server_activity peer_connection::activity() const {
   if (!Open)
     return {};
@@ -554,6 +569,8 @@
   Found->second.Callback = nullptr;
   // An end that is in `WriteBuffer` is still handed to the socket.
   bool MayArrive = Found->second.Out.EndPosition.has_value();
+  // Frees the link at once, although the connection may take no bytes now.
+  Found->second.Out.Transfer = {};
   nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id, NGHTTP2_CANCEL);
   flush();
   return MayArrive;
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -179,6 +179,7 @@
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
+  void logLoss(const std::string &Reason, size_t OpenStreams) const;
   /// Server: describes the request of a stream that ends.
   unanswered_request describe(stream Ended) const;
   void reportUnanswered(unanswered_request Request, const std::string &Reason);
--- a/src/dragonflyvane/net/peer_liveness_test.cpp
+++ b/src/dragonflyvane/net/peer_liveness_test.cpp
@@ -153,3 +153,61 @@
     }
   }
 }
+
+// Guards against an upload that fills the link and keeps nested calls and other
+// small messages waiting until it has ended.
+TEST_CASE("small calls to a peer pass an upload on a slow link") {
+  constexpr size_t Rate = 1'250'000;
+  event_loop Loop;
+  boot_clock Clock;
+  bulk_pacer Pacer(Loop, Clock, Rate);
+  endpoint Listen{"127.0.0.1", freePort()};
+  peer_server Server(
+      Loop, Listen, MaxBodyBytes,
+      [](const exchange_pointer &Exchange) { Exchange->respond({}); }, &Pacer);
+  slow_link Link(Listen, {{}, Rate}, {});
+  peer_client Client(Loop, MaxBodyBytes, &Pacer);
+  bool UploadEnded = false;
+  Client.send(Link.localEndpoint(), makeUpload(1'000'000), CallTimeout,
+              [&](const call_result &Result) {
+                CHECK(Result.Outcome == call_outcome::Completed);
+                UploadEnded = true;
+                Loop.stop();
+              });
+  int Completed = 0;
+  timer Calls = Loop.every(milliseconds(100), [&] {
+    time_point Begin = Clock.now();
+    Client.send(Link.localEndpoint(), makeUpload(100), CallTimeout,
+                [&, Begin](const call_result &Result) {
+                  CHECK(Result.Outcome == call_outcome::Completed);
+                  CHECK(Clock.now() - Begin < milliseconds(150));
+                  CHECK(!UploadEnded);
+                  ++Completed;
+                });
+  });
+  Loop.run();
+  // The upload takes 800 ms at least.
+  CHECK(Completed >= 4);
+  CHECK(Pacer.isIdle());
+}
+
+// Guards against a link that stays reserved for an upload whose caller has
+// left, while its connection takes no bytes.
+TEST_CASE("a cancelled upload frees the link at once") {
+  event_loop Loop;
+  boot_clock Clock;
+  bulk_pacer Pacer(Loop, Clock, 1'250'000);
+  endpoint Listen{"127.0.0.1", freePort()};
+  peer_server Server(Loop, Listen, MaxBodyBytes, [](const auto &) {});
+  slow_link Link(Listen, {std::chrono::hours(1), 0}, {});
+  peer_client Client(Loop, MaxBodyBytes, &Pacer);
+  call_id Call = Client.send(Link.localEndpoint(), makeUpload(1'000'000),
+                             CallTimeout, [](const call_result &) {});
+  timer Later = Loop.after(milliseconds(100), [&] {
+    CHECK(!Pacer.isIdle());
+    Client.cancel(Call);
+    CHECK(Pacer.isIdle());
+    Loop.stop();
+  });
+  Loop.run();
+}
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -25,8 +25,8 @@
 class peer_client::implementation
     : public std::enable_shared_from_this<implementation> {
 public:
-  implementation(event_loop &Loop, size_t MaxBodyBytes)
-      : Loop(Loop), MaxBodyBytes(MaxBodyBytes) {}
+  implementation(event_loop &Loop, size_t MaxBodyBytes, bulk_pacer *Pacer)
+      : Loop(Loop), MaxBodyBytes(MaxBodyBytes), Pacer(Pacer) {}
 
   call_id send(const endpoint &Peer, http_request Request,
                std::chrono::milliseconds Timeout, callback Callback) {
@@ -127,7 +127,7 @@
       ReplacedConnections.push_back(Channel.Connection);
       Channel.Connection = std::make_shared<peer_connection>(
           std::move(Socket), peer_role::Client, MaxBodyBytes, Loop.bodyMemory(),
-          nullptr);
+          nullptr, Pacer);
       Channel.Connection->start();
     }
     Channel.ConnectingSocket.reset();
@@ -179,6 +179,7 @@
   event_loop &Loop;
   boot_clock Clock;
   size_t MaxBodyBytes;
+  bulk_pacer *Pacer;
   call_id LastId = 0;
   std::map<call_id, call> Calls;
   std::map<endpoint, channel> Channels;
@@ -187,8 +188,10 @@
   timer SweepTimer;
 };
 
-peer_client::peer_client(event_loop &Loop, size_t MaxBodyBytes)
-    : Implementation(std::make_shared<implementation>(Loop, MaxBodyBytes)) {
+peer_client::peer_client(event_loop &Loop, size_t MaxBodyBytes,
+                         bulk_pacer *Pacer)
+    : Implementation(
+          std::make_shared<implementation>(Loop, MaxBodyBytes, Pacer)) {
   Implementation->closeIdle();
 }
 
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -22,8 +22,10 @@
 class peer_client {
 public:
   /// A call whose response body exceeds `MaxBodyBytes` ends as
-  /// `ConnectionLost`.
-  peer_client(event_loop &Loop, size_t MaxBodyBytes);
+  /// `ConnectionLost`. With a pacer, which must outlive the client, large
+  /// requests are sent in pieces.
+  peer_client(event_loop &Loop, size_t MaxBodyBytes,
+              bulk_pacer *Pacer = nullptr);
   /// Closes all connections; open calls are not called back.
   ~peer_client();
   peer_client(const peer_client &) = delete;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -44,8 +44,9 @@
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
         Metrics(Metrics), OperatorState(this->Platform.OperatorRows,
                                         this->Platform.DecodeOperatorRow),
-        Shutdown(Clock, Settings.StopTimeout), Peers(Loop, MaxPeerBodyBytes),
+        Shutdown(Clock, Settings.StopTimeout),
         Pacer(Loop, Clock, Settings.LinkRate),
+        Peers(Loop, MaxPeerBodyBytes, &Pacer),
         RestorableStore(this->Platform.Store, Loop,
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
@@ -318,8 +319,8 @@
   metrics &Metrics;
   operator_state OperatorState;
   graceful_shutdown Shutdown;
-  peer_client Peers;
   bulk_pacer Pacer;
+  peer_client Peers;
   restorable_store RestorableStore;
   coalescing_store CoalescingStore;
   relayed_store Store;
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -210,10 +210,17 @@
 void request_router::active_request::send(const std::string &Host) {
   Metadata.TimeLeft =
       std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft());
-  Metadata.SoftTimeLeft = Metadata.TimeLeft;
+  Metadata.IsLocal = Host == Router.Deps.Settings.Host;
   // The response also crosses the link of this host to the caller.
   duration TransferTime = Router.Deps.Link.transferTime(
+      Metadata.IsLocal ? 0 : Request.Body.size(),
       Router.Costs.responseBytesOf(Metadata.Route));
+  // The other host counts its times from the arrival of the whole request.
+  std::chrono::milliseconds PeerTimeout = Metadata.TimeLeft;
+  if (!Metadata.IsLocal)
+    Metadata.TimeLeft -= std::chrono::duration_cast<std::chrono::milliseconds>(
+        Router.Deps.Link.transferTime(Request.Body.size()));
+  Metadata.SoftTimeLeft = Metadata.TimeLeft;
   duration SoftTimeLeft = timeLeft();
   if (Route->SoftTimeout.count() > 0) {
     SoftTimeLeft = StartedAt + Route->SoftTimeout - Router.Deps.Clock.now();
@@ -228,7 +235,6 @@
   TargetHost = Host;
   Metadata.ServerCondition =
       Router.Conditions.reportFor(Host, Router.Deps.Clock.now());
-  Metadata.IsLocal = Host == Router.Deps.Settings.Host;
   if (Metadata.IsLocal) {
     Router.HostSelector.onSent(Host);
     LocalDispatch = Router.Deps.Dispatcher.submit(
@@ -242,16 +248,17 @@
     return waitForHost("owner-unknown");
   if (IsKeyed && Router.HostSelector.isInBackoff(Host))
     return refuseUnserved("owner-unreachable", OwnerRetryAfter);
-  sendToPeer(Host, *Info);
+  sendToPeer(Host, *Info, PeerTimeout);
 }
 
-void request_router::active_request::sendToPeer(const std::string &Host,
-                                                const host_info &Info) {
+void request_router::active_request::sendToPeer(
+    const std::string &Host, const host_info &Info,
+    std::chrono::milliseconds Timeout) {
   http_request Forwarded = Request;
   writeMetadata(Metadata, Forwarded.Headers);
   Router.HostSelector.onSent(Host);
   PeerCall = Router.Deps.Peers.send(
-      Info.PeerEndpoint, std::move(Forwarded), Metadata.TimeLeft,
+      Info.PeerEndpoint, std::move(Forwarded), Timeout,
       [Self = shared_from_this(), Host](call_result Result) {
         Self->onPeerResult(Host, std::move(Result));
       });
