Bytes of requests in flight to a backend server are bounded

Requests that do not fit stay in the admission queue, and smaller ones behind them are sent. The hook in the dispatcher puts them back under their old keys, so that the order of the queue is kept.

--- a/src/dragonflyvane/node/serving/crash_guard.cpp
+++ b/src/dragonflyvane/node/serving/crash_guard.cpp
@@ -26,11 +26,14 @@
     Recorder.onResponse(Fingerprint, Clock.now());
 }
 
-void crash_guard::checkForCrash(const local_server &Server) {
+bool crash_guard::checkForCrash(const local_server &Server) {
   bool IsNewIncarnation = Server.incarnation() != KnownIncarnation;
-  if (IsNewIncarnation || Server.availability() == server_availability::Down)
+  bool HasEnded =
+      IsNewIncarnation || Server.availability() == server_availability::Down;
+  if (HasEnded)
     Recorder.onServerCrashed(KnownIncarnation, Clock.now());
   KnownIncarnation = Server.incarnation();
+  return HasEnded;
 }
 
 void crash_guard::addCrashReport(report_message &Message) {
--- a/src/dragonflyvane/node/serving/crash_guard.hpp
+++ b/src/dragonflyvane/node/serving/crash_guard.hpp
@@ -34,7 +34,8 @@
   void onResponse(const http_request &Request, const std::string &Workspace);
   /// Records a crash of the last known incarnation if it is down or a new
   /// incarnation has replaced it, and it lost connections shortly before.
-  void checkForCrash(const local_server &Server);
+  /// Returns whether it is down or was replaced.
+  bool checkForCrash(const local_server &Server);
 
   // Called with messages between hosts.
 
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -125,6 +125,9 @@
          {"work_ms", inMilliseconds(Queued.ProcessingTime)},
          {"queued_work_ms", inMilliseconds(Queue.queuedProcessingTime())},
          {"link_ms", inMilliseconds(Deps.Link.backlog())},
+         {"body_bytes", Entry.Request.Body.size()},
+         {"bytes_in_flight", InFlight.inFlight()},
+         {"bytes_allowed", InFlight.allowance()},
          {"aim_left_ms", inMilliseconds(Queued.SoftDeadline - Now)},
          {"time_left_ms", inMilliseconds(Queued.Deadline - Now)},
          {"token_delay_ms",
@@ -146,7 +149,11 @@
         Deps.Link.transferTime(Costs.responseBytesOf(Entry.Metadata.Route));
   time_point Now = Deps.Clock.now();
   size_t Position = Queue.countAhead(Entry.Metadata.Priority);
-  return Queue.admits(Queued, slotCount(), Running, Now, TransferTime,
+  size_t Bytes = Entry.Request.Body.size();
+  uint32_t Slots = slotCount();
+  if (!InFlight.admits(Bytes))
+    Slots = std::min(Slots, InFlight.concurrencyOf(Bytes));
+  return Queue.admits(Queued, Slots, Running, Now, TransferTime,
                       Allowance.delayOf(Position, Now));
 }
 
@@ -158,6 +165,7 @@
   std::erase(AwaitingGrant, Id);
   if (Found->second.IsRunning) {
     --Running;
+    InFlight.onEnded(Found->second.Request.Body.size());
     Deps.CancelCall(Found->second.Call);
   }
   Entries.erase(Found);
@@ -197,6 +205,7 @@
   AwaitingGrant.insert(AwaitingGrant.begin(), StillWaiting.begin(),
                        StillWaiting.end());
   std::vector<dispatch_id> TooLate;
+  std::vector<dispatch_id> TooLarge;
   updateAllowance();
   while (Running < slotCount() && Queue.size() > 0 &&
          Allowance.delayOf(0, Deps.Clock.now()) == duration{0}) {
@@ -208,13 +217,25 @@
       refuse(*Id, Code);
     else if (mustWaitForGrant(Entries.at(*Id).Metadata))
       AwaitingGrant.push_back(*Id);
+    else if (!InFlight.admits(Entries.at(*Id).Request.Body.size()))
+      TooLarge.push_back(*Id);
     else
       dispatch(*Id);
   }
+  requeue(TooLarge);
   for (dispatch_id Id : TooLate)
     refuse(Id, "waited-too-long");
 }
 
+void dispatcher::requeue(const std::vector<dispatch_id> &Ids) {
+  for (dispatch_id Id : Ids) {
+    auto Found = Entries.find(Id);
+    // A callback of a refused request may have cancelled it.
+    if (Found != Entries.end())
+      Queue.push(makeQueuedRequest(Id, Found->second));
+  }
+}
+
 http_request dispatcher::makeServerRequest(const entry &Entry) const {
   const header_names &Names = Deps.Names;
   http_request Request = Entry.Request;
@@ -245,6 +266,7 @@
   Entry.SentAt = Deps.Clock.now();
   Entry.Incarnation = Deps.Server.incarnation();
   ++Running;
+  InFlight.onSent(Entry.Request.Body.size());
   Allowance.take(Entry.SentAt);
   Deps.Metrics.count("server_requests_total");
   Entry.Call =
@@ -283,6 +305,7 @@
   entry &Entry = Found->second;
   --Running;
   Entry.IsRunning = false;
+  countBytes(Entry, Result.Outcome);
   duration Elapsed = Deps.Clock.now() - Entry.SentAt;
   BusyTime += Elapsed;
   if (Result.Outcome == call_outcome::Completed && Result.Response.Status < 400)
@@ -309,6 +332,16 @@
   dispatchWaiting();
 }
 
+void dispatcher::countBytes(const entry &Entry, call_outcome Outcome) {
+  size_t Bytes = Entry.Request.Body.size();
+  if (Outcome == call_outcome::Completed)
+    InFlight.onCompleted(Bytes, Deps.Clock.now());
+  else if (Outcome == call_outcome::ConnectionLost)
+    InFlight.onConnectionLost(Bytes, Deps.Clock.now());
+  else
+    InFlight.onEnded(Bytes);
+}
+
 void dispatcher::logFailure(const entry &Entry,
                             const call_result &Result) const {
   if (Result.Outcome == call_outcome::Completed)
@@ -404,6 +437,7 @@
       continue;
     }
     --Running;
+    InFlight.onEnded(Found->second.Request.Body.size());
     Deps.CancelCall(Found->second.Call);
     finish(Id, unknown("stopping"));
   }
@@ -444,7 +478,12 @@
 
 void dispatcher::tick() {
   time_point Now = Deps.Clock.now();
-  Deps.CrashGuard.checkForCrash(Deps.Server);
+  bool HasEnded = Deps.CrashGuard.checkForCrash(Deps.Server);
+  if (HasEnded && InFlight.onServerEnded(Now))
+    writeLog(log_level::Warning, "fewer request bytes after a crash",
+             {{"step", "bytes in flight"},
+              {"instance", Deps.Server.incarnation().Instance},
+              {"bytes_allowed", InFlight.allowance()}});
   std::vector<dispatch_id> TooLate;
   updateAllowance();
   Queue.expire(Now, TooLate, [this, Now](size_t Position) {
@@ -470,6 +509,10 @@
 load_report dispatcher::takeLoadReport() {
   load_report Report;
   time_point Now = Deps.Clock.now();
+  Deps.Metrics.set("server_body_bytes", {},
+                   static_cast<double>(InFlight.inFlight()));
+  Deps.Metrics.set("server_body_bytes_allowed", {},
+                   static_cast<double>(InFlight.allowance()));
   double Seconds = std::chrono::duration<double>(Now - ReportedAt).count();
   if (Seconds <= 0)
     return Report;
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
+#include "dragonflyvane/core/admission/in_flight_bytes.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -129,6 +130,10 @@
   /// Applies the rates that the server takes now.
   void updateAllowance();
   void dispatch(dispatch_id Id);
+  /// Puts requests back whose bodies are too large for now.
+  void requeue(const std::vector<dispatch_id> &Ids);
+  /// Counts the end of a call to the server.
+  void countBytes(const entry &Entry, call_outcome Outcome);
   call_options makeCallOptions(dispatch_id Id, const entry &Entry);
   /// Checks the conditions of the dispatch again once the connection is open:
   /// ownership, grant and incarnation may have changed meanwhile.
@@ -160,6 +165,8 @@
   /// Requests for keys that the server does not hold yet, in order of arrival.
   std::deque<dispatch_id> AwaitingGrant;
   uint32_t Running = 0;
+  /// Bytes of the bodies that the server holds.
+  in_flight_bytes InFlight;
   dispatch_id LastId = 0;
   /// The dispatches that the server takes.
   dispatch_allowance Allowance;
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -32,6 +32,7 @@
       return ++LastCall;
     }
     Arrivals.push_back(Loop.now());
+    BodySizes.push_back(Request.Body.size());
     LastTimeLeft =
         milliseconds(std::stoll(*Request.Headers.find(Names.TimeLeft)));
     call_result Result;
@@ -46,7 +47,8 @@
   }
 
   void submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1,
-              const std::optional<condition_report> &Known = std::nullopt) {
+              const std::optional<condition_report> &Known = std::nullopt,
+              size_t BodyBytes = 0) {
     forward_metadata Metadata;
     Metadata.Service = "desk";
     Metadata.Route = "peek";
@@ -56,6 +58,7 @@
     Metadata.ServerCondition = Known;
     http_request Request;
     Request.Headers.add(Names.RequestId, std::to_string(++LastRequest));
+    Request.Body = std::string(BodyBytes, 'x');
     Dispatcher.submit(Metadata, Request, [this](const forward_result &Result) {
       Results.push_back(Result);
     });
@@ -85,6 +88,7 @@
   header_names Names;
   header_list ServerHeaders;
   std::vector<time_point> Arrivals;
+  std::vector<size_t> BodySizes;
   /// The time left that the last request told the server.
   milliseconds LastTimeLeft{0};
   std::vector<forward_result> Results;
@@ -293,3 +297,19 @@
   CHECK(Fixture.Arrivals.size() == 6);
   CHECK(Fixture.Dispatcher.activeCount() == 0);
 }
+
+// Guards against a server that crashes because the uploads that it holds exceed
+// its memory, and against small requests that wait behind uploads for it.
+TEST_CASE("uploads beyond the allowance wait, and requests that fit pass") {
+  dispatcher_fixture Fixture;
+  for (int I = 0; I < 4; ++I)
+    Fixture.submit(milliseconds(1000), 1, std::nullopt, 200'000);
+  Fixture.submit(milliseconds(1000), 2);
+  REQUIRE(Fixture.BodySizes.size() == 2);
+  CHECK(Fixture.BodySizes[0] == 200'000);
+  CHECK(Fixture.BodySizes[1] == 0);
+  Fixture.Loop.runFor(milliseconds(200));
+  CHECK(Fixture.Results.size() == 5);
+  for (const forward_result &Result : Fixture.Results)
+    CHECK(Result.Outcome == forward_outcome::Answered);
+}
