Hosts without keys are chosen by learned limit and speed

The expected time of a host was that of the mix of requests it got, over its last 20 responses; an unknown host counted as 50 ms, so it looked faster than it was. Now the usual time over the known hosts, divided by the speed of the host. The load carries the speed as an optional last field.

A speed without news is forgotten gradually, else a host that was slow would get no requests for good.

node_tests, files of host_selector, forwarding and dispatcher: 31 passed.

--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -432,7 +432,8 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Deps.Link.backlog()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              Allowance.delayOf(Queue.size(), Deps.Clock.now()))};
+              Allowance.delayOf(Queue.size(), Deps.Clock.now())),
+          Capacity.speed()};
 }
 
 std::chrono::milliseconds dispatcher::retryAfter() const {
--- a/src/dragonflyvane/node/serving/forwarding.cpp
+++ b/src/dragonflyvane/node/serving/forwarding.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/node/serving/forwarding.hpp"
 
 #include <charconv>
+#include <cmath>
 #include <cstdio>
 
 namespace dragonflyvane {
@@ -40,6 +41,9 @@
     Headers.add(ConditionField, encodeConditionReport(*Report));
 }
 
+/// The speed is written in thousandths.
+constexpr double SpeedUnits = 1000;
+
 template <typename Number>
 Number toNumber(const std::optional<std::string> &Text, Number Default) {
   if (!Text)
@@ -50,10 +54,14 @@
 }
 
 std::string encodeLoad(const dispatcher_load &Load) {
-  return std::to_string(Load.Busy) + "," + std::to_string(Load.Slots) + "," +
-         std::to_string(Load.ProcessingTime.count()) + "," +
-         std::to_string(Load.LinkDelay.count()) + "," +
-         std::to_string(Load.TokenDelay.count());
+  std::string Text = std::to_string(Load.Busy) + "," +
+                     std::to_string(Load.Slots) + "," +
+                     std::to_string(Load.ProcessingTime.count()) + "," +
+                     std::to_string(Load.LinkDelay.count()) + "," +
+                     std::to_string(Load.TokenDelay.count());
+  if (Load.Speed)
+    Text += "," + std::to_string(std::lround(*Load.Speed * SpeedUnits));
+  return Text;
 }
 
 dispatcher_load decodeLoad(const std::optional<std::string> &Text) {
@@ -63,15 +71,19 @@
   long ProcessingTime = 0;
   long LinkDelay = 0;
   long TokenDelay = 0;
+  long Speed = 0;
   int FieldCount =
-      Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld,%ld", &Busy, &Slots,
-                    &ProcessingTime, &LinkDelay, &TokenDelay)
+      Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld,%ld,%ld", &Busy, &Slots,
+                    &ProcessingTime, &LinkDelay, &TokenDelay, &Speed)
            : 0;
   if (FieldCount < 4)
     return Load;
-  return {Busy, Slots, std::chrono::milliseconds(ProcessingTime),
+  Load = {Busy, Slots, std::chrono::milliseconds(ProcessingTime),
           std::chrono::milliseconds(LinkDelay),
           std::chrono::milliseconds(TokenDelay)};
+  if (Speed > 0)
+    Load.Speed = static_cast<double>(Speed) / SpeedUnits;
+  return Load;
 }
 
 } // namespace
--- a/src/dragonflyvane/node/serving/forwarding.hpp
+++ b/src/dragonflyvane/node/serving/forwarding.hpp
@@ -65,6 +65,9 @@
   std::chrono::milliseconds LinkDelay{0};
   /// How long a request would wait for the rate that the backend server takes.
   std::chrono::milliseconds TokenDelay{0};
+  /// How much faster the backend server works than the service usually does;
+  /// none if not known, and from peers that do not learn it.
+  std::optional<double> Speed = std::nullopt;
 };
 
 /// The result of a forwarded request.
--- a/src/dragonflyvane/node/serving/forwarding_test.cpp
+++ b/src/dragonflyvane/node/serving/forwarding_test.cpp
@@ -47,6 +47,12 @@
   CHECK(Decoded.Load.Busy == 7);
   CHECK(Decoded.Load.LinkDelay == milliseconds(40));
   CHECK(Decoded.Load.TokenDelay == milliseconds(90));
+  // Peers of earlier versions send no speed.
+  CHECK_FALSE(Decoded.Load.Speed);
+  ServerResult.Load.Speed = 0.583;
+  Decoded = decodeResult(encodeResult(ServerResult));
+  CHECK(Decoded.Load.Speed == doctest::Approx(0.583));
+  CHECK(Decoded.Load.TokenDelay == milliseconds(90));
   CHECK(Decoded.Response.Headers.all().empty());
   forward_result Refusal;
   Refusal.Code = "queue-full";
--- a/src/dragonflyvane/node/serving/host_selector.cpp
+++ b/src/dragonflyvane/node/serving/host_selector.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/node/serving/host_selector.hpp"
 
 #include <algorithm>
+#include <cmath>
 #include <vector>
 
 namespace dragonflyvane {
@@ -11,8 +12,19 @@
 constexpr std::chrono::milliseconds UnreachableBackoff{400};
 /// The busy slots and the delays of older load reports are ignored.
 constexpr std::chrono::milliseconds MaxLoadAge{600};
-/// Assumed processing time of a request on a host that has not reported it.
+/// Assumed processing time of a request while no host of the service has
+/// reported it.
 constexpr double DefaultProcessingTimeMs = 50;
+/// The weight of the newest report in the processing time of a service.
+constexpr double NewestWeight = 0.05;
+/// A reported speed is relative to a service, of which a host may have seen
+/// only a part.
+constexpr double MinSpeed = 0.2;
+constexpr double MaxSpeed = 5;
+/// Without news of a host, half of the difference of its speed from the usual
+/// one (as a ratio) is forgotten in this time. Otherwise a server that was slow
+/// and gets no requests would never show that it has recovered.
+constexpr std::chrono::duration<double> SpeedHalfLife{3.0};
 /// Added to the expected time of other hosts of the local failure domain and of
 /// hosts of other failure domains. Such a host is preferred to this host only
 /// if it is faster by this much.
@@ -38,6 +50,36 @@
   State.Load = Load;
   State.LoadAt = Clock.now();
   State.BackoffUntil = {};
+  observeServiceTime(Host, Load);
+}
+
+void host_selector::observeServiceTime(const std::string &Host,
+                                       const dispatcher_load &Load) {
+  const host_info *Info = View.host(Host);
+  if (!Info || Load.ProcessingTime.count() <= 0)
+    return;
+  double Speed = std::clamp(Load.Speed.value_or(1), MinSpeed, MaxSpeed);
+  double Time = static_cast<double>(Load.ProcessingTime.count()) * Speed;
+  auto [Entry, IsNew] = ServiceTimes.try_emplace(Info->Service, Time);
+  if (!IsNew)
+    Entry->second += (Time - Entry->second) * NewestWeight;
+}
+
+double host_selector::serviceTime(const std::string &Service) const {
+  auto Found = ServiceTimes.find(Service);
+  return Found == ServiceTimes.end() ? DefaultProcessingTimeMs : Found->second;
+}
+
+double host_selector::processingTime(const std::string &Service,
+                                     const state &State) const {
+  double ServiceTime = serviceTime(Service);
+  if (State.Load.ProcessingTime.count() <= 0)
+    return ServiceTime;
+  if (!State.Load.Speed)
+    return static_cast<double>(State.Load.ProcessingTime.count());
+  double Speed = std::clamp(*State.Load.Speed, MinSpeed, MaxSpeed);
+  std::chrono::duration<double> Age = Clock.now() - State.LoadAt;
+  return ServiceTime / std::pow(Speed, std::exp2(-Age / SpeedHalfLife));
 }
 
 void host_selector::onUnreachable(const std::string &Host) {
@@ -57,7 +99,6 @@
 double host_selector::expectedTime(const std::string &Name,
                                    size_t Bytes) const {
   const host_info *Info = View.host(Name);
-  double Slots = Info ? std::max(1U, Info->Slots) : 1;
   bool IsLarge = Bytes >= LargeResponseBytes;
   double PenaltyMs = IsLarge ? LargeLocalDomainPenaltyMs : LocalDomainPenaltyMs;
   if (Name == LocalHost)
@@ -65,13 +106,14 @@
   else if (!isInLocalDomain(Name))
     PenaltyMs = IsLarge ? LargeCrossDomainPenaltyMs : CrossDomainPenaltyMs;
   auto Found = Hosts.find(Name);
-  if (Found == Hosts.end())
-    return DefaultProcessingTimeMs + PenaltyMs;
+  if (!Info || Found == Hosts.end())
+    return (Info ? serviceTime(Info->Service) : DefaultProcessingTimeMs) +
+           PenaltyMs;
   const state &State = Found->second;
-  double ProcessingTimeMs =
-      State.Load.ProcessingTime.count() > 0
-          ? static_cast<double>(State.Load.ProcessingTime.count())
-          : DefaultProcessingTimeMs;
+  double ProcessingTimeMs = processingTime(Info->Service, State);
+  double Slots = std::max(1U, Info->Slots);
+  if (State.Load.Slots > 0)
+    Slots = std::min<double>(Slots, State.Load.Slots);
   bool IsFresh = Clock.now() - State.LoadAt < MaxLoadAge;
   double Busy =
       std::max<double>(IsFresh ? State.Load.Busy : 0, State.Outstanding);
--- a/src/dragonflyvane/node/serving/host_selector.hpp
+++ b/src/dragonflyvane/node/serving/host_selector.hpp
@@ -57,6 +57,13 @@
   };
 
   bool isInLocalDomain(const std::string &Name) const;
+  /// Adds the processing time of a report to that of the service.
+  void observeServiceTime(const std::string &Host, const dispatcher_load &Load);
+  /// The usual processing time in milliseconds over the known hosts of the
+  /// service.
+  double serviceTime(const std::string &Service) const;
+  /// The usual processing time on a host in milliseconds.
+  double processingTime(const std::string &Service, const state &State) const;
   /// Expected time in milliseconds until a response arrives, with penalties for
   /// hosts that are farther away.
   double expectedTime(const std::string &Name, size_t Bytes) const;
@@ -67,6 +74,9 @@
   std::string LocalHost;
   std::string LocalFailureDomain;
   std::map<std::string, state> Hosts;
+  /// Moving averages in milliseconds, by service, as of a server of usual
+  /// speed.
+  std::map<std::string, double> ServiceTimes;
   std::mt19937_64 Random;
 };
 
