--- a/src/dragonflyvane/node/serving/host_selector_test.cpp
+++ b/src/dragonflyvane/node/serving/host_selector_test.cpp
@@ -181,6 +181,7 @@
     std::vector<request> Running;
     capacity_estimator Estimator;
     route_costs Costs;
+    size_t Received = 0;
   };
   static constexpr size_t Count = 6;
   static constexpr uint32_t Slots = 9;
@@ -212,6 +213,15 @@
     return std::uniform_real_distribution<>(From, To)(Random);
   }
 
+  /// Returns the share of the requests that go to the server.
+  double shareOf(size_t I, duration Span, double Rate) {
+    size_t ArrivedBefore = Arrived;
+    size_t ReceivedBefore = Servers[I].Received;
+    shareInTime(Span, Rate);
+    return static_cast<double>(Servers[I].Received - ReceivedBefore) /
+           static_cast<double>(Arrived - ArrivedBefore);
+  }
+
   /// Returns the share of the requests that are answered within 500 ms.
   double shareInTime(duration Span, double Rate) {
     for (duration Elapsed{0}; Elapsed < Span; Elapsed += milliseconds(1)) {
@@ -229,7 +239,9 @@
     size_t Router = Arrived % Count;
     std::string Name = *Routers[Router].pick("desk", 1000, {});
     Routers[Router].onSent(Name);
-    Servers[Name.back() - '0'].Waiting.push_back({Clock.now(), Router});
+    server &Server = Servers[Name.back() - '0'];
+    Server.Waiting.push_back({Clock.now(), Router});
+    ++Server.Received;
   }
 
   void serve(size_t I) {
@@ -313,3 +325,30 @@
     CHECK(With >= Without);
   }
 }
+
+// Guards against load that stays at a server which has become slow, or away
+// from one that has recovered. Pattern: the capacity of one server is cut to a
+// third and comes back, at most of the capacity of the service.
+TEST_CASE("the share of a server follows its capacity within 3 s") {
+  constexpr double Rate = 200;
+  constexpr size_t Changed = 1;
+  double Before = 0;
+  double Cut = 0;
+  double After = 0;
+  constexpr unsigned Seeds = 8;
+  for (unsigned Seed = 1; Seed <= Seeds; ++Seed) {
+    uneven_service Service(true, Seed);
+    Service.shareInTime(seconds(20), Rate);
+    Before += Service.shareOf(Changed, seconds(10), Rate);
+    Service.Servers[Changed].Speed /= 3;
+    Service.shareInTime(seconds(3), Rate);
+    Cut += Service.shareOf(Changed, seconds(10), Rate);
+    Service.Servers[Changed].Speed *= 3;
+    Service.shareInTime(seconds(3), Rate);
+    After += Service.shareOf(Changed, seconds(5), Rate);
+  }
+  MESSAGE("share " << Before / Seeds << " before, " << Cut / Seeds << " cut, "
+                   << After / Seeds << " after");
+  CHECK(Cut < Before / 2);
+  CHECK(After > Before * 2 / 3);
+}
