--- a/src/dragonflyvane/core/admission/admission_queue.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -1,6 +1,8 @@
 #include "dragonflyvane/core/admission/admission_queue.hpp"
 
 #include <algorithm>
+#include <limits>
+#include <utility>
 
 namespace dragonflyvane {
 
@@ -9,6 +11,12 @@
 /// A request is started only if at least this fraction of its expected
 /// processing time remains before its deadline.
 constexpr double MinTimeLeftFraction = 0.5;
+/// Lower bound of the share of the slots that is expected to be left over by
+/// requests that go first. It keeps the expected delay finite.
+constexpr double MinShareLeft = 0.02;
+/// The floor of a priority with a smaller share of the slots is not counted on.
+constexpr double MinFloorShare = 0.0005;
+constexpr dispatch_id MaxId = std::numeric_limits<dispatch_id>::max();
 
 } // namespace
 
@@ -18,17 +26,104 @@
   return Now + MinTimeLeft > Request.Deadline;
 }
 
-bool admission_queue::admits(const queued_request &Request, uint32_t Slots,
-                             uint32_t Running, time_point Now,
-                             duration LinkTime, duration TokenDelay) const {
-  if (isTooLate(Request, Now + LinkTime + TokenDelay))
+bool admission_queue::missesSoftDeadline(const queued_request &Request,
+                                         time_point Now) {
+  return Request.SoftDeadline < Request.Deadline &&
+         Now + Request.ProcessingTime > Request.SoftDeadline;
+}
+
+duration admission_queue::expectedDelay(const queued_request &Request,
+                                        queue_class Class,
+                                        const requests_ahead &Ahead,
+                                        uint32_t Slots, time_point Now) const {
+  double SlotCount = std::max(1U, Slots);
+  duration InTurn = delayInTurn(Request.Priority, Class,
+                                Ahead.ProcessingTime + Request.ProcessingTime,
+                                SlotCount, Now);
+  return std::min(
+      InTurn, delayByFloor(Request, Class, Ahead.OfPriority, SlotCount, Now));
+}
+
+duration admission_queue::delayInTurn(int Priority, queue_class Class,
+                                      duration Work, double Slots,
+                                      time_point Now) const {
+  double Overtaking = Demand.admittedBefore(Priority, Now);
+  if (Class == queue_class::Late)
+    Overtaking += Demand.inTimeOf(Priority, Now);
+  double SlotsLeft = std::max(Slots - Overtaking, Slots * MinShareLeft);
+  return std::chrono::duration_cast<duration>(Work / SlotsLeft);
+}
+
+duration admission_queue::delayByFloor(const queued_request &Request,
+                                       queue_class Class, duration WorkAhead,
+                                       double Slots, time_point Now) const {
+  std::map<int, double> Shares = Demand.shares(Now);
+  auto Share = Shares.find(Request.Priority);
+  if (Share == Shares.end())
+    return duration::max();
+  double FloorSlots = Slots * Share->second * priority_floor::FractionOfShare;
+  if (Class == queue_class::Late)
+    FloorSlots -= Demand.inTimeOf(Request.Priority, Now);
+  if (FloorSlots < Slots * MinFloorShare)
+    return duration::max();
+  duration Work = WorkAhead + Request.ProcessingTime;
+  duration Missing =
+      std::max(duration{0}, Work - Floor.creditOf(Request.Priority));
+  auto UntilSlotIsFree = Request.ProcessingTime / Slots;
+  return std::chrono::duration_cast<duration>(Missing / FloorSlots +
+                                              UntilSlotIsFree);
+}
+
+std::optional<queue_class>
+admission_queue::admits(const queued_request &Request, uint32_t Slots,
+                        uint32_t Running, time_point Now, duration LinkTime,
+                        const start_delay &DelayOf) const {
+  if (Policy == queue_policy::Arrival)
+    return admitsByArrival(Request, Slots, Running, Now, LinkTime, DelayOf)
+               ? std::optional(queue_class::InTime)
+               : std::nullopt;
+  bool HasFreeSlot = Running < Slots && Waiting.empty();
+  auto StartDelay = [&](queue_class Class) {
+    requests_ahead Ahead = countAhead(Request.Priority, Class);
+    duration TokenDelay = DelayOf(Ahead.Count);
+    if (HasFreeSlot)
+      return TokenDelay;
+    return std::max(TokenDelay,
+                    expectedDelay(Request, Class, Ahead, Slots, Now));
+  };
+  bool HasSoftTimeout = Request.SoftDeadline < Request.Deadline;
+  duration Delay = StartDelay(queue_class::InTime);
+  // A queue that is filled up to the expected time would serve half of its
+  // requests late.
+  bool NeedsReserve = HasSoftTimeout && Delay > duration{0};
+  duration Reserve = NeedsReserve ? Request.Deviation : duration{0};
+  duration UntilResponse = Delay + Request.ProcessingTime + Reserve + LinkTime;
+  if (Now + UntilResponse <= Request.SoftDeadline)
+    return queue_class::InTime;
+  bool WouldMeetIt = Now + Request.ProcessingTime <= Request.SoftDeadline;
+  // Late responses on a link that is too slow would delay those in time.
+  bool IsLinkTooSlow = WouldMeetIt && Now + Request.ProcessingTime + LinkTime >
+                                          Request.SoftDeadline;
+  if (IsLinkTooSlow || (WouldMeetIt && !HasSoftTimeout))
+    return std::nullopt;
+  queue_class Class = HasSoftTimeout ? queue_class::Late : queue_class::InTime;
+  if (isTooLate(Request, Now + StartDelay(Class) + LinkTime))
+    return std::nullopt;
+  return Class;
+}
+
+bool admission_queue::admitsByArrival(const queued_request &Request,
+                                      uint32_t Slots, uint32_t Running,
+                                      time_point Now, duration LinkTime,
+                                      const start_delay &DelayOf) const {
+  requests_ahead Ahead = countAhead(Request.Priority, queue_class::Late);
+  duration StartDelay = DelayOf(Ahead.Count);
+  if (isTooLate(Request, Now + LinkTime + StartDelay))
     return false;
-  duration StartDelay = TokenDelay;
   if (Running >= Slots || !Waiting.empty())
-    StartDelay =
-        std::max<duration>(StartDelay, (processingTimeAhead(Request.Priority) +
-                                        Request.ProcessingTime) /
-                                           std::max(1U, Slots));
+    StartDelay = std::max<duration>(
+        StartDelay,
+        (Ahead.ProcessingTime + Request.ProcessingTime) / std::max(1U, Slots));
   bool MissesSoftDeadline = Now + Request.ProcessingTime > Request.SoftDeadline;
   if (MissesSoftDeadline)
     return !isTooLate(Request, Now + StartDelay + LinkTime);
@@ -39,52 +134,111 @@
              Request.SoftDeadline;
 }
 
-duration admission_queue::processingTimeAhead(int Priority) const {
-  duration Ahead{0};
+std::optional<queue_class>
+admission_queue::offer(const queued_request &Request, uint32_t Slots,
+                       uint32_t Running, time_point Now, duration LinkTime,
+                       const start_delay &DelayOf) {
+  bool IsCounted = Policy == queue_policy::Usefulness;
+  if (IsCounted)
+    Demand.recordArrival(Request.Priority, Request.ProcessingTime,
+                         !missesSoftDeadline(Request, Now), Now);
+  auto Class = admits(Request, Slots, Running, Now, LinkTime, DelayOf);
+  if (!Class)
+    return std::nullopt;
+  if (IsCounted)
+    Demand.recordAdmission(Request.Priority, Request.ProcessingTime, Now);
+  push(Request, *Class);
+  return Class;
+}
+
+admission_queue::requests_ahead
+admission_queue::countAhead(int Priority, queue_class Class) const {
+  requests_ahead Ahead;
   for (const auto &[Key, Other] : Waiting) {
-    if (Key.first > Priority)
+    bool IsBehind = Key.Priority > Priority ||
+                    (Key.Priority == Priority && Key.Class > Class);
+    if (IsBehind)
       break;
-    Ahead += Other.ProcessingTime;
+    ++Ahead.Count;
+    Ahead.ProcessingTime += Other.ProcessingTime;
+    if (Key.Priority == Priority)
+      Ahead.OfPriority += Other.ProcessingTime;
   }
   return Ahead;
 }
 
-size_t admission_queue::countAhead(int Priority) const {
-  auto End = Waiting.lower_bound({Priority + 1, 0});
-  return static_cast<size_t>(std::distance(Waiting.begin(), End));
+void admission_queue::push(const queued_request &Request, queue_class Class) {
+  Waiting.emplace(queue_key{Request.Priority, Class, Request.Id}, Request);
+  QueuedProcessingTime += Request.ProcessingTime;
 }
 
-void admission_queue::push(const queued_request &Request) {
-  Waiting.emplace(queue_key{Request.Priority, Request.Id}, Request);
-  QueuedProcessingTime += Request.ProcessingTime;
+admission_queue::queue_map::iterator
+admission_queue::erase(queue_map::iterator Position) {
+  QueuedProcessingTime -= Position->second.ProcessingTime;
+  return Waiting.erase(Position);
+}
+
+void admission_queue::demoteLate(time_point Now) {
+  if (Policy == queue_policy::Arrival)
+    return;
+  std::vector<queued_request> Demoted;
+  for (auto It = Waiting.begin(); It != Waiting.end();) {
+    bool IsDemoted = It->first.Class == queue_class::InTime &&
+                     missesSoftDeadline(It->second, Now + It->second.Deviation);
+    if (!IsDemoted) {
+      ++It;
+      continue;
+    }
+    Demoted.push_back(It->second);
+    It = erase(It);
+  }
+  for (const queued_request &Request : Demoted)
+    push(Request, queue_class::Late);
+}
+
+admission_queue::queue_map::iterator admission_queue::nextToRun() {
+  if (Policy == queue_policy::Arrival)
+    return Waiting.begin();
+  auto Head = Waiting.begin();
+  while (Head != Waiting.end()) {
+    int Priority = Head->first.Priority;
+    if (Floor.creditOf(Priority) >= Head->second.ProcessingTime)
+      return Head;
+    Head = Waiting.upper_bound({Priority, queue_class::Late, MaxId});
+  }
+  return Waiting.begin();
 }
 
 std::optional<dispatch_id>
 admission_queue::pop(time_point Now, std::vector<dispatch_id> &TooLate) {
+  demoteLate(Now);
   while (!Waiting.empty()) {
-    queued_request First = Waiting.begin()->second;
-    Waiting.erase(Waiting.begin());
-    QueuedProcessingTime -= First.ProcessingTime;
-    if (!isTooLate(First, Now))
-      return First.Id;
-    TooLate.push_back(First.Id);
+    auto Next = nextToRun();
+    queued_request Request = Next->second;
+    erase(Next);
+    if (isTooLate(Request, Now)) {
+      TooLate.push_back(Request.Id);
+      continue;
+    }
+    if (Policy == queue_policy::Usefulness)
+      Floor.onStart(Request.Priority, Request.ProcessingTime, Demand, Now);
+    return Request.Id;
   }
   return std::nullopt;
 }
 
 bool admission_queue::remove(dispatch_id Id) {
-  for (auto It = Waiting.begin(); It != Waiting.end(); ++It) {
-    if (It->first.second != Id)
-      continue;
-    QueuedProcessingTime -= It->second.ProcessingTime;
-    Waiting.erase(It);
-    return true;
-  }
-  return false;
+  auto Found = std::ranges::find_if(
+      Waiting, [Id](const auto &Entry) { return Entry.first.Id == Id; });
+  if (Found == Waiting.end())
+    return false;
+  erase(Found);
+  return true;
 }
 
 void admission_queue::expire(time_point Now, std::vector<dispatch_id> &TooLate,
                              const start_delay &DelayOf) {
+  demoteLate(Now);
   size_t Position = 0;
   for (auto It = Waiting.begin(); It != Waiting.end();) {
     if (!isTooLate(It->second, Now + DelayOf(Position))) {
@@ -93,9 +247,33 @@
       continue;
     }
     TooLate.push_back(It->second.Id);
-    QueuedProcessingTime -= It->second.ProcessingTime;
-    It = Waiting.erase(It);
+    It = erase(It);
+  }
+}
+
+std::vector<dispatch_id> admission_queue::takeDisplaced(uint32_t Slots,
+                                                        time_point Now) {
+  if (Policy == queue_policy::Arrival)
+    return {};
+  demoteLate(Now);
+  std::vector<dispatch_id> Displaced;
+  requests_ahead Ahead;
+  int Priority = 0;
+  for (auto It = Waiting.begin(); It != Waiting.end();) {
+    const auto &[Key, Request] = *It;
+    if (std::exchange(Priority, Key.Priority) != Key.Priority)
+      Ahead.OfPriority = duration{0};
+    duration Delay = expectedDelay(Request, Key.Class, Ahead, Slots, Now);
+    if (!isTooLate(Request, Now + Delay)) {
+      Ahead.ProcessingTime += Request.ProcessingTime;
+      Ahead.OfPriority += Request.ProcessingTime;
+      ++It;
+      continue;
+    }
+    Displaced.push_back(Request.Id);
+    It = erase(It);
   }
+  return Displaced;
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/admission_queue_test.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue_test.cpp
@@ -21,19 +21,39 @@
           "deadline") {
   admission_queue Queue;
   dispatch_id Id = 0;
-  while (Queue.admits(request(++Id, 1, 500, 200, 60), 9, 9, Start))
+  while (Queue.admits(request(++Id, 1, 500, 200, 60), 9, 9, Start) ==
+         queue_class::InTime)
     Queue.push(request(Id, 1, 500, 200, 60));
   // The last request admitted has 20 ahead of it:
   // (20 + 1) * 60 ms / 9 slots + 60 ms = 200 ms.
   CHECK(Queue.size() == 21);
 }
 
+// Guards against a change of the order where it is not asked for. Pattern: a
+// queue that is full up to the soft deadline, and a late request.
+TEST_CASE("by arrival, a late request keeps its place and none is displaced") {
+  admission_queue Queue;
+  Queue.setPolicy(queue_policy::Arrival);
+  for (dispatch_id Id = 1; Id <= 21; ++Id)
+    REQUIRE(Queue.offer(request(Id, 2, 500, 200, 60), 9, 9, Start));
+  CHECK(!Queue.offer(request(99, 2, 500, 200, 60), 9, 9, Start));
+  CHECK(Queue.offer(request(22, 2, 500, 20, 60), 9, 9, Start));
+  CHECK(Queue.offer(request(23, 1, 500, 200, 60), 9, 9, Start));
+  CHECK(Queue.takeDisplaced(1, Start).empty());
+  std::vector<dispatch_id> TooLate;
+  CHECK(Queue.pop(Start + milliseconds(190), TooLate) == 23);
+  CHECK(Queue.pop(Start + milliseconds(190), TooLate) == 1);
+  CHECK(TooLate.empty());
+}
+
 TEST_CASE("urgent requests do not wait for less urgent ones") {
   admission_queue Queue;
   for (dispatch_id Id = 1; Id <= 21; ++Id)
     Queue.push(request(Id, 2, 500, 200, 60));
-  CHECK(!Queue.admits(request(22, 2, 500, 200, 60), 9, 9, Start));
-  CHECK(Queue.admits(request(22, 1, 500, 200, 60), 9, 9, Start));
+  CHECK(Queue.admits(request(22, 2, 500, 200, 60), 9, 9, Start) !=
+        queue_class::InTime);
+  CHECK(Queue.admits(request(22, 1, 500, 200, 60), 9, 9, Start) ==
+        queue_class::InTime);
   Queue.push(request(22, 1, 500, 200, 60));
   std::vector<dispatch_id> TooLate;
   CHECK(Queue.pop(Start, TooLate) == 22);
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/daemon.hpp"
 
+#include "dragonflyvane/core/admission/service_route_times.hpp"
 #include "dragonflyvane/net/http_server.hpp"
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/peer_transport.hpp"
@@ -44,8 +45,9 @@
       : Loop(Loop), Settings(Settings), Platform(std::move(Platform)),
         Metrics(Metrics), OperatorState(this->Platform.OperatorRows,
                                         this->Platform.DecodeOperatorRow),
-        Shutdown(Clock, Settings.StopTimeout), Peers(Loop, MaxPeerBodyBytes),
+        Shutdown(Clock, Settings.StopTimeout),
         Pacer(Loop, Clock, Settings.LinkRate),
+        Peers(Loop, MaxPeerBodyBytes, &Pacer),
         RestorableStore(this->Platform.Store, Loop,
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
@@ -83,7 +85,8 @@
              },
              [this](const condition_report &Report) {
                Ownership.onReportedCondition(Report);
-             }}),
+             },
+             Settings.LearnedCapacity, Settings.OverloadControl}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
@@ -200,7 +203,7 @@
       Ownership.coordinator().onReport(Report->Host, Report->Load);
       Ownership.onClusterVersion(Report->NewestVersion);
       Guard.onReport(*Report);
-      return Exchange->respond(encodeResponse(makeReportResponse()));
+      return Exchange->respond(encodeResponse(makeReportResponse(*Report)));
     }
     if (auto TokenRequest = decodeTokenRequest(Exchange->request())) {
       duration PoolRetryAfter{0};
@@ -215,9 +218,15 @@
       serveForwarded(Exchange);
   }
 
-  report_response makeReportResponse() const {
+  report_response makeReportResponse(const report_message &Report) {
     report_response Response;
     Response.IsCoordinator = Ownership.coordinator().isActive();
+    if (Response.IsCoordinator) {
+      ServiceTimes.onReport(Report.Host, Report.Service, Report.UsualTimes,
+                            Clock.now());
+      Response.ServiceTimes =
+          ServiceTimes.mediansOf(Report.Service, Clock.now());
+    }
     Response.NewestVersion = Ownership.sync().newestVersion();
     Guard.addQuarantine(Response);
     return Response;
@@ -251,12 +260,14 @@
     Report.Host = Settings.Host;
     Report.Load = Dispatcher.takeLoadReport();
     Report.NewestVersion = Ownership.sync().newestVersion();
+    Report.Service = Ownership.server().service();
+    Report.UsualTimes = Dispatcher.capacity().usualTimes(Clock.now());
     Guard.addCrashReport(Report);
     auto Peer = coordinatorEndpoint();
     if (!Peer) {
       Ownership.coordinator().onReport(Report.Host, Report.Load);
       Guard.onReport(Report);
-      return Guard.onReportResponse(makeReportResponse());
+      return applyReportResponse(makeReportResponse(Report));
     }
     Peers.send(*Peer, encodeReport(Report), ReportTimeout,
                [this](const call_result &Result) { onReportResult(Result); });
@@ -270,11 +281,18 @@
       return;
     if (Response->IsCoordinator) {
       Ownership.coordinator().onCoordinatorContact();
-      Guard.onReportResponse(*Response);
+      applyReportResponse(*Response);
     }
     Ownership.onClusterVersion(Response->NewestVersion);
   }
 
+  /// A host without usual times in the response goes on with the last ones.
+  void applyReportResponse(const report_response &Response) {
+    Guard.onReportResponse(Response);
+    if (!Response.ServiceTimes.empty())
+      Dispatcher.capacity().setServiceTimes(Response.ServiceTimes);
+  }
+
   void requestTokens(const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
     auto Peer = coordinatorEndpoint();
@@ -318,14 +336,16 @@
   metrics &Metrics;
   operator_state OperatorState;
   graceful_shutdown Shutdown;
-  peer_client Peers;
   bulk_pacer Pacer;
+  peer_client Peers;
   restorable_store RestorableStore;
   coalescing_store CoalescingStore;
   relayed_store Store;
   ownership_manager Ownership;
   crash_guard Guard;
   dispatcher Dispatcher;
+  /// Used while this host is the coordinator.
+  service_route_times ServiceTimes;
   rate_limiter Rates;
   request_router Router;
   admin Admin;
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/net/log.hpp"
 
 #include <algorithm>
+#include <cmath>
 
 namespace dragonflyvane {
 
@@ -43,7 +44,11 @@
 } // namespace
 
 dispatcher::dispatcher(dependencies Dependencies)
-    : Deps(std::move(Dependencies)), ReportedAt(Deps.Clock.now()) {
+    : Deps(std::move(Dependencies)),
+      OverloadControl(Deps.OverloadControl, Deps.OperatorState),
+      Capacity(Deps.Server, Deps.Metrics,
+               {Deps.LearnedCapacity, Deps.OperatorState}),
+      ReportedAt(Deps.Clock.now()) {
   Tick = Deps.Loop.every(TickPeriod, [this] { tick(); });
 }
 
@@ -81,11 +86,18 @@
 
 queued_request dispatcher::makeQueuedRequest(dispatch_id Id,
                                              const entry &Entry) const {
-  return {Id, Entry.Metadata.Priority, Entry.Deadline, Entry.SoftDeadline,
-          Costs.processingTimeOf(Entry.Metadata.Route)};
+  const std::string &Route = Entry.Metadata.Route;
+  return {Id,
+          Entry.Metadata.Priority,
+          Entry.Deadline,
+          Entry.SoftDeadline,
+          Costs.processingTimeOf(Route),
+          Costs.deviationOf(Route)};
 }
 
-uint32_t dispatcher::slotCount() const { return Deps.Server.slots(); }
+uint32_t dispatcher::slotCount() const {
+  return Capacity.concurrencyLimit(Deps.Clock.now());
+}
 
 dispatch_id dispatcher::submit(forward_metadata Metadata, http_request Request,
                                callback Callback) {
@@ -112,9 +124,11 @@
     AwaitingGrant.push_back(Id);
     return Id;
   }
+  if (refuseHotPoint(Id))
+    return 0;
   queued_request Queued = makeQueuedRequest(Id, Entry);
   updateAllowance();
-  if (!canFinishInTime(Entry, Queued)) {
+  if (!enqueue(Entry, Queued)) {
     writeRequestLog(
         "request refused: queue full",
         {{"request_id",
@@ -125,6 +139,9 @@
          {"work_ms", inMilliseconds(Queued.ProcessingTime)},
          {"queued_work_ms", inMilliseconds(Queue.queuedProcessingTime())},
          {"link_ms", inMilliseconds(Deps.Link.backlog())},
+         {"body_bytes", Entry.Request.Body.size()},
+         {"bytes_in_flight", InFlight.inFlight()},
+         {"bytes_allowed", InFlight.allowance()},
          {"aim_left_ms", inMilliseconds(Queued.SoftDeadline - Now)},
          {"time_left_ms", inMilliseconds(Queued.Deadline - Now)},
          {"token_delay_ms",
@@ -133,21 +150,69 @@
     refuse(Id, "queue-full");
     return 0;
   }
-  Queue.push(Queued);
+  refuseDisplaced();
   dispatchWaiting();
-  return Id;
+  return Entries.contains(Id) ? Id : 0;
 }
 
-bool dispatcher::canFinishInTime(const entry &Entry,
-                                 const queued_request &Queued) const {
+double dispatcher::processableRate() const {
+  double Seconds =
+      std::chrono::duration<double>(Costs.meanProcessingTime()).count();
+  double Rate = std::max(1U, slotCount()) / std::max(Seconds, 0.001);
+  return std::min(Rate, Deps.Server.condition().RateLimit.value_or(Rate));
+}
+
+bool dispatcher::refuseHotPoint(dispatch_id Id) {
+  const entry &Entry = Entries.at(Id);
+  if (!Entry.Metadata.Point || !OverloadControl.isOn())
+    return false;
+  key_point Point = *Entry.Metadata.Point;
+  server_room Room{processableRate(), Running >= slotCount()};
+  auto RetryAfter = HotPoints.admit(Point, Room, Deps.Clock.now());
+  if (!RetryAfter)
+    return false;
+  hot_span Span = HotPoints.limitOf(Point).value_or(hot_span{Point, Point});
+  Deps.Metrics.count("hot_point_refusals_total");
+  writeRequestLog(
+      "request refused: hot key point",
+      {{"request_id",
+        Entry.Request.Headers.find(Deps.Names.RequestId).value_or("")},
+       {"point", Point},
+       {"first_point", Span.First},
+       {"last_point", Span.Last},
+       {"demand_per_s", std::lround(Span.Demand)},
+       {"limit_per_s", std::lround(Span.Limit)},
+       {"server_per_s", std::lround(Room.Rate)},
+       {"running", Running},
+       {"waiting", Queue.size()},
+       {"retry_after_ms", inMilliseconds(*RetryAfter)}});
+  refuse(Id, "hot-key",
+         std::chrono::duration_cast<std::chrono::milliseconds>(*RetryAfter));
+  return true;
+}
+
+bool dispatcher::enqueue(const entry &Entry, const queued_request &Queued) {
   duration TransferTime{0};
   if (!Entry.Metadata.IsLocal)
     TransferTime =
         Deps.Link.transferTime(Costs.responseBytesOf(Entry.Metadata.Route));
   time_point Now = Deps.Clock.now();
-  size_t Position = Queue.countAhead(Entry.Metadata.Priority);
-  return Queue.admits(Queued, slotCount(), Running, Now, TransferTime,
-                      Allowance.delayOf(Position, Now));
+  auto DelayOf = [this, Now](size_t Position) {
+    return Allowance.delayOf(Position, Now);
+  };
+  Queue.setPolicy(OverloadControl.isOn() ? queue_policy::Usefulness
+                                         : queue_policy::Arrival);
+  size_t Bytes = Entry.Request.Body.size();
+  uint32_t Slots = slotCount();
+  if (!InFlight.admits(Bytes))
+    Slots = std::min(Slots, InFlight.concurrencyOf(Bytes));
+  return Queue.offer(Queued, Slots, Running, Now, TransferTime, DelayOf)
+      .has_value();
+}
+
+void dispatcher::refuseDisplaced() {
+  for (dispatch_id Id : Queue.takeDisplaced(slotCount(), Deps.Clock.now()))
+    refuse(Id, "displaced");
 }
 
 void dispatcher::cancel(dispatch_id Id) {
@@ -158,6 +223,7 @@
   std::erase(AwaitingGrant, Id);
   if (Found->second.IsRunning) {
     --Running;
+    InFlight.onEnded(Found->second.Request.Body.size());
     Deps.CancelCall(Found->second.Call);
   }
   Entries.erase(Found);
@@ -197,6 +263,7 @@
   AwaitingGrant.insert(AwaitingGrant.begin(), StillWaiting.begin(),
                        StillWaiting.end());
   std::vector<dispatch_id> TooLate;
+  std::vector<dispatch_id> TooLarge;
   updateAllowance();
   while (Running < slotCount() && Queue.size() > 0 &&
          Allowance.delayOf(0, Deps.Clock.now()) == duration{0}) {
@@ -208,13 +275,25 @@
       refuse(*Id, Code);
     else if (mustWaitForGrant(Entries.at(*Id).Metadata))
       AwaitingGrant.push_back(*Id);
+    else if (!InFlight.admits(Entries.at(*Id).Request.Body.size()))
+      TooLarge.push_back(*Id);
     else
       dispatch(*Id);
   }
+  requeue(TooLarge);
   for (dispatch_id Id : TooLate)
     refuse(Id, "waited-too-long");
 }
 
+void dispatcher::requeue(const std::vector<dispatch_id> &Ids) {
+  for (dispatch_id Id : Ids) {
+    auto Found = Entries.find(Id);
+    // A callback of a refused request may have cancelled it.
+    if (Found != Entries.end())
+      Queue.push(makeQueuedRequest(Id, Found->second));
+  }
+}
+
 http_request dispatcher::makeServerRequest(const entry &Entry) const {
   const header_names &Names = Deps.Names;
   http_request Request = Entry.Request;
@@ -244,7 +323,8 @@
   Entry.IsRunning = true;
   Entry.SentAt = Deps.Clock.now();
   Entry.Incarnation = Deps.Server.incarnation();
-  ++Running;
+  Entry.InFlight = ++Running;
+  InFlight.onSent(Entry.Request.Body.size());
   Allowance.take(Entry.SentAt);
   Deps.Metrics.count("server_requests_total");
   Entry.Call =
@@ -283,10 +363,12 @@
   entry &Entry = Found->second;
   --Running;
   Entry.IsRunning = false;
+  countBytes(Entry, Result.Outcome);
   duration Elapsed = Deps.Clock.now() - Entry.SentAt;
   BusyTime += Elapsed;
   if (Result.Outcome == call_outcome::Completed && Result.Response.Status < 400)
     Costs.observe(Entry.Metadata.Route, Elapsed, Result.Response.Body.size());
+  observeCapacity(Entry, Result, Elapsed);
   if (Result.Outcome == call_outcome::ConnectionLost)
     Deps.CrashGuard.onConnectionLost(Entry.Request, Entry.Metadata.Workspace,
                                      Entry.Incarnation);
@@ -309,6 +391,16 @@
   dispatchWaiting();
 }
 
+void dispatcher::countBytes(const entry &Entry, call_outcome Outcome) {
+  size_t Bytes = Entry.Request.Body.size();
+  if (Outcome == call_outcome::Completed)
+    InFlight.onCompleted(Bytes, Deps.Clock.now());
+  else if (Outcome == call_outcome::ConnectionLost)
+    InFlight.onConnectionLost(Bytes, Deps.Clock.now());
+  else
+    InFlight.onEnded(Bytes);
+}
+
 void dispatcher::logFailure(const entry &Entry,
                             const call_result &Result) const {
   if (Result.Outcome == call_outcome::Completed)
@@ -338,6 +430,16 @@
     Deps.OnCondition(Latest);
 }
 
+void dispatcher::observeCapacity(const entry &Entry, const call_result &Result,
+                                 duration Elapsed) {
+  bool IsSuccess = Result.Outcome == call_outcome::Completed &&
+                   Result.Response.Status < 400 &&
+                   isFromServer(Result.Response);
+  if (IsSuccess && Entry.Incarnation == Deps.Server.incarnation())
+    Capacity.observe({Entry.Metadata.Route, Elapsed, Entry.InFlight},
+                     Deps.Clock.now());
+}
+
 bool dispatcher::isFromServer(const http_response &Response) const {
   return Response.Headers.find(Deps.Names.Signature) &&
          !Response.Headers.find("content-encoding");
@@ -404,6 +506,7 @@
       continue;
     }
     --Running;
+    InFlight.onEnded(Found->second.Request.Body.size());
     Deps.CancelCall(Found->second.Call);
     finish(Id, unknown("stopping"));
   }
@@ -411,13 +514,14 @@
 
 dispatcher_load dispatcher::load() const {
   return {Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
-          Deps.Server.slots(),
+          Capacity.settledLimit(Deps.Clock.now()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Costs.meanProcessingTime()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Deps.Link.backlog()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
-              Allowance.delayOf(Queue.size(), Deps.Clock.now()))};
+              Allowance.delayOf(Queue.size(), Deps.Clock.now())),
+          Capacity.speed()};
 }
 
 std::chrono::milliseconds dispatcher::retryAfter() const {
@@ -437,14 +541,24 @@
 }
 
 void dispatcher::refuse(dispatch_id Id, const std::string &Code) {
+  refuse(Id, Code, retryAfter());
+}
+
+void dispatcher::refuse(dispatch_id Id, const std::string &Code,
+                        std::chrono::milliseconds RetryAfter) {
   forward_result Result = notRun(Code);
-  Result.RetryAfter = retryAfter();
+  Result.RetryAfter = RetryAfter;
   finish(Id, std::move(Result));
 }
 
 void dispatcher::tick() {
   time_point Now = Deps.Clock.now();
-  Deps.CrashGuard.checkForCrash(Deps.Server);
+  bool HasEnded = Deps.CrashGuard.checkForCrash(Deps.Server);
+  if (HasEnded && InFlight.onServerEnded(Now))
+    writeLog(log_level::Warning, "fewer request bytes after a crash",
+             {{"step", "bytes in flight"},
+              {"instance", Deps.Server.incarnation().Instance},
+              {"bytes_allowed", InFlight.allowance()}});
   std::vector<dispatch_id> TooLate;
   updateAllowance();
   Queue.expire(Now, TooLate, [this, Now](size_t Position) {
@@ -452,6 +566,7 @@
   });
   for (dispatch_id Id : TooLate)
     refuse(Id, "waited-too-long");
+  refuseDisplaced();
   std::vector<dispatch_id> Ungranted;
   for (dispatch_id Id : AwaitingGrant) {
     const entry &Entry = Entries.at(Id);
@@ -470,6 +585,10 @@
 load_report dispatcher::takeLoadReport() {
   load_report Report;
   time_point Now = Deps.Clock.now();
+  Deps.Metrics.set("server_body_bytes", {},
+                   static_cast<double>(InFlight.inFlight()));
+  Deps.Metrics.set("server_body_bytes_allowed", {},
+                   static_cast<double>(InFlight.allowance()));
   double Seconds = std::chrono::duration<double>(Now - ReportedAt).count();
   if (Seconds <= 0)
     return Report;
@@ -480,6 +599,7 @@
       std::chrono::duration<double>(Costs.meanProcessingTime()).count();
   Report.RateLimit = Deps.Server.condition().RateLimit;
   Report.Sample = Sample.points(Now);
+  Capacity.addTo(Report, Now);
   ReportedAt = Now;
   Arrivals = 0;
   BusyTime = duration{0};
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -7,9 +7,12 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
+#include "dragonflyvane/core/admission/hot_points.hpp"
+#include "dragonflyvane/core/admission/in_flight_bytes.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/configuration/feature_switch.hpp"
 #include "dragonflyvane/core/configuration/operator_state.hpp"
 #include "dragonflyvane/core/header_names.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
@@ -19,6 +22,7 @@
 #include "dragonflyvane/net/metrics.hpp"
 #include "dragonflyvane/node/serving/crash_guard.hpp"
 #include "dragonflyvane/node/serving/forwarding.hpp"
+#include "dragonflyvane/node/serving/learned_capacity.hpp"
 #include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <deque>
@@ -68,6 +72,9 @@
     std::function<void(const server_condition &)> OnCondition;
     /// Called with the condition of the server that a peer knows.
     std::function<void(const condition_report &)> OnReportedCondition;
+    /// Whether the number of requests that the server runs at the same time,
+    feature_mode LearnedCapacity = feature_mode::On;
+    feature_mode OverloadControl = feature_mode::On;
   };
 
   /// Starts the periodic check for timeouts and crashes.
@@ -95,6 +102,8 @@
   dispatcher_load load() const;
   /// The load since the last call; resets the counts.
   load_report takeLoadReport();
+  /// The learned capacity of the server.
+  learned_capacity &capacity() { return Capacity; }
 
 private:
   struct entry {
@@ -107,6 +116,8 @@
     time_point SoftDeadline;
     time_point SentAt{};
     call_id Call = 0;
+    /// The requests in flight when this one was sent, with this one.
+    uint32_t InFlight = 0;
     bool IsRunning = false;
     /// The incarnation of the server that the request was sent to.
     server_incarnation Incarnation;
@@ -118,9 +129,17 @@
   std::string arrivalRefusalCode(const entry &Entry) const;
   bool mustWaitForGrant(const forward_metadata &Metadata) const;
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
-  /// Whether the response can be ready, and sent over the link, in time.
-  bool canFinishInTime(const entry &Entry, const queued_request &Queued) const;
-  /// Number of requests that the server runs at the same time.
+  /// Queues the request if the response is expected to be ready, and sent over
+  /// the link, in time. Returns whether it is queued.
+  bool enqueue(const entry &Entry, const queued_request &Queued);
+  /// Refuses the queued requests that no longer fit.
+  void refuseDisplaced();
+  /// Refuses a request for a hot key point that asks for more than its share of
+  /// the server. Returns whether it did.
+  bool refuseHotPoint(dispatch_id Id);
+  /// The requests per second that the server can process.
+  double processableRate() const;
+  /// Number of requests that the server may run at the same time.
   uint32_t slotCount() const;
   /// The warm-up rate of a cold server; none for a warm server and for a
   /// service without a warm-up rate, 0 while the configuration of the service
@@ -129,6 +148,10 @@
   /// Applies the rates that the server takes now.
   void updateAllowance();
   void dispatch(dispatch_id Id);
+  /// Puts requests back whose bodies are too large for now.
+  void requeue(const std::vector<dispatch_id> &Ids);
+  /// Counts the end of a call to the server.
+  void countBytes(const entry &Entry, call_outcome Outcome);
   call_options makeCallOptions(dispatch_id Id, const entry &Entry);
   /// Checks the conditions of the dispatch again once the connection is open:
   /// ownership, grant and incarnation may have changed meanwhile.
@@ -136,6 +159,9 @@
   /// Sets the header fields that backend servers expect.
   http_request makeServerRequest(const entry &Entry) const;
   void onResult(dispatch_id Id, call_result Result);
+  /// Learns the capacity of the server from a response.
+  void observeCapacity(const entry &Entry, const call_result &Result,
+                       duration Elapsed);
   /// Logs why a call of the server ended without a response.
   void logFailure(const entry &Entry, const call_result &Result) const;
   /// Learns the condition of the server from its response to a request.
@@ -148,6 +174,8 @@
   bool isFromServer(const http_response &Response) const;
   void finish(dispatch_id Id, forward_result Result);
   void refuse(dispatch_id Id, const std::string &Code);
+  void refuse(dispatch_id Id, const std::string &Code,
+              std::chrono::milliseconds RetryAfter);
   /// Estimated time until there is room for another request.
   std::chrono::milliseconds retryAfter() const;
   /// Checks for a crash of the server, and refuses requests that have waited
@@ -155,17 +183,22 @@
   void tick();
 
   dependencies Deps;
+  feature_switch OverloadControl;
   std::unordered_map<dispatch_id, entry> Entries;
   admission_queue Queue;
   /// Requests for keys that the server does not hold yet, in order of arrival.
   std::deque<dispatch_id> AwaitingGrant;
   uint32_t Running = 0;
+  /// Bytes of the bodies that the server holds.
+  in_flight_bytes InFlight;
   dispatch_id LastId = 0;
   /// The dispatches that the server takes.
   dispatch_allowance Allowance;
   sent_requests SentRequests;
   route_costs Costs;
+  learned_capacity Capacity;
   point_sample Sample;
+  hot_points HotPoints;
   /// Submitted requests, and time for which slots were in use, since
   /// `ReportedAt`.
   uint64_t Arrivals = 0;
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -11,9 +11,12 @@
 namespace {
 
 /// A dispatcher whose backend server of a service without keys responds after
-/// 20 ms with the header fields in `ServerHeaders`.
+/// `ServerTime` with the header fields in `ServerHeaders`.
 struct dispatcher_fixture {
-  dispatcher_fixture() { sendHeartbeat(1000); }
+  explicit dispatcher_fixture(bool LearnsCapacity = true)
+      : LearnsCapacity(LearnsCapacity) {
+    sendHeartbeat(1000);
+  }
 
   void sendHeartbeat(int64_t StartedAtMs) {
     heartbeat Heartbeat;
@@ -32,6 +35,7 @@
       return ++LastCall;
     }
     Arrivals.push_back(Loop.now());
+    BodySizes.push_back(Request.Body.size());
     LastTimeLeft =
         milliseconds(std::stoll(*Request.Headers.find(Names.TimeLeft)));
     call_result Result;
@@ -40,13 +44,16 @@
     Result.Response.Headers.add(Names.Signature, "s");
     Result.Response.Headers.add(Names.RequestId,
                                 *Request.Headers.find(Names.RequestId));
-    Loop.postDelayed(milliseconds(20),
-                     [Callback, Result] { Callback(Result); });
+    Loop.postDelayed(ServerTime(++InFlight), [this, Callback, Result] {
+      --InFlight;
+      Callback(Result);
+    });
     return ++LastCall;
   }
 
   void submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1,
-              const std::optional<condition_report> &Known = std::nullopt) {
+              const std::optional<condition_report> &Known = std::nullopt,
+              size_t BodyBytes = 0) {
     forward_metadata Metadata;
     Metadata.Service = "desk";
     Metadata.Route = "peek";
@@ -56,16 +63,19 @@
     Metadata.ServerCondition = Known;
     http_request Request;
     Request.Headers.add(Names.RequestId, std::to_string(++LastRequest));
+    Request.Body = std::string(BodyBytes, 'x');
     Dispatcher.submit(Metadata, Request, [this](const forward_result &Result) {
       Results.push_back(Result);
     });
   }
 
   /// Submits a request every 5 ms.
-  void submitFor(duration Span) {
-    for (duration Elapsed{0}; Elapsed < Span; Elapsed += milliseconds(5)) {
+  void submitFor(duration Span) { submitEvery(milliseconds(5), Span); }
+
+  void submitEvery(duration Period, duration Span) {
+    for (duration Elapsed{0}; Elapsed < Span; Elapsed += Period) {
       submit();
-      Loop.runFor(milliseconds(5));
+      Loop.runFor(Period);
     }
   }
 
@@ -82,9 +92,16 @@
     return Most;
   }
 
+  bool LearnsCapacity;
+  /// The time at the server by the number of requests in flight.
+  std::function<milliseconds(size_t)> ServerTime = [](size_t) {
+    return milliseconds(20);
+  };
+  size_t InFlight = 0;
   header_names Names;
   header_list ServerHeaders;
   std::vector<time_point> Arrivals;
+  std::vector<size_t> BodySizes;
   /// The time left that the last request told the server.
   milliseconds LastTimeLeft{0};
   std::vector<forward_result> Results;
@@ -104,22 +121,23 @@
   uint64_t Sequence = 0;
   call_id LastCall = 0;
   int LastRequest = 0;
-  dispatcher Dispatcher{{Loop, Loop.clock(),
-                         [this](const endpoint &, const http_request &Request,
-                                const call_options &Options,
-                                const http_client::callback &Callback) {
-                           return receive(Request, Options, Callback);
-                         },
-                         [](call_id) {}, Server, Guard, OperatorState, Names,
-                         Metrics, Link, Shutdown,
-                         [](const std::string &, key_point) { return true; },
-                         [] {}, [](key_point) {},
-                         [this](const server_condition &Condition) {
-                           Server.onCondition(Condition);
-                         },
-                         [this](const condition_report &Report) {
-                           Server.onReportedCondition(Report);
-                         }}};
+  dispatcher Dispatcher{
+      {Loop, Loop.clock(),
+       [this](const endpoint &, const http_request &Request,
+              const call_options &Options,
+              const http_client::callback &Callback) {
+         return receive(Request, Options, Callback);
+       },
+       [](call_id) {}, Server, Guard, OperatorState, Names, Metrics, Link,
+       Shutdown, [](const std::string &, key_point) { return true; }, [] {},
+       [](key_point) {},
+       [this](const server_condition &Condition) {
+         Server.onCondition(Condition);
+       },
+       [this](const condition_report &Report) {
+         Server.onReportedCondition(Report);
+       },
+       LearnsCapacity ? feature_mode::On : feature_mode::Off}};
 };
 
 } // namespace
@@ -175,6 +193,44 @@
   CHECK(Fixture.Results.size() == 7);
 }
 
+// Guards against the estimate of an earlier server that binds the next one.
+// Pattern: a server that is slower than the service usually is, then restarts.
+TEST_CASE("a new incarnation starts with speed unknown and all its slots") {
+  dispatcher_fixture Fixture;
+  Fixture.Dispatcher.capacity().setServiceTimes({{"peek", milliseconds(10)}});
+  Fixture.submitFor(seconds(2));
+  load_report Report = Fixture.Dispatcher.takeLoadReport();
+  CHECK(Report.Speed < 0.6);
+  CHECK(Report.Speed > 0.4);
+  CHECK(Report.ConcurrencyLimit == 6);
+  Fixture.sendHeartbeat(2000);
+  CHECK_FALSE(Fixture.Dispatcher.capacity().speed());
+  Fixture.Loop.runFor(milliseconds(100));
+  CHECK_FALSE(Fixture.Dispatcher.takeLoadReport().ConcurrencyLimit);
+  CHECK(Fixture.Dispatcher.load().Slots == 6);
+  Fixture.submitFor(seconds(2));
+  CHECK(Fixture.Dispatcher.capacity().speed().value_or(1) < 0.6);
+}
+
+// Guards against more requests at a server than it handles well. Pattern: a
+// server whose throughput stops growing at 2 in flight, and a load around it.
+TEST_CASE("a server that slows before it is full runs fewer requests, unless "
+          "learning is turned off") {
+  for (bool LearnsCapacity : {true, false}) {
+    dispatcher_fixture Fixture(LearnsCapacity);
+    Fixture.ServerTime = [](size_t InFlight) {
+      return milliseconds(std::max<size_t>(20, InFlight * 10));
+    };
+    for (int I = 0; I < 30; ++I) {
+      Fixture.submitEvery(milliseconds(20), milliseconds(800));
+      Fixture.submitEvery(milliseconds(5), milliseconds(200));
+    }
+    uint32_t Expected = LearnsCapacity ? 3 : 6;
+    CHECK(Fixture.Dispatcher.load().Slots <= Expected);
+    CHECK(Fixture.Dispatcher.load().Slots >= Expected - 1);
+  }
+}
+
 // Guards against a limit that outlives its server or the need.
 TEST_CASE("a limit ends with a response without it and with the incarnation") {
   dispatcher_fixture Fixture;
@@ -293,3 +349,19 @@
   CHECK(Fixture.Arrivals.size() == 6);
   CHECK(Fixture.Dispatcher.activeCount() == 0);
 }
+
+// Guards against a server that crashes because the uploads that it holds exceed
+// its memory, and against small requests that wait behind uploads for it.
+TEST_CASE("uploads beyond the allowance wait, and requests that fit pass") {
+  dispatcher_fixture Fixture;
+  for (int I = 0; I < 4; ++I)
+    Fixture.submit(milliseconds(1000), 1, std::nullopt, 200'000);
+  Fixture.submit(milliseconds(1000), 2);
+  REQUIRE(Fixture.BodySizes.size() == 2);
+  CHECK(Fixture.BodySizes[0] == 200'000);
+  CHECK(Fixture.BodySizes[1] == 0);
+  Fixture.Loop.runFor(milliseconds(200));
+  CHECK(Fixture.Results.size() == 5);
+  for (const forward_result &Result : Fixture.Results)
+    CHECK(Result.Outcome == forward_outcome::Answered);
+}
