--- a/src/dragonflyvane/core/admission/capacity_estimator_test.cpp
+++ b/src/dragonflyvane/core/admission/capacity_estimator_test.cpp
@@ -49,7 +49,7 @@
     double Work = std::uniform_real_distribution<>(0.7, 1.3)(Random);
     duration Usual = IsOrder ? OrderTime : LookupTime;
     auto Time =
-        std::chrono::duration_cast<duration>(Usual * Work * slowness(InFlight));
+        std::chrono::duration_cast<duration>(Usual * Work * Slowness(InFlight));
     Running.push(
         {Clock.now() + Time, {IsOrder ? "order" : "lookup", Time, InFlight}});
   }
@@ -85,7 +85,7 @@
   uint64_t Completed = 0;
   uint32_t LowestLimit = Slots;
   double OrderShare = 0;
-  std::function<double(uint32_t)> slowness = [](uint32_t) { return 1.0; };
+  std::function<double(uint32_t)> Slowness = [](uint32_t) { return 1.0; };
   int64_t BurstSlice = 0;
   bool IsBurst = false;
 };
@@ -107,7 +107,7 @@
 TEST_CASE("a slow server keeps its slots and shows its speed") {
   for (double Rate : {18.0, 34.0, 60.0}) {
     loaded_server Server;
-    Server.slowness = [](uint32_t) { return 1 / 0.6; };
+    Server.Slowness = [](uint32_t) { return 1 / 0.6; };
     Server.run(seconds(60), Rate);
     CHECK(Server.LowestLimit == Slots);
     CHECK(Server.Estimator.speed() > 0.5);
@@ -121,7 +121,7 @@
 TEST_CASE("a server that slows before it is full gets a limit, at no loss of "
           "throughput") {
   loaded_server Server;
-  Server.slowness = [](uint32_t InFlight) {
+  Server.Slowness = [](uint32_t InFlight) {
     return std::max(1.0, InFlight / 4.0);
   };
   for (int I = 0; I < 12; ++I) {
@@ -140,7 +140,7 @@
 // that slowed before it was full, and then does not any more.
 TEST_CASE("a limit ends after the server handles all its slots again") {
   loaded_server Server;
-  Server.slowness = [](uint32_t InFlight) {
+  Server.Slowness = [](uint32_t InFlight) {
     return std::max(1.0, InFlight / 4.0);
   };
   for (int I = 0; I < 12; ++I) {
@@ -148,7 +148,7 @@
     Server.run(seconds(3), 30);
   }
   REQUIRE(Server.LowestLimit <= 6);
-  Server.slowness = [](uint32_t) { return 1.0; };
+  Server.Slowness = [](uint32_t) { return 1.0; };
   Server.run(seconds(60), 60);
   Server.LowestLimit = Slots;
   Server.run(seconds(20), 60);
@@ -161,11 +161,11 @@
   loaded_server Server;
   Server.run(seconds(20), 30);
   CHECK(Server.Estimator.speed() > 0.85);
-  Server.slowness = [](uint32_t) { return 3.0; };
+  Server.Slowness = [](uint32_t) { return 3.0; };
   Server.run(seconds(3), 30);
   CHECK(Server.Estimator.speed() < 0.45);
   Server.run(seconds(20), 30);
-  Server.slowness = [](uint32_t) { return 1.0; };
+  Server.Slowness = [](uint32_t) { return 1.0; };
   Server.run(seconds(3), 30);
   CHECK(Server.Estimator.speed() > 0.75);
   CHECK(Server.LowestLimit == Slots);
@@ -176,7 +176,7 @@
 TEST_CASE("random bursts of slowness change neither limit nor speed for long") {
   for (double Rate : {15.0, 30.0, 45.0, 70.0}) {
     loaded_server Server;
-    Server.slowness = [&Server](uint32_t) { return Server.burst(); };
+    Server.Slowness = [&Server](uint32_t) { return Server.burst(); };
     Server.run(seconds(5), Rate);
     int Slow = 0;
     constexpr int Checks = 1200;
@@ -194,10 +194,10 @@
 // server that works three times slower for 3 s.
 TEST_CASE("a server that returns cold is as fast as usual soon after") {
   loaded_server Server;
-  Server.slowness = [](uint32_t) { return 3.0; };
+  Server.Slowness = [](uint32_t) { return 3.0; };
   Server.run(seconds(3), 20);
   CHECK(Server.Estimator.speed() < 0.45);
-  Server.slowness = [](uint32_t) { return 1.0; };
+  Server.Slowness = [](uint32_t) { return 1.0; };
   Server.run(seconds(3), 20);
   CHECK(Server.Estimator.speed() > 0.75);
   CHECK(Server.LowestLimit == Slots);
@@ -207,7 +207,7 @@
 // five seconds, each of them slow.
 TEST_CASE("too few responses change nothing") {
   loaded_server Server;
-  Server.slowness = [](uint32_t) { return 3.0; };
+  Server.Slowness = [](uint32_t) { return 3.0; };
   Server.run(seconds(60), 0.2);
   CHECK(Server.Estimator.speed() == 1);
   CHECK(Server.LowestLimit == Slots);
@@ -217,7 +217,7 @@
 // requests per second at a server with random bursts of slowness.
 TEST_CASE("bursts at little load change neither limit nor speed for long") {
   loaded_server Server;
-  Server.slowness = [&Server](uint32_t) { return Server.burst(); };
+  Server.Slowness = [&Server](uint32_t) { return Server.burst(); };
   Server.run(seconds(10), 2);
   int Slow = 0;
   constexpr int Checks = 1200;
--- a/src/dragonflyvane/core/admission/recent_route_times.cpp
+++ b/src/dragonflyvane/core/admission/recent_route_times.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <cmath>
 #include <iterator>
-#include <ranges>
 #include <vector>
 
 namespace dragonflyvane {
@@ -51,11 +50,11 @@
 recent_route_times::usual_time
 recent_route_times::usualTimeIn(const response_window &Window, time_point Now) {
   std::vector<duration> Times;
-  for (const response &Response : Window | std::views::reverse) {
-    duration Age = Now - Response.At;
+  for (auto It = Window.rbegin(); It != Window.rend(); ++It) {
+    duration Age = Now - It->At;
     if (Age > MaxAge || (Age > WindowLength && Times.size() >= MinResponses))
       break;
-    Times.push_back(Response.TimeAtServer);
+    Times.push_back(It->TimeAtServer);
   }
   if (Times.size() < MinResponses)
     return {};
--- a/src/dragonflyvane/core/admission/service_route_times.cpp
+++ b/src/dragonflyvane/core/admission/service_route_times.cpp
@@ -51,6 +51,7 @@
       for (const auto &[Route, Time] : Report.Times)
         TimesByRoute[Route].push_back(Time);
   std::vector<std::pair<size_t, std::string>> ByHosts;
+  ByHosts.reserve(TimesByRoute.size());
   for (const auto &[Route, Times] : TimesByRoute)
     ByHosts.emplace_back(Times.size(), Route);
   std::stable_sort(
