--- a/src/dragonflyvane/net/body_memory_test.cpp
+++ b/src/dragonflyvane/net/body_memory_test.cpp
@@ -193,3 +193,33 @@
   CHECK(Result.Outcome == call_outcome::NotSent);
   CHECK(Handled == 0);
 }
+
+// Guards against responses that slow readers leave in the process without
+// counting, and against a share that is not returned when the reader leaves.
+TEST_CASE("a response that a peer does not read counts as memory in use") {
+  constexpr size_t BodyBytes = 1'500'000;
+  event_loop Loop;
+  Loop.bodyMemory().setLimit(MemoryLimit);
+  endpoint Listen{"127.0.0.1", freePort()};
+  peer_server Server(
+      Loop, Listen, size_t{65} << 20, [&](const exchange_pointer &Exchange) {
+        memory_share Share(Loop.bodyMemory());
+        REQUIRE(Share.resize(BodyBytes));
+        Exchange->respond(
+            {200, {}, {std::string(BodyBytes, 'x'), std::move(Share)}});
+      });
+  raw_connection Peer(Listen.Port);
+  // The preface, empty settings, and a request without a body.
+  Peer.send("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+            std::string("\0\0\0\4\0\0\0\0\0", 9) +
+            std::string("\0\0\3\1\5\0\0\0\1\x83\x84\x86", 12));
+  auto RunFor = [&](std::chrono::milliseconds Time) {
+    timer End = Loop.after(Time, [&] { Loop.stop(); });
+    Loop.run();
+  };
+  RunFor(std::chrono::milliseconds(300));
+  CHECK(Loop.bodyMemory().used() == BodyBytes);
+  Peer.close();
+  RunFor(std::chrono::milliseconds(300));
+  CHECK(Loop.bodyMemory().used() == 0);
+}
