Calls to peers are not sent on connections that the peers have closed

The client now looks for a close that waits in the socket before each call. The new test failed before the change.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -9,10 +9,12 @@
 
 #include <algorithm>
 #include <array>
+#include <cerrno>
 #include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
+#include <sys/socket.h>
 
 namespace dragonflyvane {
 
@@ -290,8 +292,17 @@
   Socket.shutdown(socket::shutdown_send, Ignored);
 }
 
-bool peer_connection::acceptsCalls() const {
-  return Open && nghttp2_session_check_request_allowed(Session) != 0;
+bool peer_connection::acceptsCalls() {
+  return Open && nghttp2_session_check_request_allowed(Session) != 0 &&
+         !wasClosedByPeer();
+}
+
+bool peer_connection::wasClosedByPeer() {
+  char Next = 0;
+  ssize_t Size = recv(Socket.native_handle(), &Next, sizeof(Next),
+                      MSG_PEEK | MSG_DONTWAIT);
+  bool HasError = Size < 0 && errno != EAGAIN && errno != EINTR;
+  return Size == 0 || HasError;
 }
 
 void peer_connection::readMore() {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -80,7 +80,7 @@
   /// writing once no stream is open. Later calls have no effect.
   void finishClosing();
   /// Client: whether the peer processes further streams.
-  bool acceptsCalls() const;
+  bool acceptsCalls();
   /// When bytes were last received; at first, when the object was created.
   time_point lastReadTime() const { return Liveness.lastReceived(); }
 
@@ -151,6 +151,9 @@
   void awaitWritable();
   /// Notes the places of the frames that ended with the bytes queued last.
   void notePositions();
+  /// Whether the peer has closed the connection, which this side has not read
+  /// yet.
+  bool wasClosedByPeer();
   /// The number of sent bytes that the peer's host has accepted.
   uint64_t acceptedBytes();
   /// Whether the peer may have the whole message that the stream sends.
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -333,6 +333,30 @@
             .Error == "cannot connect");
 }
 
+// Guards against requests with an unknown outcome after a pause of this
+// process: they are sent on connections that the peers have closed meanwhile.
+TEST_CASE("a call is not sent on a connection that the peer has closed") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  int Handled = 0;
+  auto Respond = [&](const exchange_pointer &Exchange) {
+    ++Handled;
+    Exchange->respond({});
+  };
+  auto Server =
+      std::make_unique<peer_server>(Loop, Listen, MaxBodyBytes, Respond);
+  peer_client Client(Loop, MaxBodyBytes);
+  for (int I = 1; I <= 2; ++I) {
+    CHECK(
+        callAndWait(Loop, Client, Listen, makeRequest("POST", "x"), LongTimeout)
+            .Outcome == call_outcome::Completed);
+    CHECK(Handled == I);
+    // The client's loop does not run before the next call.
+    Server.reset();
+    Server = std::make_unique<peer_server>(Loop, Listen, MaxBodyBytes, Respond);
+  }
+}
+
 // Guards against a daemon that ends before its responses to peers are written.
 TEST_CASE("a peer server is writing until the whole response is sent") {
   event_loop Loop;
