Nested calls inherit priorities, returns are scheduled, call pressure

Nested calls without caller keys could not be told from callers' requests, so urgent requests failed through calls that waited behind less urgent ones. An exchange now tells its remote address, and nested_calls recognises a call by the address of the running server; shutdown uses the same decision. A call gets the priority just ahead of the most urgent running request. InternalPriority was ruled out: calls of the least urgent kind would go first.

Retry-After was the queued work over the slots, with jitter by half, so callers returned before there was room. It now counts the work that overtakes and the callers that were told to return before; jitter only adds. Refusals by the backend server itself get it too, which were told 40 ms.

Requests whose nested calls find no room failed after they had held a slot. call_pressure learns the share of each route and refuses it on arrival; a tenth always begins.

A displaced request is refused by one function that ignores requests which an earlier refusal has cancelled.

--- a/src/dragonflyvane/core/admission/admission_queue.cpp
+++ b/src/dragonflyvane/core/admission/admission_queue.cpp
@@ -37,21 +37,27 @@
                                         const requests_ahead &Ahead,
                                         uint32_t Slots, time_point Now) const {
   double SlotCount = std::max(1U, Slots);
-  duration InTurn = delayInTurn(Request.Priority, Class,
-                                Ahead.ProcessingTime + Request.ProcessingTime,
-                                SlotCount, Now);
+  duration Work = Ahead.ProcessingTime + Request.ProcessingTime;
+  auto InTurn = std::chrono::duration_cast<duration>(
+      Work / slotsLeft(Request.Priority, Class, SlotCount, Now));
   return std::min(
       InTurn, delayByFloor(Request, Class, Ahead.OfPriority, SlotCount, Now));
 }
 
-duration admission_queue::delayInTurn(int Priority, queue_class Class,
-                                      duration Work, double Slots,
-                                      time_point Now) const {
+double admission_queue::slotsLeft(int Priority, queue_class Class, double Slots,
+                                  time_point Now) const {
   double Overtaking = Demand.admittedBefore(Priority, Now);
   if (Class == queue_class::Late)
     Overtaking += Demand.inTimeOf(Priority, Now);
-  double SlotsLeft = std::max(Slots - Overtaking, Slots * MinShareLeft);
-  return std::chrono::duration_cast<duration>(Work / SlotsLeft);
+  return std::max(Slots - Overtaking, Slots * MinShareLeft);
+}
+
+room_forecast admission_queue::forecast(int Priority, uint32_t Slots,
+                                        time_point Now) const {
+  double SlotCount = std::max(1U, Slots);
+  duration Work = countAhead(Priority, queue_class::Late).ProcessingTime;
+  double Left = slotsLeft(Priority, queue_class::Late, SlotCount, Now);
+  return {std::chrono::duration_cast<duration>(Work / Left), Left};
 }
 
 duration admission_queue::delayByFloor(const queued_request &Request,
@@ -222,13 +228,18 @@
   demoteLate(Now);
   std::vector<dispatch_id> Displaced;
   requests_ahead Ahead;
-  int Priority = 0;
+  queue_key Previous{-1, queue_class::Late, 0};
+  double SlotCount = std::max(1U, Slots);
+  double Left = SlotCount;
   for (auto It = Waiting.begin(); It != Waiting.end();) {
     const auto &[Key, Request] = *It;
-    if (std::exchange(Priority, Key.Priority) != Key.Priority)
+    if (Key.Priority != Previous.Priority)
       Ahead.OfPriority = duration{0};
-    duration Delay = expectedDelay(Request, Key.Class, Ahead, Slots, Now);
-    if (!isTooLate(Request, Now + Delay)) {
+    if (It == Waiting.begin() || Key.Priority != Previous.Priority ||
+        Key.Class != Previous.Class)
+      Left = slotsLeft(Key.Priority, Key.Class, SlotCount, Now);
+    Previous = Key;
+    if (fitsBehind(Request, Key.Class, Ahead, SlotCount, Left, Now)) {
       Ahead.ProcessingTime += Request.ProcessingTime;
       Ahead.OfPriority += Request.ProcessingTime;
       ++It;
@@ -240,4 +251,16 @@
   return Displaced;
 }
 
+bool admission_queue::fitsBehind(const queued_request &Request,
+                                 queue_class Class, const requests_ahead &Ahead,
+                                 double Slots, double Left,
+                                 time_point Now) const {
+  duration Work = Ahead.ProcessingTime + Request.ProcessingTime;
+  auto InTurn = std::chrono::duration_cast<duration>(Work / Left);
+  if (!isTooLate(Request, Now + InTurn))
+    return true;
+  duration ByFloor = delayByFloor(Request, Class, Ahead.OfPriority, Slots, Now);
+  return ByFloor < InTurn && !isTooLate(Request, Now + ByFloor);
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/admission_queue.hpp
+++ b/src/dragonflyvane/core/admission/admission_queue.hpp
@@ -7,6 +7,7 @@
 
 #include "dragonflyvane/core/admission/priority_demand.hpp"
 #include "dragonflyvane/core/admission/priority_floor.hpp"
+#include "dragonflyvane/core/admission/return_schedule.hpp"
 #include "dragonflyvane/core/clock.hpp"
 
 #include <compare>
@@ -92,6 +93,9 @@
   /// Removes all requests for which no room is expected any more, since more
   /// urgent requests or requests in time have arrived, and returns them.
   std::vector<dispatch_id> takeDisplaced(uint32_t Slots, time_point Now);
+  /// Returns when there is room for a request of this priority that goes behind
+  /// all others of it.
+  room_forecast forecast(int Priority, uint32_t Slots, time_point Now) const;
   /// Returns the number of queued requests.
   size_t size() const { return Waiting.size(); }
   /// Returns the expected processing time of all queued requests together.
@@ -121,10 +125,15 @@
   duration expectedDelay(const queued_request &Request, queue_class Class,
                          const requests_ahead &Ahead, uint32_t Slots,
                          time_point Now) const;
-  /// The same, in its turn: counts the work that usually overtakes it.
-  duration delayInTurn(int Priority, queue_class Class, duration Work,
-                       double Slots, time_point Now) const;
-  /// The same, by the floor of its priority.
+  /// Returns whether a queued request is expected to start in time, in its turn
+  /// or by the floor of its priority. `Left` is the result of `slotsLeft`.
+  bool fitsBehind(const queued_request &Request, queue_class Class,
+                  const requests_ahead &Ahead, double Slots, double Left,
+                  time_point Now) const;
+  /// The slots that are left over by the work that usually overtakes a request.
+  double slotsLeft(int Priority, queue_class Class, double Slots,
+                   time_point Now) const;
+  /// The time until a request is served by the floor of its priority.
   duration delayByFloor(const queued_request &Request, queue_class Class,
                         duration WorkAhead, double Slots, time_point Now) const;
   /// The next request to run: the most urgent one, unless the floor of a less
--- a/src/dragonflyvane/core/admission/request_priority.hpp
+++ b/src/dragonflyvane/core/admission/request_priority.hpp
@@ -27,6 +27,13 @@
   return First * RoutePriorityLevels + Second;
 }
 
+/// Returns the priority of a nested call of a request with the given priority.
+/// It goes just ahead of callers' requests of that priority, since its parent
+/// holds a slot already.
+inline int priorityOfNestedCall(int ParentPriority) {
+  return std::max(InternalPriority, ParentPriority - 1);
+}
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_CORE_ADMISSION_REQUEST_PRIORITY_HPP
--- a/src/dragonflyvane/core/admission/request_priority_test.cpp
+++ b/src/dragonflyvane/core/admission/request_priority_test.cpp
@@ -24,6 +24,9 @@
   CHECK(priority(-1, 0) < priority(1, 3));
   CHECK(priority(-1, 2) > priority(1, 3));
   CHECK(InternalPriority < priority(0, 0));
+  CHECK(priorityOfNestedCall(priority(1, 1)) < priority(1, 1));
+  CHECK(priorityOfNestedCall(priority(1, 1)) > priority(0, 0));
+  CHECK(priorityOfNestedCall(InternalPriority) == InternalPriority);
 }
 
 // Load pattern: long requests that may wait for seconds share a service with
--- /dev/null
+++ b/src/dragonflyvane/core/admission/return_schedule.cpp
@@ -0,0 +1,34 @@
+#include "dragonflyvane/core/admission/return_schedule.hpp"
+
+#include <algorithm>
+
+namespace dragonflyvane {
+
+namespace {
+
+/// No caller is told to return later than this. Demand changes within seconds,
+/// so a longer forecast would be wrong.
+constexpr std::chrono::seconds MaxReturnDelay{5};
+/// A caller waits for at most its time left divided by this.
+constexpr int HonouredDivisor = 3;
+
+} // namespace
+
+duration return_schedule::reserve(const refused_request &Request,
+                                  const room_forecast &Forecast,
+                                  time_point Now) {
+  time_point ReturnAt = Now + Forecast.UntilRoom;
+  for (const auto &[Priority, Until] : ReservedUntil) {
+    if (Priority > Request.Priority)
+      break;
+    ReturnAt = std::max(ReturnAt, Until);
+  }
+  duration Delay = ReturnAt - Now;
+  if (Delay <= Request.TimeLeft / HonouredDivisor)
+    ReservedUntil[Request.Priority] =
+        ReturnAt +
+        std::chrono::duration_cast<duration>(Request.Work / Forecast.SlotsLeft);
+  return std::min<duration>(Delay, MaxReturnDelay);
+}
+
+} // namespace dragonflyvane
--- a/src/dragonflyvane/net/http_exchange.hpp
+++ b/src/dragonflyvane/net/http_exchange.hpp
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace dragonflyvane {
 
@@ -15,6 +16,9 @@
   virtual ~http_exchange() = default;
   /// The request, with its whole body.
   virtual const http_request &request() const = 0;
+  /// The address that the connection comes from, in numeric form; empty if it
+  /// is unknown.
+  virtual std::string remoteAddress() const { return ""; }
   /// Sends a whole response. Does nothing if the connection or stream has
   /// closed, or a response was sent already.
   virtual void respond(http_response Response) = 0;
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -57,6 +57,10 @@
 
   const http_request &request() const override { return Request; }
 
+  std::string remoteAddress() const override {
+    return Connection ? Connection->RemoteAddress : "";
+  }
+
   void respond(http_response Response) override {
     OnDisconnect = nullptr;
     if (auto Target = std::exchange(Connection, nullptr))
@@ -89,6 +93,9 @@
 void http_server_connection::start() {
   boost::system::error_code Ignored;
   Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
+  auto Remote = Socket.remote_endpoint(Ignored);
+  if (!Ignored)
+    RemoteAddress = Remote.address().to_string();
   LastProgress = Clock.now();
   readMore();
 }
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -107,6 +107,8 @@
   void linger();
 
   socket Socket;
+  /// The address of the caller in numeric form.
+  std::string RemoteAddress;
   std::shared_ptr<http_server_state> State;
   boot_clock Clock;
   phase Phase = phase::Idle;
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -122,6 +122,16 @@
   CHECK(contains(Connection.readAll(), "POST /d [abcdef]"));
 }
 
+// Guards against nested calls that cannot be told from callers' requests.
+TEST_CASE("an exchange tells the address that its connection comes from") {
+  echo_server Server({}, [](const exchange_pointer &Exchange) {
+    Exchange->respond({200, {}, "from " + Exchange->remoteAddress()});
+  });
+  CHECK(contains(Server.exchange("GET /a HTTP/1.1\r\nHost: x\r\n"
+                                 "Connection: close\r\n\r\n"),
+                 "\r\n\r\nfrom 127.0.0.1"));
+}
+
 TEST_CASE("a persistent connection serves one request after another") {
   echo_server Server;
   raw_connection Connection(Server.Port);
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -90,8 +90,8 @@
                 requestTokens(Workspace, Amount, std::move(Callback));
               }),
         Router({this->Settings, Loop, Clock, OperatorState, Ownership.view(),
-                Dispatcher, Peers, Rates, this->Platform.Names, Metrics, Pacer,
-                Shutdown}),
+                Dispatcher, Ownership.server(), Peers, Rates,
+                this->Platform.Names, Metrics, Pacer, Shutdown}),
         Admin({this->Settings, Clock, OperatorState, Ownership, Dispatcher,
                Guard, Metrics}),
         PeerServer(
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -20,6 +20,9 @@
 constexpr std::chrono::milliseconds MinTimeLeft{20};
 /// Lower bound of the `Retry-After` of refusals.
 constexpr std::chrono::milliseconds MinRetryAfter{40};
+/// The largest factor by which a return is delayed beyond the time at which
+/// room is expected.
+constexpr double MaxReturnJitter = 1.25;
 /// Approximate time until a key is served again after its owner became
 /// unreachable or started to hand the key over.
 constexpr std::chrono::milliseconds OwnerRetryAfter{500};
@@ -77,6 +80,7 @@
   if (!Route)
     return refuse(404, "no-route", run_state::NotRun);
   applyRoute(*Route);
+  IsNestedCall = isNestedCall();
   if (!isAdmittedByShutdown())
     return refuse(503, "stopping", run_state::NotRun,
                   Router.Deps.Shutdown.acceptTimeLeft() + RestartRetryAfter);
@@ -107,11 +111,21 @@
   Metadata.Point = toNumber<key_point>(Request.Headers.find(Names.KeyPoint));
 }
 
-bool request_router::active_request::isAdmittedByShutdown() const {
-  // Only servers send requests without a key.
+bool request_router::active_request::isNestedCall() const {
+  const dispatcher &Dispatcher = Router.Deps.Dispatcher;
   bool HasKey = Request.Headers.find(Router.Deps.Names.CallerKey).has_value();
-  bool IsNestedCall = Route->AllowsAnonymous && !HasKey &&
-                      Router.Deps.Dispatcher.activeCount() > 0;
+  call_origin Origin;
+  Origin.Route = Route->Name;
+  Origin.IsAnonymous = Route->AllowsAnonymous && !HasKey;
+  Origin.HasWorkspaces = !Config->Workspaces.empty();
+  Origin.Address = Exchange->remoteAddress();
+  Origin.ServerAddress = Router.Deps.LocalServer.address().Address;
+  Origin.IsServerActive = Dispatcher.activeCount() > 0;
+  Origin.IsServerRunning = Dispatcher.mostUrgentRunning().has_value();
+  return Router.NestedCalls.observe(Origin, Router.Deps.Clock.now());
+}
+
+bool request_router::active_request::isAdmittedByShutdown() const {
   return Router.Deps.Shutdown.admits(
       {Deadline, Router.Costs.processingTimeBound(Metadata.Route),
        Route->Idempotent, IsNestedCall});
@@ -126,6 +140,8 @@
   if (Config->Workspaces.empty() || (Route.AllowsAnonymous && !Key)) {
     if (Route.AllowsAnonymous)
       Metadata.Priority = InternalPriority;
+    else if (IsNestedCall)
+      inheritPriority();
     return true;
   }
   if (Router.Deps.OperatorState.confirmationAge(Router.Deps.Clock.now()) >
@@ -147,6 +163,15 @@
   return true;
 }
 
+void request_router::active_request::inheritPriority() {
+  // Which of the running requests makes the call is unknown. The most urgent
+  // one must not wait behind less urgent requests of the called service.
+  int Parent =
+      Router.Deps.Dispatcher.mostUrgentRunning().value_or(Metadata.Priority);
+  Metadata.Priority = priorityOfNestedCall(Parent);
+  Router.Deps.Metrics.count("nested_calls_total", {{"route", Route->Name}});
+}
+
 void request_router::active_request::onAdmitted(bool Admitted,
                                                 duration RetryAfter) {
   if (IsDone)
@@ -315,7 +340,7 @@
   if (Result.Outcome == forward_outcome::Answered)
     return respond(std::move(Result.Response));
   if (Result.Outcome == forward_outcome::NotRun)
-    return refuseUnserved(Result.Code, Result.RetryAfter);
+    return refuseUntilRoom(Result.Code, Result.RetryAfter);
   refuseUnserved(Result.Code, {});
 }
 
@@ -411,6 +436,17 @@
   refuse(503, Code, run_state::NotRun, withJitter(After));
 }
 
+void request_router::active_request::refuseUntilRoom(
+    const std::string &Code, std::chrono::milliseconds RetryAfter) {
+  if (MayHaveRun)
+    return refuseUnserved(Code, RetryAfter);
+  double Factor =
+      std::uniform_real_distribution<double>(1, MaxReturnJitter)(Router.Random);
+  duration After = std::max<duration>(RetryAfter, MinRetryAfter);
+  refuse(503, Code, run_state::NotRun,
+         std::chrono::duration_cast<duration>(After * Factor));
+}
+
 void request_router::active_request::refuse(int Status, const std::string &Code,
                                             run_state Ran,
                                             duration RetryAfter) {
@@ -423,6 +459,8 @@
   http_response Response = toResponse(Refusal);
   Response.Headers.add(Router.Deps.Names.RequestId, requestId());
   Router.Deps.Metrics.count("refusals_total", {{"code", Code}});
+  if (IsNestedCall && Status == 503)
+    Router.Deps.Dispatcher.onNestedCallRefused(Code);
   time_point Now = Router.Deps.Clock.now();
   writeRequestLog(
       "refused",
@@ -431,6 +469,8 @@
        {"code", Code},
        {"ran", toString(Ran)},
        {"route", Metadata.Route},
+       {"priority", Metadata.Priority},
+       {"retry_after_ms", inMilliseconds(RetryAfter)},
        {"workspace", Metadata.Workspace},
        {"peer", TargetHost},
        {"reached", ServerAttempts},
--- a/src/dragonflyvane/node/serving/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -31,8 +31,13 @@
   /// Sets the workspace and the priority. On failure, refuses the request and
   /// returns false. Accepts all callers if no workspaces are configured.
   bool authenticate(const route &Route);
+  /// Whether the backend server of this host makes the request while it runs
+  /// another.
+  bool isNestedCall() const;
   /// Whether the request may begin although the process may be shutting down.
   bool isAdmittedByShutdown() const;
+  /// Gives a nested call the priority of its parent.
+  void inheritPriority();
   /// Called with the decision of the rate limiter.
   void onAdmitted(bool Admitted, duration RetryAfter);
   /// Draws one of the services of the route by weight.
@@ -70,6 +75,11 @@
   /// is left for another attempt, and 502 otherwise.
   void refuseUnserved(const std::string &Code,
                       std::chrono::milliseconds RetryAfter);
+  /// Refuses with status 503 before a backend server has begun the request.
+  /// The caller is told to return at the given time or somewhat later, since
+  /// earlier there is no room.
+  void refuseUntilRoom(const std::string &Code,
+                       std::chrono::milliseconds RetryAfter);
   /// `Mean` times a random factor from 0.5 to 1.5, so that refused callers do
   /// not all return at the same time.
   duration withJitter(duration Mean);
@@ -83,6 +93,7 @@
   forward_metadata Metadata;
   std::shared_ptr<const configuration> Config;
   const route *Route = nullptr;
+  bool IsNestedCall = false;
   bool IsKeyed = false;
   time_point StartedAt;
   time_point Deadline;
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -58,7 +58,7 @@
   return "";
 }
 
-std::string dispatcher::arrivalRefusalCode(const entry &Entry) const {
+std::string dispatcher::arrivalRefusalCode(const entry &Entry) {
   const forward_metadata &Metadata = Entry.Metadata;
   std::string Code = refusalCode(Metadata);
   if (!Code.empty())
@@ -71,7 +71,10 @@
       Deps.Shutdown.admits({Entry.Deadline,
                             Costs.processingTimeBound(Metadata.Route),
                             Metadata.Idempotent, false});
-  return IsAdmitted ? "" : "stopping";
+  if (!IsAdmitted)
+    return "stopping";
+  bool HasRoomForCalls = Pressure.admits(Metadata.Route, Deps.Clock.now());
+  return HasRoomForCalls ? "" : "nested-calls-refused";
 }
 
 bool dispatcher::mustWaitForGrant(const forward_metadata &Metadata) const {
@@ -140,7 +143,7 @@
   }
   refuseDisplaced();
   dispatchWaiting();
-  return Id;
+  return Entries.contains(Id) ? Id : 0;
 }
 
 bool dispatcher::enqueue(const entry &Entry, const queued_request &Queued) {
@@ -311,8 +314,14 @@
   bool WasKeyRefused = Point && Result.Outcome == call_outcome::Completed &&
                        Result.Response.Status == MisdirectedRequest;
   observeCondition(Entry, Result);
+  observePressure(Entry, Result);
   logFailure(Entry, Result);
-  finish(Id, classifyResult(Entry, std::move(Result)));
+  forward_result Classified = classifyResult(Entry, std::move(Result));
+  bool IsShed = Classified.Outcome == forward_outcome::NotRun &&
+                Classified.Reached && !WasKeyRefused;
+  if (IsShed)
+    Classified.RetryAfter = retryAfter(Entry);
+  finish(Id, std::move(Classified));
   if (WasRefused && IsSameIncarnation)
     Deps.OnRefusedConnection();
   if (WasKeyRefused && IsSameIncarnation)
@@ -333,6 +342,20 @@
        {"took_ms", inMilliseconds(Deps.Clock.now() - Entry.SentAt)}});
 }
 
+void dispatcher::observePressure(const entry &Entry,
+                                 const call_result &Result) {
+  if (Result.Outcome != call_outcome::Completed)
+    return;
+  Pressure.onEnd(
+      {Entry.Metadata.Route, Entry.SentAt, Result.Response.Status >= 500},
+      Deps.Clock.now());
+}
+
+void dispatcher::onNestedCallRefused(const std::string &Code) {
+  Pressure.onNestedCallRefused(Code, Deps.Clock.now());
+  Deps.Metrics.count("nested_calls_refused_total", {{"code", Code}});
+}
+
 void dispatcher::observeCondition(const entry &Entry,
                                   const call_result &Result) {
   if (Result.Outcome != call_outcome::Completed ||
@@ -390,6 +413,15 @@
   return ServerResult;
 }
 
+std::optional<int> dispatcher::mostUrgentRunning() const {
+  std::optional<int> Priority;
+  for (const auto &[Id, Entry] : Entries)
+    if (Entry.IsRunning)
+      Priority = std::min(Priority.value_or(Entry.Metadata.Priority),
+                          Entry.Metadata.Priority);
+  return Priority;
+}
+
 void dispatcher::onShutdownBegin() {
   for (auto &[Id, Entry] : Entries) {
     if (Entry.IsRunning)
@@ -431,11 +463,16 @@
               Allowance.delayOf(Queue.size(), Deps.Clock.now()))};
 }
 
-std::chrono::milliseconds dispatcher::retryAfter() const {
-  duration QueueTime = Queue.queuedProcessingTime() / std::max(1U, slotCount());
-  duration TokenDelay = Allowance.delayOf(Queue.size(), Deps.Clock.now());
+std::chrono::milliseconds dispatcher::retryAfter(const entry &Entry) {
+  time_point Now = Deps.Clock.now();
+  const forward_metadata &Metadata = Entry.Metadata;
+  duration ReturnDelay = Returns.reserve(
+      {Metadata.Priority, Costs.processingTimeOf(Metadata.Route),
+       Entry.Deadline - Now},
+      Queue.forecast(Metadata.Priority, slotCount(), Now), Now);
+  duration TokenDelay = Allowance.delayOf(Queue.size(), Now);
   return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max<duration>({QueueTime, TokenDelay, MinRetryAfter}));
+      std::max<duration>({ReturnDelay, TokenDelay, MinRetryAfter}));
 }
 
 void dispatcher::finish(dispatch_id Id, forward_result Result) {
@@ -448,8 +485,12 @@
 }
 
 void dispatcher::refuse(dispatch_id Id, const std::string &Code) {
+  auto Found = Entries.find(Id);
+  // The callback of another refusal may have cancelled the request.
+  if (Found == Entries.end())
+    return;
   forward_result Result = notRun(Code);
-  Result.RetryAfter = retryAfter();
+  Result.RetryAfter = retryAfter(Found->second);
   finish(Id, std::move(Result));
 }
 
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -5,8 +5,10 @@
 
 #include "dragonflyvane/core/admission/admission_queue.hpp"
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
+#include "dragonflyvane/core/admission/call_pressure.hpp"
 #include "dragonflyvane/core/admission/dispatch_allowance.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
+#include "dragonflyvane/core/admission/return_schedule.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/admission/sent_requests.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -85,6 +87,10 @@
   void dispatchWaiting();
   /// Number of requests that run or wait.
   size_t activeCount() const { return Entries.size(); }
+  /// The priority of the most urgent request that runs; none if none runs.
+  std::optional<int> mostUrgentRunning() const;
+  /// To be called when a nested call of the backend server was refused.
+  void onNestedCallRefused(const std::string &Code);
   /// To be called when a graceful shutdown begins. Requests that wait must end
   /// before the process does.
   void onShutdownBegin();
@@ -115,7 +121,7 @@
   /// The code with which a request must be refused now; empty if it may run.
   std::string refusalCode(const forward_metadata &Metadata) const;
   /// The same for a request that arrives now.
-  std::string arrivalRefusalCode(const entry &Entry) const;
+  std::string arrivalRefusalCode(const entry &Entry);
   bool mustWaitForGrant(const forward_metadata &Metadata) const;
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
   /// Queues the request if the response is expected to be ready, and sent over
@@ -151,8 +157,11 @@
   bool isFromServer(const http_response &Response) const;
   void finish(dispatch_id Id, forward_result Result);
   void refuse(dispatch_id Id, const std::string &Code);
-  /// Estimated time until there is room for another request.
-  std::chrono::milliseconds retryAfter() const;
+  /// The time at which room is expected for the request if it returns, counted
+  /// from now. Reserves the room.
+  std::chrono::milliseconds retryAfter(const entry &Entry);
+  /// Learns from a response whether nested calls found room.
+  void observePressure(const entry &Entry, const call_result &Result);
   /// Checks for a crash of the server, and refuses requests that have waited
   /// too long.
   void tick();
@@ -168,6 +177,8 @@
   dispatch_allowance Allowance;
   sent_requests SentRequests;
   route_costs Costs;
+  return_schedule Returns;
+  call_pressure Pressure;
   point_sample Sample;
   /// Submitted requests, and time for which slots were in use, since
   /// `ReportedAt`.
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -36,6 +36,7 @@
         milliseconds(std::stoll(*Request.Headers.find(Names.TimeLeft)));
     call_result Result;
     Result.Outcome = call_outcome::Completed;
+    Result.Response.Status = ServerStatus;
     Result.Response.Headers = ServerHeaders;
     Result.Response.Headers.add(Names.Signature, "s");
     Result.Response.Headers.add(Names.RequestId,
@@ -84,6 +85,7 @@
 
   header_names Names;
   header_list ServerHeaders;
+  int ServerStatus = 200;
   std::vector<time_point> Arrivals;
   /// The time left that the last request told the server.
   milliseconds LastTimeLeft{0};
@@ -278,6 +280,38 @@
   CHECK(Fixture.LastTimeLeft == milliseconds(5350));
 }
 
+// Guards against slots that are taken by requests whose nested calls find no
+// room. Pattern: lasting overload of a called service.
+TEST_CASE("requests whose nested calls would be refused take no slots") {
+  dispatcher_fixture Fixture;
+  Fixture.ServerStatus = 500;
+  for (int I = 0; I < 400; ++I) {
+    Fixture.submit();
+    Fixture.Dispatcher.onNestedCallRefused("queue-full");
+    Fixture.Loop.runFor(milliseconds(5));
+  }
+  Fixture.Results.clear();
+  Fixture.submitFor(milliseconds(500));
+  size_t Refused = 0;
+  for (const forward_result &Result : Fixture.Results)
+    Refused += Result.Code == "nested-calls-refused";
+  CHECK(Refused >= 80);
+  CHECK(Refused <= 95);
+}
+
+// Guards against callers that return too early and are refused again. Pattern:
+// a burst at a server that is full for longer than the burst lasts.
+TEST_CASE("no refused caller is told to return while the server is full") {
+  dispatcher_fixture Fixture;
+  for (int I = 0; I < 400; ++I)
+    Fixture.submit(milliseconds(1000));
+  REQUIRE(Fixture.Results.size() > 50);
+  // 6 slots, and requests that are expected to take 50 ms.
+  size_t Waiting = Fixture.Dispatcher.activeCount() - 6;
+  for (const forward_result &Result : Fixture.Results)
+    CHECK(Result.RetryAfter >= milliseconds(50) * Waiting / 6);
+}
+
 // Guards against a planned stop that ends without telling what became of a
 // request.
 TEST_CASE("at the end of a shutdown each request gets a true result") {
--- a/src/dragonflyvane/node/serving/request_router.hpp
+++ b/src/dragonflyvane/node/serving/request_router.hpp
@@ -5,6 +5,7 @@
 
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/admission/graceful_shutdown.hpp"
+#include "dragonflyvane/core/admission/nested_calls.hpp"
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/admission/route_costs.hpp"
 #include "dragonflyvane/core/clock.hpp"
@@ -38,6 +39,7 @@
     const operator_state &OperatorState;
     const cluster_view &View;
     dispatcher &Dispatcher;
+    const local_server &LocalServer;
     peer_client &Peers;
     rate_limiter &RateLimiter;
     const header_names &Names;
@@ -70,6 +72,7 @@
 
   dependencies Deps;
   host_selector HostSelector;
+  nested_calls NestedCalls;
   known_conditions Conditions;
   /// Estimated from the times and sizes of the responses to callers.
   route_costs Costs;
