A request refused for its nested calls is told a time when that may change

Its Retry-After was derived from the queue of its own server, which is short when the called service is the bottleneck, so callers returned at once and were refused again.

--- a/src/dragonflyvane/core/admission/call_pressure.hpp
+++ b/src/dragonflyvane/core/admission/call_pressure.hpp
@@ -25,6 +25,10 @@
 /// Without refused nested calls every request is admitted.
 class call_pressure {
 public:
+  /// Time after which a refused caller is told to return. The pressure changes
+  /// within seconds.
+  static constexpr std::chrono::milliseconds ReturnDelay{2000};
+
   /// To be called when a nested call of the local backend server was refused
   /// with this code. Refusals for other reasons than a want of room are
   /// ignored.
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -19,6 +19,8 @@
 /// Connections that were idle for longer are not reused, since backend servers
 /// close idle connections after some seconds.
 constexpr std::chrono::milliseconds ServerMaxIdle{4000};
+/// The code of a request whose nested calls would find no room.
+constexpr const char *NestedCallsRefused = "nested-calls-refused";
 /// The status of a request for a key, or of an instance, that the server does
 /// not have.
 constexpr int MisdirectedRequest = 421;
@@ -74,7 +76,7 @@
   if (!IsAdmitted)
     return "stopping";
   bool HasRoomForCalls = Pressure.admits(Metadata.Route, Deps.Clock.now());
-  return HasRoomForCalls ? "" : "nested-calls-refused";
+  return HasRoomForCalls ? "" : NestedCallsRefused;
 }
 
 bool dispatcher::mustWaitForGrant(const forward_metadata &Metadata) const {
@@ -490,7 +492,9 @@
   if (Found == Entries.end())
     return;
   forward_result Result = notRun(Code);
-  Result.RetryAfter = retryAfter(Found->second);
+  // The queue of this server says nothing about the services that it calls.
+  Result.RetryAfter = Code == NestedCallsRefused ? call_pressure::ReturnDelay
+                                                 : retryAfter(Found->second);
   finish(Id, std::move(Result));
 }
 
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -293,8 +293,12 @@
   Fixture.Results.clear();
   Fixture.submitFor(milliseconds(500));
   size_t Refused = 0;
-  for (const forward_result &Result : Fixture.Results)
-    Refused += Result.Code == "nested-calls-refused";
+  for (const forward_result &Result : Fixture.Results) {
+    if (Result.Code != "nested-calls-refused")
+      continue;
+    ++Refused;
+    CHECK(Result.RetryAfter >= milliseconds(1000));
+  }
   CHECK(Refused >= 80);
   CHECK(Refused <= 95);
 }
