--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -20,6 +20,8 @@
 /// Connections that were idle for longer are not reused, since backend servers
 /// close idle connections after some seconds.
 constexpr std::chrono::milliseconds ServerMaxIdle{4000};
+/// The code of a request whose nested calls would find no room.
+constexpr const char *NestedCallsRefused = "nested-calls-refused";
 /// The status of a request for a key, or of an instance, that the server does
 /// not have.
 constexpr int MisdirectedRequest = 421;
@@ -63,7 +65,7 @@
   return "";
 }
 
-std::string dispatcher::arrivalRefusalCode(const entry &Entry) const {
+std::string dispatcher::arrivalRefusalCode(const entry &Entry) {
   const forward_metadata &Metadata = Entry.Metadata;
   std::string Code = refusalCode(Metadata);
   if (!Code.empty())
@@ -76,7 +78,11 @@
       Deps.Shutdown.admits({Entry.Deadline,
                             Costs.processingTimeBound(Metadata.Route),
                             Metadata.Idempotent, false});
-  return IsAdmitted ? "" : "stopping";
+  if (!IsAdmitted)
+    return "stopping";
+  bool HasRoomForCalls = !OverloadControl.isOn() ||
+                         Pressure.admits(Metadata.Route, Deps.Clock.now());
+  return HasRoomForCalls ? "" : NestedCallsRefused;
 }
 
 bool dispatcher::mustWaitForGrant(const forward_metadata &Metadata) const {
@@ -382,8 +388,15 @@
   bool WasKeyRefused = Point && Result.Outcome == call_outcome::Completed &&
                        Result.Response.Status == MisdirectedRequest;
   observeCondition(Entry, Result);
+  observePressure(Entry, Result);
   logFailure(Entry, Result);
-  finish(Id, classifyResult(Entry, std::move(Result)));
+  forward_result Classified = classifyResult(Entry, std::move(Result));
+  bool IsShed = OverloadControl.isOn() &&
+                Classified.Outcome == forward_outcome::NotRun &&
+                Classified.Reached && !WasKeyRefused;
+  if (IsShed)
+    Classified.RetryAfter = retryAfter(Entry);
+  finish(Id, std::move(Classified));
   if (WasRefused && IsSameIncarnation)
     Deps.OnRefusedConnection();
   if (WasKeyRefused && IsSameIncarnation)
@@ -414,6 +427,20 @@
        {"took_ms", inMilliseconds(Deps.Clock.now() - Entry.SentAt)}});
 }
 
+void dispatcher::observePressure(const entry &Entry,
+                                 const call_result &Result) {
+  if (Result.Outcome != call_outcome::Completed)
+    return;
+  Pressure.onEnd(
+      {Entry.Metadata.Route, Entry.SentAt, Result.Response.Status >= 500},
+      Deps.Clock.now());
+}
+
+void dispatcher::onNestedCallRefused(const std::string &Code) {
+  Pressure.onNestedCallRefused(Code, Deps.Clock.now());
+  Deps.Metrics.count("nested_calls_refused_total", {{"code", Code}});
+}
+
 void dispatcher::observeCondition(const entry &Entry,
                                   const call_result &Result) {
   if (Result.Outcome != call_outcome::Completed ||
@@ -481,6 +508,15 @@
   return ServerResult;
 }
 
+std::optional<int> dispatcher::mostUrgentRunning() const {
+  std::optional<int> Priority;
+  for (const auto &[Id, Entry] : Entries)
+    if (Entry.IsRunning)
+      Priority = std::min(Priority.value_or(Entry.Metadata.Priority),
+                          Entry.Metadata.Priority);
+  return Priority;
+}
+
 void dispatcher::onShutdownBegin() {
   for (auto &[Id, Entry] : Entries) {
     if (Entry.IsRunning)
@@ -524,11 +560,23 @@
           Capacity.speed()};
 }
 
-std::chrono::milliseconds dispatcher::retryAfter() const {
-  duration QueueTime = Queue.queuedProcessingTime() / std::max(1U, slotCount());
-  duration TokenDelay = Allowance.delayOf(Queue.size(), Deps.Clock.now());
+std::chrono::milliseconds dispatcher::retryAfter(const entry &Entry) {
+  time_point Now = Deps.Clock.now();
+  duration TokenDelay = Allowance.delayOf(Queue.size(), Now);
+  duration ReturnDelay =
+      Queue.queuedProcessingTime() / std::max(1U, slotCount());
+  if (OverloadControl.isOn())
+    ReturnDelay = reserveReturn(Entry, Now);
   return std::chrono::duration_cast<std::chrono::milliseconds>(
-      std::max<duration>({QueueTime, TokenDelay, MinRetryAfter}));
+      std::max<duration>({ReturnDelay, TokenDelay, MinRetryAfter}));
+}
+
+duration dispatcher::reserveReturn(const entry &Entry, time_point Now) {
+  const forward_metadata &Metadata = Entry.Metadata;
+  return Returns.reserve(
+      {Metadata.Priority, Costs.processingTimeOf(Metadata.Route),
+       Entry.Deadline - Now},
+      Queue.forecast(Metadata.Priority, slotCount(), Now), Now);
 }
 
 void dispatcher::finish(dispatch_id Id, forward_result Result) {
@@ -541,7 +589,14 @@
 }
 
 void dispatcher::refuse(dispatch_id Id, const std::string &Code) {
-  refuse(Id, Code, retryAfter());
+  auto Found = Entries.find(Id);
+  // The callback of another refusal may have cancelled the request.
+  if (Found == Entries.end())
+    return;
+  // The queue of this server says nothing about the services that it calls.
+  refuse(Id, Code,
+         Code == NestedCallsRefused ? call_pressure::ReturnDelay
+                                    : retryAfter(Found->second));
 }
 
 void dispatcher::refuse(dispatch_id Id, const std::string &Code,
--- a/src/dragonflyvane/node/serving/request_router.cpp
+++ b/src/dragonflyvane/node/serving/request_router.cpp
@@ -6,6 +6,7 @@
 
 request_router::request_router(dependencies Dependencies)
     : Deps(Dependencies),
+      OverloadControl(Deps.Settings.OverloadControl, Deps.OperatorState),
       HostSelector(Deps.View, Deps.OperatorState, Deps.Clock,
                    Deps.Settings.Host, Deps.Settings.FailureDomain),
       Random(std::random_device{}()) {}
