Rollout orders, states and versions of servers on the wire

Operators order rollouts in rows whose names come from the configuration, so these rows are read and watched with the others but are not conditions of renewals. Heartbeats' versions reach the row of the host; older rows decode to no version. The state of a rollout has a sequence number: after a return of the store an older copy does not replace it, and a rollback is not forgotten. While the state is settling, orders stay as they are.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -40,6 +40,8 @@
 #include "dragonflyvane/core/rate/token_bucket.hpp"
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
 #include "dragonflyvane/core/refusal.hpp"
+#include "dragonflyvane/core/rollout/rollout_bounds.hpp"
+#include "dragonflyvane/core/rollout/rollout_order.hpp"
 #include "dragonflyvane/core/store.hpp"
 
 #endif // DRAGONFLYVANE_CORE_HPP
--- a/src/dragonflyvane/core/backend_server.hpp
+++ b/src/dragonflyvane/core/backend_server.hpp
@@ -26,6 +26,8 @@
   /// `IP:PORT` at which the backend server accepts requests.
   std::string Address;
   std::string FailureDomain;
+  /// The release that the backend server runs; empty if it names none.
+  std::string Version;
   /// The number of requests that the backend server runs at the same time.
   uint32_t Slots = 1;
   server_state State = server_state::Ready;
--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -10,6 +10,7 @@
 
 const std::string HostPrefix = "host/";
 const std::string MapPrefix = "map/";
+const std::string RolloutPrefix = "rollout/";
 const std::string CoordinatorKey = "steward";
 
 bool startsWith(const std::string &Text, const std::string &Prefix) {
@@ -47,6 +48,14 @@
   return {row_kind::Cluster, MapPrefix + Service};
 }
 
+row_id rolloutRow(const std::string &Service) {
+  return {row_kind::Cluster, RolloutPrefix + Service};
+}
+
+row_id rolloutStatusRow(const std::string &Service) {
+  return {row_kind::Status, RolloutPrefix + Service};
+}
+
 row_id coordinatorRow() { return {row_kind::Cluster, CoordinatorKey}; }
 
 row_id leaseRow(const std::string &Holder) { return {row_kind::Lease, Holder}; }
@@ -73,6 +82,8 @@
     return applyRow(Hosts, Key.substr(HostPrefix.size()), Row, &decodeHost);
   if (startsWith(Key, MapPrefix))
     return applyMap(Key.substr(MapPrefix.size()), Row);
+  if (startsWith(Key, RolloutPrefix))
+    return applyRollout(Key.substr(RolloutPrefix.size()), Row);
   if (Key != CoordinatorKey || Row.Version <= CoordinatorHost.Version)
     return false;
   CoordinatorHost = {Row.Value.value_or(""), Row.Value ? Row.Version : 0};
@@ -95,6 +106,21 @@
   return true;
 }
 
+bool cluster_view::applyRollout(const std::string &Service,
+                                const stored_row &Row) {
+  auto Known = Rollouts.find(Service);
+  if (!Row.Value ||
+      (Known != Rollouts.end() && Row.Version <= Known->second.Version))
+    return false;
+  rollout_state State = decodeRollout(*Row.Value);
+  known_rollout &Entry = Rollouts[Service];
+  Entry.Version = Row.Version;
+  Entry.StoredSequence = State.Sequence;
+  if (!Entry.isStoreBehind())
+    Entry.Content = std::move(State);
+  return true;
+}
+
 bool cluster_view::removeMissingRow(const row_condition &Condition) {
   const std::string &Key = Condition.Id.Key;
   if (Condition.Version == 0)
@@ -109,6 +135,14 @@
     Map.StoredLineage = 0;
     return true;
   }
+  for (auto &[Service, Rollout] : Rollouts) {
+    if (rolloutRow(Service) != Condition.Id ||
+        Rollout.Version != Condition.Version)
+      continue;
+    Rollout.Version = 0;
+    Rollout.StoredSequence = 0;
+    return true;
+  }
   if (Key == CoordinatorKey && CoordinatorHost.Version == Condition.Version) {
     CoordinatorHost = {};
     return true;
@@ -133,6 +167,12 @@
     Map.Version = 0;
     Map.StoredLineage = 0;
   }
+  for (auto &[Service, Rollout] : Rollouts) {
+    if (Exists(rolloutRow(Service)))
+      continue;
+    Rollout.Version = 0;
+    Rollout.StoredSequence = 0;
+  }
   if (!Exists(coordinatorRow()))
     CoordinatorHost = {};
 }
@@ -142,6 +182,11 @@
   return Found == Maps.end() ? nullptr : &Found->second;
 }
 
+const known_rollout *cluster_view::rollout(const std::string &Service) const {
+  auto Found = Rollouts.find(Service);
+  return Found == Rollouts.end() ? nullptr : &Found->second;
+}
+
 row_version cluster_view::hostVersion(const std::string &Name) const {
   auto Readable = Hosts.find(Name);
   auto Latest = Unreadable.find(hostRow(Name));
--- a/src/dragonflyvane/core/cluster/cluster_view_test.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view_test.cpp
@@ -98,3 +98,33 @@
   CHECK(View.hostVersion("b") == 0);
   CHECK(View.unreadableRows() == 0);
 }
+
+// Guards against a rollback that is forgotten because the store has come back
+// from an older copy.
+TEST_CASE("the state of a rollout is not replaced by an earlier one") {
+  cluster_view View;
+  rollout_state Later;
+  Later.To = "v2";
+  Later.Sequence = 4;
+  Later.Outcome = rollout_outcome::RolledBack;
+  rollout_state Earlier;
+  Earlier.To = "v2";
+  Earlier.Sequence = 2;
+  CHECK(View.apply({rolloutRow("desk"), 9, encodeRollout(Later)}));
+  CHECK(View.apply(
+      {rolloutRow("desk"), versionIn(1, 5), encodeRollout(Earlier)}));
+  CHECK(View.rollout("desk")->Content == Later);
+  CHECK(View.rollout("desk")->Version == versionIn(1, 5));
+  CHECK(View.rollout("desk")->isStoreBehind());
+  View.removeMissing({});
+  CHECK(View.rollout("desk")->Content == Later);
+  CHECK(View.rollout("desk")->Version == 0);
+}
+
+// Guards against a daemon that cannot read the rows of hosts before an upgrade.
+TEST_CASE("a host row without a version is decoded") {
+  host_info Host = anyHost();
+  CHECK(decodeHost(encodeHost(Host)) == Host);
+  Host.Version = "v2";
+  CHECK(decodeHost(encodeHost(Host)) == Host);
+}
--- a/src/dragonflyvane/core/cluster/host_info.cpp
+++ b/src/dragonflyvane/core/cluster/host_info.cpp
@@ -19,15 +19,17 @@
 }
 
 std::string encodeHost(const host_info &Host) {
-  return nlohmann::json{{"peer", toString(Host.PeerEndpoint)},
+  nlohmann::json Row = {{"peer", toString(Host.PeerEndpoint)},
                         {"domain", Host.FailureDomain},
                         {"service", Host.Service},
                         {"standing", static_cast<int>(Host.Availability)},
                         {"instance", Host.Incarnation.Instance},
                         {"born", Host.Incarnation.StartedAtMs},
                         {"slots", Host.Slots},
-                        {"processor", Host.CpuShare}}
-      .dump();
+                        {"processor", Host.CpuShare}};
+  if (!Host.Version.empty())
+    Row["version"] = Host.Version;
+  return Row.dump();
 }
 
 host_info decodeHost(const std::string &Text) {
@@ -44,6 +46,8 @@
                         requireInteger<int64_t>(Json, "born", 0)};
     Host.Slots = requireInteger<uint32_t>(Json, "slots");
     Host.CpuShare = requireNumber(Json, "processor");
+    if (Json.contains("version"))
+      Host.Version = requireText(Json, "version");
     return Host;
   } catch (const std::exception &Error) {
     throw step_error("host row", "", Error.what());
--- a/src/dragonflyvane/core/cluster/host_info.hpp
+++ b/src/dragonflyvane/core/cluster/host_info.hpp
@@ -38,6 +38,8 @@
   uint32_t Slots = 0;
   /// The share of processor time that the daemon may use; 1 is a whole core.
   double CpuShare = 0;
+  /// The version of the backend server; empty if it names none.
+  std::string Version;
 
   bool operator==(const host_info &) const = default;
 };
--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -18,7 +18,8 @@
     if (Row.Id == ConfigRow)
       StoredConfigVersion = 0;
     DomainOfRow.erase(Row.Id);
-    return updateEvacuated();
+    RolloutOfRow.erase(Row.Id);
+    return updateOrders();
   }
   std::optional<operator_row> OperatorRow = Decode(Row);
   if (!OperatorRow)
@@ -28,10 +29,14 @@
     ConfigRow = Row.Id;
     Changed = applyConfiguration(OperatorRow->Configuration);
   }
-  if (OperatorRow->EvacuatedFailureDomain.empty())
-    return Changed;
-  DomainOfRow[Row.Id] = OperatorRow->EvacuatedFailureDomain;
-  return updateEvacuated() || Changed;
+  if (!OperatorRow->EvacuatedFailureDomain.empty())
+    DomainOfRow[Row.Id] = OperatorRow->EvacuatedFailureDomain;
+  if (OperatorRow->Rollout) {
+    rollout_order &Order = RolloutOfRow[Row.Id];
+    Order = *OperatorRow->Rollout;
+    Order.RowVersion = Row.Version;
+  }
+  return updateOrders() || Changed;
 }
 
 bool operator_state::applyConfiguration(
@@ -43,23 +48,34 @@
   return true;
 }
 
-bool operator_state::updateEvacuated() {
+bool operator_state::updateOrders() {
   if (IsSettling)
     return false;
+  std::map<std::string, rollout_order> Ordered;
+  for (const auto &[Row, Order] : RolloutOfRow)
+    Ordered[Order.Service] = Order;
+  bool Changed = std::exchange(Rollouts, Ordered) != Ordered;
   std::set<std::string> Wanted;
   for (const auto &[Row, Domain] : DomainOfRow)
     Wanted.insert(Domain);
-  return std::exchange(Evacuated, Wanted) != Wanted;
+  return std::exchange(Evacuated, Wanted) != Wanted || Changed;
 }
 
 bool operator_state::setSettling(bool Value) {
   IsSettling = Value;
-  return updateEvacuated();
+  return updateOrders();
+}
+
+std::set<row_id> operator_state::knownRows() const {
+  std::set<row_id> Known(Rows.begin(), Rows.end());
+  for (const auto &[Row, Order] : RolloutOfRow)
+    Known.insert(Row);
+  return Known;
 }
 
 bool operator_state::applyAll(const row_batch &Batch) {
   bool Changed = false;
-  for (const row_id &Id : Rows) {
+  for (const row_id &Id : knownRows()) {
     bool Exists =
         std::any_of(Batch.Rows.begin(), Batch.Rows.end(),
                     [&](const stored_row &Row) { return Row.Id == Id; });
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -1,10 +1,12 @@
-/// The operator state of a daemon: the configuration and evacuations in force,
+/// The operator state of a daemon: the configuration, evacuations and rollout
+/// orders in force,
 /// and the time at which the store last confirmed that they are current.
 #ifndef DRAGONFLYVANE_CORE_CONFIGURATION_OPERATOR_STATE_HPP
 #define DRAGONFLYVANE_CORE_CONFIGURATION_OPERATOR_STATE_HPP
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/configuration/configuration.hpp"
+#include "dragonflyvane/core/rollout/rollout_order.hpp"
 #include "dragonflyvane/core/store.hpp"
 
 #include <functional>
@@ -17,13 +19,16 @@
 
 namespace dragonflyvane {
 
-/// A decoded operator row; it holds a configuration or an evacuation.
+/// A decoded operator row; it holds a configuration, an evacuation or the order
+/// of a rollout.
 struct operator_row {
   /// The complete configuration, or null.
   std::shared_ptr<const configuration> Configuration;
   /// The failure domain that must get no requests and no ranges while the row
   /// exists, or empty.
   std::string EvacuatedFailureDomain;
+  /// The order of a rollout, if the row holds one.
+  std::optional<rollout_order> Rollout = std::nullopt;
 };
 
 /// Decodes an operator row. Returns nothing for an unknown or invalid row, and
@@ -37,7 +42,9 @@
 /// shows after it has come back from an older copy.
 class operator_state {
 public:
-  /// `Rows` are the operator rows whose versions the store has to confirm.
+  /// `Rows` are the operator rows whose versions the store has to confirm. Rows
+  /// of rollout orders are not among them, since their names come from the
+  /// configuration; they are read and watched with the others.
   operator_state(std::vector<row_id> Rows, operator_row_decoder Decode)
       : Rows(std::move(Rows)), Decode(std::move(Decode)) {}
 
@@ -53,7 +60,8 @@
   /// a later one that operators have written may be missing as well.
   void confirm(time_point SentAt);
   /// Sets whether operators may not have written their rows again since the
-  /// store came back from an older copy. Evacuations then stay as they are.
+  /// store came back from an older copy. Evacuations and rollout orders then
+  /// stay as they are.
   /// Returns whether the state changed.
   bool setSettling(bool Value);
 
@@ -67,6 +75,10 @@
   bool isEvacuated(const std::string &Domain) const {
     return Evacuated.contains(Domain);
   }
+  /// Returns the rollout orders in force by service.
+  const std::map<std::string, rollout_order> &rollouts() const {
+    return Rollouts;
+  }
   /// Returns the confirmation age: the time since the sending of the latest
   /// request whose response confirmed that the state is current.
   duration confirmationAge(time_point Now) const { return Now - ConfirmedAt; }
@@ -74,15 +86,19 @@
 private:
   std::vector<row_id> Rows;
   operator_row_decoder Decode;
-  /// Brings the evacuations in force in line with the rows, unless settling.
-  /// Returns whether they changed.
-  bool updateEvacuated();
+  /// Brings the evacuations and rollout orders in force in line with the rows,
+  /// unless settling. Returns whether they changed.
+  bool updateOrders();
+  /// Returns the ids of all rows that may exist in the store.
+  std::set<row_id> knownRows() const;
   /// Returns whether the configuration in force changed.
   bool applyConfiguration(const std::shared_ptr<const configuration> &Latest);
 
   std::map<row_id, row_version> Versions;
   /// The failure domain of each row that evacuates one.
   std::map<row_id, std::string> DomainOfRow;
+  /// The rollout order of each row that holds one.
+  std::map<row_id, rollout_order> RolloutOfRow;
   bool IsSettling = false;
   std::shared_ptr<const configuration> Config;
   /// The row that holds the configuration, once known.
@@ -90,6 +106,7 @@
   /// The version of the configuration that the store has; 0 if it has none.
   uint64_t StoredConfigVersion = 0;
   std::set<std::string> Evacuated;
+  std::map<std::string, rollout_order> Rollouts;
   time_point ConfirmedAt{};
 };
 
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -47,6 +47,26 @@
   CHECK(!State.isEvacuated("east"));
 }
 
+// Guards against an order that is lost because its row is not among those whose
+// versions are confirmed, and against one that stays after its withdrawal.
+TEST_CASE("rollout orders are put in force and withdrawn with their rows") {
+  const row_id Row{row_kind::Operator, "rollout/desk"};
+  operator_state State({Config}, [](const stored_row &) {
+    operator_row OperatorRow;
+    OperatorRow.Rollout = {"desk", "v2", std::chrono::seconds(12)};
+    return std::optional(OperatorRow);
+  });
+  CHECK(State.apply({Row, 7, "{}"}));
+  REQUIRE(State.rollouts().contains("desk"));
+  CHECK(State.rollouts().at("desk").RowVersion == 7);
+  CHECK(State.conditions().size() == 1);
+  State.setSettling(true);
+  CHECK(!State.applyAll({9, {}, {}}));
+  CHECK(State.rollouts().contains("desk"));
+  CHECK(State.setSettling(false));
+  CHECK(State.rollouts().empty());
+}
+
 TEST_CASE("the confirmation age counts from the sending of the request") {
   operator_state State({Config, East}, &decode);
   manual_clock Clock;
--- a/src/dragonflyvane/core/store.hpp
+++ b/src/dragonflyvane/core/store.hpp
@@ -41,12 +41,15 @@
 
 /// The kind of a row. Rows of the same kind are read and watched together.
 enum class row_kind {
-  /// Written by operators: the configuration and evacuations.
+  /// Written by operators: the configuration, evacuations and rollouts.
   Operator,
   /// Written by daemons: hosts, ownership maps and the coordinator.
   Cluster,
   /// Written by daemons: leases. No daemon watches them.
   Lease,
+  /// Written by daemons for operators: the progress of rollouts. No daemon
+  /// reads them.
+  Status,
 };
 
 /// The identity of a row.
--- a/src/dragonflyvane/net/store_call_codec.cpp
+++ b/src/dragonflyvane/net/store_call_codec.cpp
@@ -24,7 +24,7 @@
 }
 
 row_kind toRowKind(const json &Value) {
-  return toEnumerator(Value, "kind", row_kind::Lease);
+  return toEnumerator(Value, "kind", row_kind::Status);
 }
 
 std::chrono::milliseconds requireMilliseconds(const json &Body,
--- a/src/dragonflyvane/node/daemon.hpp
+++ b/src/dragonflyvane/node/daemon.hpp
@@ -31,6 +31,8 @@
   header_names Names;
   /// Calls the local backend server to grant and release keys.
   key_call_sender SendKeyCall;
+  /// Encodes the row in which operators read how a rollout stands.
+  rollout_status_encoder EncodeRolloutStatus;
 };
 
 /// One daemon with all its components. Not thread-safe; used on the event
--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -122,6 +122,7 @@
   Service = Heartbeat.Service;
   Address = parseEndpoint(Heartbeat.Address);
   Slots = Heartbeat.Slots;
+  Version = Heartbeat.Version;
   ColdUntil = Now + Heartbeat.ColdRemaining;
   if (Availability == server_availability::Down)
     Availability = server_availability::Ready;
@@ -307,6 +308,7 @@
   Info.Availability = Availability;
   Info.Incarnation = incarnation();
   Info.Slots = Slots;
+  Info.Version = Version;
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -91,6 +91,8 @@
   const endpoint &address() const { return Address; }
   /// Number of requests that the server runs at the same time.
   uint32_t slots() const { return Slots; }
+  /// The version that the latest heartbeat names; empty if none.
+  const std::string &version() const { return Version; }
   /// Whether the server is still warming up and takes a limited rate.
   bool isCold(time_point Now) const { return Now < ColdUntil; }
   /// Whether new requests may be sent to the server: it is ready or started to
@@ -116,8 +118,8 @@
   /// result of that write, the range is not granted again under its current
   /// token.
   void relinquish(const owned_range &Range) { Policy.relinquish(Range); }
-  /// Writes service, availability, incarnation and slots of the server into the
-  /// row of the host.
+  /// Writes service, availability, incarnation, slots and version of the server
+  /// into the row of the host.
   void writeTo(host_info &Info) const;
 
 private:
@@ -143,6 +145,7 @@
   incarnation_tracker Incarnations;
   server_availability Availability = server_availability::None;
   std::string Service;
+  std::string Version;
   endpoint Address;
   uint32_t Slots = 0;
   server_condition Condition;
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -4,6 +4,7 @@
 
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
+#include "dragonflyvane/core/rollout/rollout_bounds.hpp"
 
 #include <chrono>
 #include <optional>
@@ -57,6 +58,8 @@
   std::chrono::milliseconds DrainTimeout{2000};
   /// Limits for retries, applied to each service separately.
   retry_budget_options RetryBudgetOptions;
+  /// The bounds of rollouts; none if rollouts are not in force.
+  std::optional<rollout_bounds> Rollout;
 };
 
 } // namespace dragonflyvane
