Decisions about rollouts: filter of versions, evidence, verdict and policy

The share of the new version follows from 0.6 of the exposure bound and goes to as few servers as it keeps nearly full, because a version may be bad only then. Failures are compared by route with those of the old version at the same time, times by the means of their logarithms, which the slow spells of a fifth of the time move little. All traffic moves late, so that a version that becomes bad after a while is seen while its share is small.

Rejected: a step at 30 %, which costs exposure and shows nothing that nearly full servers do not show; an even share over all new servers.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -40,8 +40,16 @@
 #include "dragonflyvane/core/rate/token_bucket.hpp"
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
 #include "dragonflyvane/core/refusal.hpp"
+#include "dragonflyvane/core/rollout/departure_gate.hpp"
+#include "dragonflyvane/core/rollout/key_placement.hpp"
 #include "dragonflyvane/core/rollout/rollout_bounds.hpp"
+#include "dragonflyvane/core/rollout/rollout_evidence.hpp"
 #include "dragonflyvane/core/rollout/rollout_order.hpp"
+#include "dragonflyvane/core/rollout/rollout_policy.hpp"
+#include "dragonflyvane/core/rollout/rollout_succession.hpp"
+#include "dragonflyvane/core/rollout/rollout_verdict.hpp"
+#include "dragonflyvane/core/rollout/version_filter.hpp"
+#include "dragonflyvane/core/rollout/version_outcomes.hpp"
 #include "dragonflyvane/core/store.hpp"
 
 #endif // DRAGONFLYVANE_CORE_HPP
--- a/src/dragonflyvane/core/ownership/load_rebalancer.hpp
+++ b/src/dragonflyvane/core/ownership/load_rebalancer.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_CORE_OWNERSHIP_LOAD_REBALANCER_HPP
 
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
+#include "dragonflyvane/core/rollout/version_outcomes.hpp"
 
 #include <map>
 #include <optional>
@@ -39,6 +40,14 @@
   /// How much faster the server works than the service usually does; 1 if not
   /// learned.
   double Speed = 1;
+  /// The responses of the server by version and route; empty unless a rollout
+  /// concerns its service.
+  std::vector<version_outcomes> Outcomes = {};
+  /// Requests that the dispatcher holds or has sent to the server.
+  uint32_t InFlight = 0;
+  /// The sequence number of the rollout state of the service that the host
+  /// routes by; 0 if there is none.
+  uint64_t RolloutSequence = 0;
 };
 
 /// Plans moves from one snapshot of the load of all candidates.
--- /dev/null
+++ b/src/dragonflyvane/core/rollout/departure_gate.hpp
@@ -0,0 +1,45 @@
+/// Decides when a server whose version must get no more requests refuses those
+/// that still arrive.
+#ifndef DRAGONFLYVANE_CORE_ROLLOUT_DEPARTURE_GATE_HPP
+#define DRAGONFLYVANE_CORE_ROLLOUT_DEPARTURE_GATE_HPP
+
+#include "dragonflyvane/core/clock.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace dragonflyvane {
+
+/// The gate in front of one server. It stays open for a moment after the host
+/// has learned that the server must leave, until all routers have learned it.
+class departure_gate {
+public:
+  /// Within this time, routers that watch the store know of a change.
+  static constexpr std::chrono::milliseconds GracePeriod{800};
+
+  /// Applies a state of the rollout that the host has seen.
+  void update(bool MustLeave, uint64_t Sequence, time_point Now) {
+    if (!MustLeave)
+      Since.reset();
+    else if (!Since)
+      Since = Now;
+    LatestSequence = Sequence;
+  }
+  /// Whether requests without keys that arrive now are refused.
+  bool refuses(time_point Now) const {
+    return Since && Now - *Since >= GracePeriod;
+  }
+  /// Returns the sequence number of the state that the server is subject to; 0
+  /// while the gate is still open although the server must leave.
+  uint64_t sequence(time_point Now) const {
+    return Since && !refuses(Now) ? 0 : LatestSequence;
+  }
+
+private:
+  std::optional<time_point> Since;
+  uint64_t LatestSequence = 0;
+};
+
+} // namespace dragonflyvane
+
+#endif // DRAGONFLYVANE_CORE_ROLLOUT_DEPARTURE_GATE_HPP
--- /dev/null
+++ b/src/dragonflyvane/core/rollout/rollout_evidence.cpp
@@ -0,0 +1,50 @@
+#include "dragonflyvane/core/rollout/rollout_evidence.hpp"
+
+#include <algorithm>
+
+namespace dragonflyvane {
+
+namespace {
+
+/// A server with fewer responses says little about the speed of its version.
+constexpr uint64_t MinResponsesOfServer = 10;
+/// Reports of a rollout that is kept from ending are not collected for ever.
+constexpr size_t MaxEntries = 100'000;
+
+} // namespace
+
+version_pair rollout_sample::total() const {
+  version_pair Total;
+  for (const auto &[Route, Pair] : Routes) {
+    Total.New += Pair.New;
+    Total.Old += Pair.Old;
+  }
+  return Total;
+}
+
+void rollout_evidence::add(time_point Now, const std::string &Host, bool IsNew,
+                           const std::vector<version_outcomes> &Outcomes) {
+  if (Entries.size() > MaxEntries)
+    Entries.erase(Entries.begin(), Entries.begin() + MaxEntries / 2);
+  for (const version_outcomes &Outcome : Outcomes)
+    Entries.push_back({Now, Host, IsNew, Outcome.Route, Outcome.Counts});
+}
+
+rollout_sample rollout_evidence::since(time_point Since) const {
+  rollout_sample Sample;
+  std::map<std::string, uint64_t> ResponsesOfServer;
+  for (const entry &Entry : Entries) {
+    if (Entry.At < Since)
+      continue;
+    version_pair &Pair = Sample.Routes[Entry.Route];
+    (Entry.IsNew ? Pair.New : Pair.Old) += Entry.Counts;
+    if (Entry.IsNew)
+      ResponsesOfServer[Entry.Host] += Entry.Counts.Responses;
+  }
+  Sample.NewServers = std::count_if(
+      ResponsesOfServer.begin(), ResponsesOfServer.end(),
+      [](const auto &R) { return R.second >= MinResponsesOfServer; });
+  return Sample;
+}
+
+} // namespace dragonflyvane
--- /dev/null
+++ b/src/dragonflyvane/core/rollout/rollout_policy.cpp
@@ -0,0 +1,260 @@
+#include "dragonflyvane/core/rollout/rollout_policy.hpp"
+
+#include "dragonflyvane/core/rollout/rollout_verdict.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+namespace dragonflyvane {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+/// The part of the exposure bound that is used up at most. The rest covers
+/// requests that are sent before hosts know of a rollback, and a rate that
+/// falls before the deadline.
+constexpr double BudgetUse = 0.6;
+/// All traffic moves this long before the deadline. The keys of a keyed service
+/// change owners one after another.
+constexpr milliseconds MoveTime{4500};
+constexpr milliseconds KeyedMoveTime{6000};
+/// A short order leaves at least this part of its time for the small steps.
+constexpr double MinCanaryFraction = 0.4;
+/// Minimum durations of the steps.
+constexpr milliseconds ProbeTime{1200};
+constexpr milliseconds CanaryTime{1000};
+constexpr milliseconds LoadTime{2000};
+/// The longest probe without the responses that it waits for.
+constexpr milliseconds MaxProbeTime{2500};
+/// The last observation, after all traffic has moved.
+constexpr milliseconds LastObservation{1500};
+/// This long before the deadline a suspicious version is rolled back.
+constexpr milliseconds SuspicionEnd{2000};
+/// Requests of a step must be able to reach the bound in this time at least.
+constexpr milliseconds MinPaceTime{1000};
+/// The largest share before the evidence is complete.
+constexpr double MaxSmallShare = 0.15;
+constexpr double ProbeShare = 0.02;
+/// Requests per second of a probe where that share is less.
+constexpr double MinProbeRate = 8;
+/// The utilization that the share of a chosen server aims at.
+constexpr double TargetUse = 0.85;
+constexpr uint64_t ProbeResponses = 20;
+/// Responses that the large move requires, unless the bound allows fewer.
+constexpr uint64_t MinResponses = 120;
+constexpr double MinBudgetResponses = 0.4;
+/// A route with at least this part of the old version's responses must have
+/// been tried at the new version.
+constexpr double CommonRoute = 0.05;
+constexpr uint64_t MinRouteResponses = 5;
+/// Responses of the new version that the last observation requires.
+constexpr uint64_t LastResponses = 20;
+/// All traffic moves only to servers that have this part of the old slots.
+constexpr double MinSlots = 0.7;
+
+class decision {
+public:
+  decision(const rollout_state &State, const rollout_bounds &Bounds,
+           const rollout_situation &Now)
+      : State(State), Bounds(Bounds), Now(Now) {}
+
+  std::optional<rollout_state> next() const {
+    for (const rollout_sample *Sample : {&Now.All, &Now.Recent}) {
+      rollout_verdict Verdict = judge(*Sample, Now.All);
+      if (Verdict.IsBad)
+        return changed(rolledBack(State, Verdict.Reason));
+    }
+    if (isSuspicious() && elapsed() > State.Duration - SuspicionEnd &&
+        State.Step >= rollout_step::Load)
+      return changed(rolledBack(State, "suspicious until the deadline"));
+    if (State.Step == rollout_step::All)
+      return completed();
+    if (Now.NewHosts.empty())
+      return State.Share > 0 ? stepTo(rollout_step::Waiting, 0) : std::nullopt;
+    if (State.Share > 0 && hasLostCanaries())
+      return stepTo(State.Step, State.Share);
+    if (State.Share > 0 && double(Now.Exposed) >= budget())
+      return hold();
+    return smallStep();
+  }
+
+private:
+  milliseconds elapsed() const { return Now.Now - State.OrderedAt; }
+  milliseconds sinceStep() const { return Now.Now - State.StepAt; }
+
+  /// When all traffic may move, counted from the order.
+  milliseconds moveAt() const {
+    auto Earliest = std::chrono::duration_cast<milliseconds>(State.Duration *
+                                                             MinCanaryFraction);
+    return std::max(Earliest,
+                    State.Duration - (Now.IsKeyed ? KeyedMoveTime : MoveTime));
+  }
+
+  /// Requests that may reach the new version before the large move.
+  double budget() const {
+    double Left =
+        std::chrono::duration<double>(State.Duration - elapsed()).count();
+    double Expected = double(Now.Total) + Now.Rate * std::max(0.0, Left);
+    return BudgetUse * (Bounds.ExposureShare * Expected + Bounds.ExposureSlack);
+  }
+
+  bool isSuspicious() const { return judge(Now.All, Now.All).IsSuspicious; }
+
+  bool hasLostCanaries() const {
+    return std::none_of(
+        Now.NewHosts.begin(), Now.NewHosts.end(),
+        [&](const std::string &Host) { return State.Canaries.contains(Host); });
+  }
+
+  std::optional<rollout_state> smallStep() const {
+    switch (State.Step) {
+    case rollout_step::Waiting:
+      return stepTo(rollout_step::Probe, probeShare());
+    case rollout_step::Probe: {
+      bool HasProbed = Now.All.total().New.Responses >= ProbeResponses ||
+                       sinceStep() >= MaxProbeTime;
+      if (sinceStep() < ProbeTime || !HasProbed)
+        return std::nullopt;
+      return stepTo(rollout_step::Canary, pacedShare());
+    }
+    case rollout_step::Canary:
+      if (sinceStep() < CanaryTime || elapsed() < moveAt() - LoadTime)
+        return std::nullopt;
+      return stepTo(rollout_step::Load, loadShare());
+    case rollout_step::Load:
+      if (sinceStep() < LoadTime || elapsed() < moveAt() || !mayMoveAll())
+        return std::nullopt;
+      return stepTo(rollout_step::All, 1);
+    case rollout_step::All:
+      break;
+    }
+    return std::nullopt;
+  }
+
+  /// The requests per second that use up the rest of the budget until the large
+  /// move.
+  double pacedRate(milliseconds Until) const {
+    double Seconds =
+        std::chrono::duration<double>(std::max(Until, MinPaceTime)).count();
+    return std::max(0.0, budget() - double(Now.Exposed)) / Seconds;
+  }
+
+  double shareOf(double Rate) const {
+    return Now.Rate <= 0 ? ProbeShare
+                         : std::clamp(Rate / Now.Rate, 0.0, MaxSmallShare);
+  }
+
+  double pacedShare() const { return shareOf(pacedRate(moveAt() - elapsed())); }
+
+  double probeShare() const {
+    double Rate = std::max(ProbeShare * Now.Rate, MinProbeRate);
+    return std::min(shareOf(Rate), pacedShare());
+  }
+
+  /// Keeps one server nearly full, as far as the budget allows.
+  double loadShare() const {
+    double Rate =
+        std::max(pacedRate(moveAt() - elapsed()), Now.ServerRate * TargetUse);
+    return shareOf(std::min(Rate, pacedRate(LoadTime + MinPaceTime)));
+  }
+
+  /// The evidence before the large move: enough responses, on all common
+  /// routes, and nothing that looks bad.
+  bool mayMoveAll() const {
+    if (State.Step != rollout_step::Load || isSuspicious() ||
+        Now.NewSlots < MinSlots * Now.OldSlots)
+      return false;
+    version_pair Total = Now.All.total();
+    double Required =
+        std::min<double>(MinResponses, MinBudgetResponses * budget());
+    if (double(Total.New.Responses) < Required)
+      return false;
+    return std::all_of(
+        Now.All.Routes.begin(), Now.All.Routes.end(), [&](const auto &Route) {
+          const version_pair &Pair = Route.second;
+          bool IsCommon = double(Pair.Old.Responses) >=
+                          CommonRoute * double(Total.Old.Responses);
+          return !IsCommon || Pair.New.Responses >= MinRouteResponses;
+        });
+  }
+
+  std::optional<rollout_state> completed() const {
+    bool IsObserved = sinceStep() >= LastObservation &&
+                      Now.SinceStep.total().New.Responses >= LastResponses;
+    if (!IsObserved || !Now.HasLeftOld || isSuspicious())
+      return std::nullopt;
+    rollout_state Next = State;
+    Next.Outcome = rollout_outcome::Completed;
+    Next.Reason = "no difference found";
+    return changed(Next);
+  }
+
+  /// Sends nothing more to the new version until there is room for it.
+  std::optional<rollout_state> hold() const {
+    rollout_state Next = State;
+    Next.Share = 0;
+    Next.Canaries.clear();
+    Next.Reason = "exposure used up";
+    return changed(Next);
+  }
+
+  std::optional<rollout_state> stepTo(rollout_step Step, double Share) const {
+    rollout_state Next = State;
+    Next.Step = Step;
+    Next.Share = Share;
+    Next.Canaries = Step == rollout_step::All || Share <= 0
+                        ? std::set<std::string>{}
+                        : chooseCanaries(Step, Share);
+    Next.Reason = "step";
+    return changed(Next);
+  }
+
+  /// Chooses as many new servers as the share keeps nearly full; others in each
+  /// step, since one server may be slower than the version is.
+  std::set<std::string> chooseCanaries(rollout_step Step, double Share) const {
+    double Servers = Now.ServerRate > 0
+                         ? Share * Now.Rate / (TargetUse * Now.ServerRate)
+                         : 1;
+    size_t Count =
+        std::clamp<size_t>(std::llround(Servers), 1, Now.NewHosts.size());
+    size_t First = static_cast<size_t>(Step) + State.Canaries.size();
+    std::set<std::string> Chosen;
+    for (size_t I = 0; I < Count; ++I)
+      Chosen.insert(Now.NewHosts[(First + I) % Now.NewHosts.size()]);
+    return Chosen;
+  }
+
+  rollout_state changed(rollout_state Next) const {
+    Next.StepAt = Now.Now;
+    Next.Exposed = Now.Exposed;
+    Next.Total = Now.Total;
+    return Next;
+  }
+
+  const rollout_state &State;
+  const rollout_bounds &Bounds;
+  const rollout_situation &Now;
+};
+
+} // namespace
+
+rollout_state rolledBack(const rollout_state &State,
+                         const std::string &Reason) {
+  rollout_state Next = State;
+  Next.Outcome = rollout_outcome::RolledBack;
+  Next.Share = 0;
+  Next.Canaries.clear();
+  Next.Reason = Reason;
+  return Next;
+}
+
+std::optional<rollout_state> nextState(const rollout_state &State,
+                                       const rollout_bounds &Bounds,
+                                       const rollout_situation &Situation) {
+  if (!State.isRunning())
+    return std::nullopt;
+  return decision(State, Bounds, Situation).next();
+}
+
+} // namespace dragonflyvane
