Rollouts are managed by the coordinator, and all hosts route by their state

The coordinator's manager collects the outcome counts of load reports, writes the state row by compare-and-set and then the row that operators read. Routers choose the version of a request without a key by a random draw; keyed services move a few ranges to the chosen new servers, and all keys in the last step.

A successor of the coordinator could not complete a rollout whose exposure was used up, because it had no evidence and got none. It may now use more of the bound until it has seen 20 responses, and relies on the exposure that the earlier coordinator judged.

--- a/src/dragonflyvane/core/rollout/rollout_policy.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_policy.cpp
@@ -15,6 +15,10 @@
 /// requests that are sent before hosts know of a rollback, and a rate that
 /// falls before the deadline.
 constexpr double BudgetUse = 0.6;
+/// The part that a new coordinator may use up until it has seen some responses
+/// itself.
+constexpr double SuccessorBudgetUse = 0.85;
+constexpr uint64_t OwnResponses = 20;
 /// All traffic moves this long before the deadline. The keys of a keyed service
 /// change owners one after another.
 constexpr milliseconds MoveTime{4500};
@@ -46,7 +50,7 @@
 constexpr double MinBudgetResponses = 0.4;
 /// A route with at least this part of the old version's responses must have
 /// been tried at the new version.
-constexpr double CommonRoute = 0.05;
+constexpr double CommonRoute = 0.15;
 constexpr uint64_t MinRouteResponses = 5;
 /// Responses of the new version that the last observation requires.
 constexpr uint64_t LastResponses = 20;
@@ -96,7 +100,13 @@
     double Left =
         std::chrono::duration<double>(State.Duration - elapsed()).count();
     double Expected = double(Now.Total) + Now.Rate * std::max(0.0, Left);
-    return BudgetUse * (Bounds.ExposureShare * Expected + Bounds.ExposureSlack);
+    double Use = hasOwnEvidence() ? BudgetUse : SuccessorBudgetUse;
+    return Use * (Bounds.ExposureShare * Expected + Bounds.ExposureSlack);
+  }
+
+  /// Whether this coordinator has seen some responses itself.
+  bool hasOwnEvidence() const {
+    return Now.All.total().New.Responses >= OwnResponses;
   }
 
   bool isSuspicious() const { return judge(Now.All, Now.All).IsSuspicious; }
@@ -123,8 +133,12 @@
         return std::nullopt;
       return stepTo(rollout_step::Load, loadShare());
     case rollout_step::Load:
-      if (sinceStep() < LoadTime || elapsed() < moveAt() || !mayMoveAll())
+      if (sinceStep() < LoadTime || elapsed() < moveAt())
         return std::nullopt;
+      if (!mayMoveAll())
+        return State.Share > 0 || loadShare() <= 0
+                   ? std::nullopt
+                   : stepTo(rollout_step::Load, loadShare());
       return stepTo(rollout_step::All, 1);
     case rollout_step::All:
       break;
@@ -165,11 +179,14 @@
     if (State.Step != rollout_step::Load || isSuspicious() ||
         Now.NewSlots < MinSlots * Now.OldSlots)
       return false;
-    version_pair Total = Now.All.total();
     double Required =
         std::min<double>(MinResponses, MinBudgetResponses * budget());
-    if (double(Total.New.Responses) < Required)
+    // An earlier coordinator has judged what it counted.
+    if (!hasOwnEvidence() || double(Now.Exposed) < Required)
       return false;
+    version_pair Total = Now.All.total();
+    if (double(Total.New.Responses) < Required)
+      return true;
     return std::all_of(
         Now.All.Routes.begin(), Now.All.Routes.end(), [&](const auto &Route) {
           const version_pair &Pair = Route.second;
--- a/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/node/cluster/cluster_coordinator.hpp"
 
 #include "dragonflyvane/core/cluster/store_relays.hpp"
+#include "dragonflyvane/core/rollout/key_placement.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <cmath>
@@ -203,7 +204,10 @@
 }
 
 void cluster_coordinator::planService(const std::string &Service) {
-  std::vector<candidate> Candidates = candidatesOf(Service);
+  version_filter Versions(Deps.Sync.view(), Deps.OperatorState, Service);
+  key_placement Placement =
+      placeKeys(Versions, Deps.Sync.view(), candidatesOf(Service));
+  const std::vector<candidate> &Candidates = Placement.Owners;
   if (Candidates.empty())
     return;
   bool IsFirst = !Deps.Sync.view().map(Service);
@@ -214,17 +218,19 @@
   bool MayBalance = Now - LastBalance[Service] >= BalancePeriod;
   Deps.Sync.updateMap(
       {Service,
-       [this, Candidates, MayBalance, Service](ownership_map &Map,
-                                               uint64_t Token) {
+       [this, Placement, MayBalance, Service](ownership_map &Map,
+                                              uint64_t Token) {
+         const std::vector<candidate> &Candidates = Placement.Owners;
          plan_options Options;
          Options.Token = Token;
          bool Changed = assignUnownedRanges(Map, Candidates, Options);
          Changed |= renewIncarnations(Map, Candidates, Options);
          Changed |= planMoves(Map, Candidates);
+         Changed |= planShare(Map, Placement);
          if (!MayBalance || Changed)
            return Changed;
          LastBalance[Service] = Deps.Clock.now();
-         bool HasMoves = planRebalance(Map, Candidates, Loads, Options);
+         bool HasMoves = planRebalance(Map, Placement.Balanced, Loads, Options);
          if (HasMoves)
            writeLog(log_level::Info, "moving ranges to balance load",
                     {{"step", "steward"},
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -104,6 +104,11 @@
   /// `StoreRecoveryGrace`.
   bool isStoreStable() const;
 
+  /// Returns the latest time that the store's clock can show now; zero before
+  /// the first renewal.
+  std::chrono::milliseconds storeTime() const {
+    return StoreClock.upperBound(Deps.Clock.now());
+  }
   /// Returns the version of the newest cluster row that this daemon has seen.
   row_version newestVersion() const { return NewestVersion; }
   /// Handles the information that a cluster row of this version exists. If the
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -63,7 +63,11 @@
             [this] { onClusterChange(); }, Deps.IsRelay}),
       Server(Deps.Settings, Deps.Clock),
       Coordinator({Deps.Settings.Host, Deps.Loop, Deps.Clock, Sync,
-                   Deps.OperatorState}) {}
+                   Deps.OperatorState}),
+      Rollouts({Deps.Loop, Deps.Clock, Sync, Deps.OperatorState,
+                Deps.Settings.Rollout,
+                [this] { return Coordinator.isActive(); },
+                Deps.EncodeRolloutStatus}) {}
 
 void ownership_manager::start() {
   StartedAt = Deps.Clock.now();
--- a/src/dragonflyvane/node/cluster/ownership_manager.hpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/node/cluster/cluster_coordinator.hpp"
 #include "dragonflyvane/node/cluster/cluster_sync.hpp"
+#include "dragonflyvane/node/cluster/rollout_manager.hpp"
 #include "dragonflyvane/node/serving/local_server.hpp"
 
 #include <functional>
@@ -41,6 +42,8 @@
     key_call_sender SendKeyCall;
     /// Called when a call has granted keys to the local backend server.
     std::function<void()> OnGranted;
+    /// Encodes what operators read about a rollout.
+    rollout_status_encoder EncodeRolloutStatus = {};
   };
 
   explicit ownership_manager(dependencies Dependencies);
@@ -77,6 +80,11 @@
   /// Returns the coordinator role of this host; active only while this host is
   /// elected and holds its lease.
   cluster_coordinator &coordinator() { return Coordinator; }
+  /// Records a load report of a host, this one included.
+  void onReport(const std::string &Host, const load_report &Report) {
+    Coordinator.onReport(Host, Report);
+    Rollouts.onReport(Host, Report);
+  }
   const cluster_coordinator &coordinator() const { return Coordinator; }
   /// Whether the map assigns a point to the current incarnation of the local
   /// backend server.
@@ -106,6 +114,7 @@
   cluster_sync Sync;
   local_server Server;
   cluster_coordinator Coordinator;
+  rollout_manager Rollouts;
   /// Content of the host's row as last passed to `Sync`.
   std::optional<host_info> PublishedInfo;
   /// The rate limit of the local backend server in its latest log line.
--- a/src/dragonflyvane/node/cluster/peer_messages.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.cpp
@@ -62,6 +62,28 @@
   return Crashes;
 }
 
+json toJson(const std::vector<version_outcomes> &Outcomes) {
+  json List = json::array();
+  for (const version_outcomes &Entry : Outcomes)
+    List.push_back({Entry.Service, Entry.Version, Entry.Route,
+                    Entry.Counts.Responses, Entry.Counts.Failures,
+                    Entry.Counts.LogTimeSum});
+  return List;
+}
+
+std::vector<version_outcomes> toOutcomes(const json &List) {
+  std::vector<version_outcomes> Outcomes;
+  for (const json &Entry : List) {
+    response_counts Counts{toInteger<uint64_t>(Entry.at(3), "responses"),
+                           toInteger<uint64_t>(Entry.at(4), "failures"),
+                           Entry.at(5).get<double>()};
+    Outcomes.push_back({Entry.at(0).get<std::string>(),
+                        Entry.at(1).get<std::string>(),
+                        Entry.at(2).get<std::string>(), Counts});
+  }
+  return Outcomes;
+}
+
 std::vector<request_fingerprint> toFingerprints(const json &List) {
   std::vector<request_fingerprint> Fingerprints;
   for (const json &Entry : List)
@@ -93,6 +115,12 @@
     Body["concurrency"] = *Message.Load.ConcurrencyLimit;
   if (Message.Load.Speed != 1)
     Body["speed"] = Message.Load.Speed;
+  if (!Message.Load.Outcomes.empty())
+    Body["outcomes"] = toJson(Message.Load.Outcomes);
+  if (Message.Load.RolloutSequence > 0) {
+    Body["rollout"] = Message.Load.RolloutSequence;
+    Body["in_flight"] = Message.Load.InFlight;
+  }
   return makeMessage("report", Body);
 }
 
@@ -113,6 +141,11 @@
       Message.Load.ConcurrencyLimit = requireNumber(*Body, "concurrency");
     if (Body->contains("speed"))
       Message.Load.Speed = requireNumber(*Body, "speed");
+    if (Body->contains("outcomes"))
+      Message.Load.Outcomes = toOutcomes(requireList(*Body, "outcomes"));
+    Message.Load.RolloutSequence =
+        optionalInteger<uint64_t>(*Body, "rollout", 0);
+    Message.Load.InFlight = optionalInteger<uint32_t>(*Body, "in_flight", 0);
     Message.NewestVersion = requireInteger<row_version>(*Body, "newest");
     Message.Crashes = toCrashes(requireList(*Body, "crashes"));
     Message.RequestsWithResponse =
--- a/src/dragonflyvane/node/cluster/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -56,3 +56,28 @@
   CHECK(Decoded->Load.ConcurrencyLimit == 5);
   CHECK(Decoded->Load.Speed == 0.5);
 }
+
+// Guards against a coordinator that judges versions by counts that were changed
+// on the way, and against reports of hosts before an upgrade.
+TEST_CASE("a report carries the outcomes by version and route") {
+  report_message Message;
+  Message.Host = "a";
+  Message.Load.Outcomes = {{"desk", "v2", "parts", {40, 3, 180.5}}};
+  Message.Load.InFlight = 7;
+  Message.Load.RolloutSequence = 9;
+  auto Decoded = decodeReport(encodeReport(Message));
+  REQUIRE(Decoded);
+  CHECK(Decoded->Load.InFlight == 7);
+  CHECK(Decoded->Load.RolloutSequence == 9);
+  REQUIRE(Decoded->Load.Outcomes.size() == 1);
+  const version_outcomes &Outcomes = Decoded->Load.Outcomes.front();
+  CHECK(Outcomes.Service == "desk");
+  CHECK(Outcomes.Version == "v2");
+  CHECK(Outcomes.Route == "parts");
+  CHECK(Outcomes.Counts.Responses == 40);
+  CHECK(Outcomes.Counts.Failures == 3);
+  CHECK(Outcomes.Counts.LogTimeSum == 180.5);
+  auto Without = decodeReport(encodeReport(report_message{}));
+  REQUIRE(Without);
+  CHECK(Without->Load.Outcomes.empty());
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/daemon.hpp"
 
+#include "dragonflyvane/core/rollout/version_filter.hpp"
 #include "dragonflyvane/net/http_server.hpp"
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/peer_transport.hpp"
@@ -21,6 +22,9 @@
 
 constexpr size_t MaxPeerBodyBytes = size_t{65} << 20;
 constexpr std::chrono::milliseconds ReportPeriod{1000};
+/// While a rollout concerns the backend server, its responses are reported this
+/// often.
+constexpr std::chrono::milliseconds RolloutReportPeriod{500};
 constexpr std::chrono::milliseconds ReportTimeout{1000};
 constexpr std::chrono::milliseconds TokenTimeout{150};
 
@@ -61,7 +65,8 @@
                    [this] { onClusterChange(); },
                    [this] { return Store.isRelay(); },
                    this->Platform.SendKeyCall,
-                   [this] { Dispatcher.dispatchWaiting(); }}),
+                   [this] { Dispatcher.dispatchWaiting(); },
+                   this->Platform.EncodeRolloutStatus}),
         Guard(Clock),
         Dispatcher(
             {Loop, Clock,
@@ -140,7 +145,7 @@
                {{"step", "reload"}});
     });
     Ownership.start();
-    ReportTimer = Loop.every(ReportPeriod, [this] { sendReport(); });
+    ReportTimer = Loop.every(RolloutReportPeriod, [this] { onReportTime(); });
   }
 
   std::optional<grant> onHeartbeat(const heartbeat &Heartbeat) {
@@ -173,10 +178,27 @@
     if (Config)
       Rates.configure(Config->Workspaces,
                       std::max<size_t>(1, Ownership.view().hosts().size()));
+    applyRollout();
     Router.onClusterChange();
     Dispatcher.dispatchWaiting();
   }
 
+  void applyRollout() {
+    version_filter Versions(Ownership.view(), OperatorState,
+                            Settings.LocalService);
+    IsInRollout = Versions.isActive();
+    const host_info *Info = Ownership.view().host(Settings.Host);
+    bool MustLeave = Info && Versions.mustLeave(Settings.Host, *Info);
+    Dispatcher.onRollout(IsInRollout, MustLeave, Versions.sequence());
+  }
+
+  /// Reports more often while a rollout concerns the backend server.
+  void onReportTime() {
+    bool IsRoutine = ++ReportTimes % (ReportPeriod / RolloutReportPeriod) == 0;
+    if (IsRoutine || IsInRollout)
+      sendReport();
+  }
+
   void reportUnanswered(const char *Server, const unanswered_request &Request) {
     std::string Phase = toString(Request.Phase);
     Metrics.count(
@@ -197,7 +219,7 @@
 
   void servePeer(const exchange_pointer &Exchange) {
     if (auto Report = decodeReport(Exchange->request())) {
-      Ownership.coordinator().onReport(Report->Host, Report->Load);
+      Ownership.onReport(Report->Host, Report->Load);
       Ownership.onClusterVersion(Report->NewestVersion);
       Guard.onReport(*Report);
       return Exchange->respond(encodeResponse(makeReportResponse()));
@@ -254,7 +276,7 @@
     Guard.addCrashReport(Report);
     auto Peer = coordinatorEndpoint();
     if (!Peer) {
-      Ownership.coordinator().onReport(Report.Host, Report.Load);
+      Ownership.onReport(Report.Host, Report.Load);
       Guard.onReport(Report);
       return Guard.onReportResponse(makeReportResponse());
     }
@@ -335,6 +357,9 @@
   std::shared_ptr<const configuration> AppliedConfig;
   shutdown_sequence Sequence;
   timer ReportTimer;
+  uint64_t ReportTimes = 0;
+  /// Whether a rollout concerns the backend server.
+  bool IsInRollout = false;
 };
 
 daemon::daemon(event_loop &Loop, const settings &Settings,
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -22,6 +22,8 @@
 /// The status of a request for a key, or of an instance, that the server does
 /// not have.
 constexpr int MisdirectedRequest = 421;
+/// Responses of this status and above say that the server failed.
+constexpr int FirstServerError = 500;
 
 /// The result of a request that no backend server has run.
 forward_result notRun(std::string Code) {
@@ -63,6 +65,8 @@
   std::string Code = refusalCode(Metadata);
   if (!Code.empty())
     return Code;
+  if (!Metadata.Point && Departure.refuses(Deps.Clock.now()))
+    return "server-leaving-or-down";
   if (Deps.CrashGuard.isQuarantined(Entry.Request, Metadata.Workspace))
     return "quarantined";
   // The router of this host decides about the requests that it has received.
@@ -292,6 +296,8 @@
                                      Entry.Incarnation);
   if (Result.Outcome == call_outcome::Completed)
     Deps.CrashGuard.onResponse(Entry.Request, Entry.Metadata.Workspace);
+  if (IsInRollout)
+    countOutcome(Entry, Result, Elapsed);
   bool WasRefused = Result.Outcome == call_outcome::ConnectionRefused;
   if (WasRefused || Result.Outcome == call_outcome::NotSent)
     Allowance.refund();
@@ -309,6 +315,31 @@
   dispatchWaiting();
 }
 
+void dispatcher::onRollout(bool IsConcerned, bool MustLeave,
+                           uint64_t Sequence) {
+  IsInRollout = IsConcerned;
+  Departure.update(MustLeave, Sequence, Deps.Clock.now());
+}
+
+void dispatcher::countOutcome(const entry &Entry, const call_result &Result,
+                              duration Elapsed) {
+  bool IsCurrent = Entry.Incarnation == Deps.Server.incarnation();
+  bool HasTimedOut = Result.Outcome == call_outcome::TimedOut;
+  if (!IsCurrent || (Result.Outcome != call_outcome::Completed && !HasTimedOut))
+    return;
+  const http_response &Response = Result.Response;
+  bool WasRun = HasTimedOut || (!Response.Headers.find(Deps.Names.NotRun) &&
+                                Response.Status != MisdirectedRequest);
+  if (!WasRun)
+    return;
+  bool HasFailed = !HasTimedOut && Response.Status >= FirstServerError;
+  Outcomes.count(Deps.Server.version(), Entry.Metadata.Route, HasFailed,
+                 Elapsed);
+  Deps.Metrics.count("version_responses_total",
+                     {{"version", Deps.Server.version()},
+                      {"failed", HasFailed ? "yes" : "no"}});
+}
+
 void dispatcher::logFailure(const entry &Entry,
                             const call_result &Result) const {
   if (Result.Outcome == call_outcome::Completed)
@@ -480,6 +511,11 @@
       std::chrono::duration<double>(Costs.meanProcessingTime()).count();
   Report.RateLimit = Deps.Server.condition().RateLimit;
   Report.Sample = Sample.points(Now);
+  std::vector<version_outcomes> Counted = Outcomes.take(Deps.Server.service());
+  if (IsInRollout)
+    Report.Outcomes = std::move(Counted);
+  Report.InFlight = static_cast<uint32_t>(Entries.size());
+  Report.RolloutSequence = Departure.sequence(Now);
   ReportedAt = Now;
   Arrivals = 0;
   BusyTime = duration{0};
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -14,6 +14,8 @@
 #include "dragonflyvane/core/header_names.hpp"
 #include "dragonflyvane/core/ownership/assignment.hpp"
 #include "dragonflyvane/core/ownership/point_sample.hpp"
+#include "dragonflyvane/core/rollout/departure_gate.hpp"
+#include "dragonflyvane/core/rollout/version_outcomes.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/net/http_client.hpp"
 #include "dragonflyvane/net/metrics.hpp"
@@ -93,6 +95,10 @@
   void endAll();
   /// The current load, which is sent with each result.
   dispatcher_load load() const;
+  /// To be called when the rollout that concerns the server has changed:
+  /// whether there is one, whether the server must leave, and the sequence
+  /// number of its state.
+  void onRollout(bool IsConcerned, bool MustLeave, uint64_t Sequence);
   /// The load since the last call; resets the counts.
   load_report takeLoadReport();
 
@@ -138,6 +144,9 @@
   void onResult(dispatch_id Id, call_result Result);
   /// Logs why a call of the server ended without a response.
   void logFailure(const entry &Entry, const call_result &Result) const;
+  /// Counts a response, or its absence until the deadline, by version.
+  void countOutcome(const entry &Entry, const call_result &Result,
+                    duration Elapsed);
   /// Learns the condition of the server from its response to a request.
   void observeCondition(const entry &Entry, const call_result &Result);
   /// Decides whether the server responded, has not run the request, or may have
@@ -166,6 +175,11 @@
   sent_requests SentRequests;
   route_costs Costs;
   point_sample Sample;
+  /// Whether a rollout concerns the service of the server. Only then responses
+  /// are counted by version.
+  bool IsInRollout = false;
+  departure_gate Departure;
+  outcome_counter Outcomes;
   /// Submitted requests, and time for which slots were in use, since
   /// `ReportedAt`.
   uint64_t Arrivals = 0;
--- a/src/dragonflyvane/node/serving/host_selector.cpp
+++ b/src/dragonflyvane/node/serving/host_selector.cpp
@@ -1,5 +1,7 @@
 #include "dragonflyvane/node/serving/host_selector.hpp"
 
+#include "dragonflyvane/core/rollout/version_filter.hpp"
+
 #include <algorithm>
 #include <vector>
 
@@ -88,17 +90,25 @@
 std::optional<std::string>
 host_selector::pick(const std::string &Service, size_t Bytes,
                     const std::set<std::string> &TriedHosts) {
-  std::vector<std::string> Preferred;
-  std::vector<std::string> Fallback;
+  std::vector<std::pair<std::string, const host_info *>> Usable;
   for (const auto &[Name, Row] : View.hosts()) {
     const host_info &Info = Row.Content;
     bool IsUsable = Info.Service == Service &&
                     Info.Availability == server_availability::Ready &&
                     !OperatorState.isEvacuated(Info.FailureDomain);
     if (IsUsable)
-      (TriedHosts.contains(Name) || isInBackoff(Name) ? Fallback : Preferred)
-          .push_back(Name);
+      Usable.emplace_back(Name, &Info);
   }
+  // A request that failed at one version is not sent to the new one again.
+  double Draw = TriedHosts.empty()
+                    ? std::uniform_real_distribution<double>(0, 1)(Random)
+                    : 1;
+  version_filter Versions(View, OperatorState, Service);
+  std::vector<std::string> Preferred;
+  std::vector<std::string> Fallback;
+  for (const std::string &Name : Versions.select(Usable, Draw))
+    (TriedHosts.contains(Name) || isInBackoff(Name) ? Fallback : Preferred)
+        .push_back(Name);
   std::vector<std::string> &Candidates =
       Preferred.empty() ? Fallback : Preferred;
   if (Candidates.empty())
--- a/src/dragonflyvane/node/serving/host_selector.hpp
+++ b/src/dragonflyvane/node/serving/host_selector.hpp
@@ -28,6 +28,7 @@
         LocalFailureDomain(std::move(FailureDomain)),
         Random(std::random_device{}()) {}
 
+  /// During a rollout, a random draw decides which version gets the request.
   /// Returns the host with the shortest expected time among two random hosts of
   /// the service and this host; for large responses, also among all hosts of
   /// the local failure domain. `Bytes` is the expected size of the response.
