--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -25,6 +25,8 @@
 /// The status of a request for a key, or of an instance, that the server does
 /// not have.
 constexpr int MisdirectedRequest = 421;
+/// Responses of this status and above say that the server failed.
+constexpr int FirstServerError = 500;
 
 /// The result of a request that no backend server has run.
 forward_result notRun(std::string Code) {
@@ -70,6 +72,8 @@
   std::string Code = refusalCode(Metadata);
   if (!Code.empty())
     return Code;
+  if (!Metadata.Point && Departure.refuses(Deps.Clock.now()))
+    return "server-leaving-or-down";
   if (Deps.CrashGuard.isQuarantined(Entry.Request, Metadata.Workspace))
     return "quarantined";
   // The router of this host decides about the requests that it has received.
@@ -380,6 +384,8 @@
                                      Entry.Incarnation);
   if (Result.Outcome == call_outcome::Completed)
     Deps.CrashGuard.onResponse(Entry.Request, Entry.Metadata.Workspace);
+  if (IsInRollout)
+    countOutcome(Entry, Result, Elapsed);
   bool WasRefused = Result.Outcome == call_outcome::ConnectionRefused;
   if (WasRefused || Result.Outcome == call_outcome::NotSent)
     Allowance.refund();
@@ -414,6 +420,31 @@
     InFlight.onEnded(Bytes);
 }
 
+void dispatcher::onRollout(bool IsConcerned, bool MustLeave,
+                           uint64_t Sequence) {
+  IsInRollout = IsConcerned;
+  Departure.update(MustLeave, Sequence, Deps.Clock.now());
+}
+
+void dispatcher::countOutcome(const entry &Entry, const call_result &Result,
+                              duration Elapsed) {
+  bool IsCurrent = Entry.Incarnation == Deps.Server.incarnation();
+  bool HasTimedOut = Result.Outcome == call_outcome::TimedOut;
+  if (!IsCurrent || (Result.Outcome != call_outcome::Completed && !HasTimedOut))
+    return;
+  const http_response &Response = Result.Response;
+  bool WasRun = HasTimedOut || (!Response.Headers.find(Deps.Names.NotRun) &&
+                                Response.Status != MisdirectedRequest);
+  if (!WasRun)
+    return;
+  bool HasFailed = !HasTimedOut && Response.Status >= FirstServerError;
+  Outcomes.count(Deps.Server.version(), Entry.Metadata.Route, HasFailed,
+                 Elapsed);
+  Deps.Metrics.count("version_responses_total",
+                     {{"version", Deps.Server.version()},
+                      {"failed", HasFailed ? "yes" : "no"}});
+}
+
 void dispatcher::logFailure(const entry &Entry,
                             const call_result &Result) const {
   if (Result.Outcome == call_outcome::Completed)
@@ -655,6 +686,11 @@
   Report.RateLimit = Deps.Server.condition().RateLimit;
   Report.Sample = Sample.points(Now);
   Capacity.addTo(Report, Now);
+  std::vector<version_outcomes> Counted = Outcomes.take(Deps.Server.service());
+  if (IsInRollout)
+    Report.Outcomes = std::move(Counted);
+  Report.InFlight = static_cast<uint32_t>(Entries.size());
+  Report.RolloutSequence = Departure.sequence(Now);
   ReportedAt = Now;
   Arrivals = 0;
   BusyTime = duration{0};
--- a/src/dragonflyvane/node/serving/forwarding.cpp
+++ b/src/dragonflyvane/node/serving/forwarding.cpp
@@ -60,7 +60,8 @@
                      std::to_string(Load.LinkDelay.count()) + "," +
                      std::to_string(Load.TokenDelay.count());
   if (Load.Speed)
-    Text += "," + std::to_string(std::lround(*Load.Speed * SpeedUnits));
+    Text.append(",").append(
+        std::to_string(std::lround(*Load.Speed * SpeedUnits)));
   return Text;
 }
 
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -5,6 +5,7 @@
 #include "dragonflyvane/core/admission/retry_budget.hpp"
 #include "dragonflyvane/core/configuration/feature_switch.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
+#include "dragonflyvane/core/rollout/rollout_bounds.hpp"
 
 #include <chrono>
 #include <optional>
@@ -63,6 +64,8 @@
   feature_mode LearnedCapacity = feature_mode::Automatic;
   /// Limits for retries, applied to each service separately.
   retry_budget_options RetryBudgetOptions;
+  /// The bounds of rollouts; none if rollouts are not in force.
+  std::optional<rollout_bounds> Rollout;
 };
 
 } // namespace dragonflyvane
