An unsent call that ran out of time does not mark its peer as unreachable

Calls that time out before their last byte was sent end as NotSent now. On a saturated link that says nothing about the peer; marking it would refuse the other requests for its keys (owner-unreachable). Found by reading; the request router has no unit test.

--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -275,7 +275,11 @@
   Failure.Outcome =
       IsNotRun ? forward_outcome::NotRun : forward_outcome::Unknown;
   Failure.Code = IsNotRun ? "peer-unreachable" : "peer-lost";
-  if (Result.Outcome == call_outcome::TimedOut)
+  // A call that could not be sent before its deadline, over a busy link, does
+  // not show that the peer is unreachable.
+  bool HasTimedOut = Result.Outcome == call_outcome::TimedOut ||
+                     (IsNotRun && timeLeft() < MinTimeLeft);
+  if (HasTimedOut)
     Failure.Code = "deadline";
   else
     Router.HostSelector.onUnreachable(Host);
