--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -199,6 +199,10 @@
   CHECK(Report.Speed < 0.6);
   CHECK(Report.Speed > 0.4);
   CHECK(Report.ConcurrencyLimit == 6);
+  std::string Gauges = Fixture.Metrics.exposition();
+  CHECK(Gauges.find("dragonflyvane_server_concurrency_limit") !=
+        std::string::npos);
+  CHECK(Gauges.find("dragonflyvane_server_speed") != std::string::npos);
   Fixture.sendHeartbeat(2000);
   CHECK_FALSE(Fixture.Dispatcher.capacity().speed());
   Fixture.Loop.runFor(milliseconds(100));
