Slow spells of few servers do not count as a slow version

The variance now has a part for the number of spells and servers.

The process test was not run again.

--- a/src/dragonflyvane/core/rollout/rollout_evidence.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_evidence.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/core/rollout/rollout_evidence.hpp"
 
 #include <algorithm>
+#include <optional>
 
 namespace dragonflyvane {
 
@@ -33,13 +34,18 @@
 rollout_sample rollout_evidence::since(time_point Since) const {
   rollout_sample Sample;
   std::map<std::string, uint64_t> ResponsesOfServer;
+  std::optional<time_point> First;
   for (const entry &Entry : Entries) {
     if (Entry.At < Since)
       continue;
     version_pair &Pair = Sample.Routes[Entry.Route];
     (Entry.IsNew ? Pair.New : Pair.Old) += Entry.Counts;
-    if (Entry.IsNew)
-      ResponsesOfServer[Entry.Host] += Entry.Counts.Responses;
+    if (!Entry.IsNew)
+      continue;
+    ResponsesOfServer[Entry.Host] += Entry.Counts.Responses;
+    if (!First)
+      First = Entry.At;
+    Sample.Span = Entry.At - *First;
   }
   Sample.NewServers = std::count_if(
       ResponsesOfServer.begin(), ResponsesOfServer.end(),
--- a/src/dragonflyvane/core/rollout/rollout_evidence.hpp
+++ b/src/dragonflyvane/core/rollout/rollout_evidence.hpp
@@ -22,6 +22,8 @@
   std::map<std::string, version_pair> Routes;
   /// Servers of the new version that sent enough responses to be judged by.
   size_t NewServers = 0;
+  /// The time between the first and the last report about the new version.
+  duration Span{0};
 
   /// The counts of all routes together.
   version_pair total() const;
--- a/src/dragonflyvane/core/rollout/rollout_verdict.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_verdict.cpp
@@ -29,9 +29,14 @@
 /// the requests of one spell are not independent.
 constexpr double LogTimeDeviation = 0.8;
 constexpr double SpellFactor = 1.6;
+/// A machine is three times slower for a fifth of the time, in spells of this
+/// length. Few spells of few servers do not average out, however many requests
+/// they have.
+constexpr std::chrono::milliseconds SpellLength{400};
+constexpr double SpellVariance = 0.2;
 /// A difference of times is certain if it exceeds this number of standard
 /// errors.
-constexpr double CertainErrors = 1.5;
+constexpr double CertainErrors = 2;
 /// The speeds of servers differ by 0.6 to 1.6, so the ratio of times means
 /// little for one new server, and more for several.
 constexpr double MinTimeRatio = 1.35;
@@ -79,18 +84,26 @@
   return Deviation * Deviation / static_cast<double>(Counts.Responses);
 }
 
+/// The variance of the mean of a sample that the spells of its servers cause.
+double spellVariance(const rollout_sample &Sample) {
+  double Spells =
+      std::max(1.0, std::chrono::duration<double>(Sample.Span) / SpellLength);
+  return SpellVariance /
+         (Spells * static_cast<double>(std::max<size_t>(1, Sample.NewServers)));
+}
+
 /// The logarithm of the ratio of times, and the variance of it.
 struct time_difference {
   double Mean = 0;
   double Variance = 0;
 };
 
-void judgeTimes(const time_difference &Difference, size_t NewServers,
+void judgeTimes(const time_difference &Difference, const rollout_sample &Sample,
                 const std::string &Where, rollout_verdict &Verdict) {
-  double Servers = static_cast<double>(std::max<size_t>(1, NewServers));
+  double Servers = static_cast<double>(std::max<size_t>(1, Sample.NewServers));
   double Limit = std::log(MinTimeRatio + TimeRatioOfOneServer / Servers);
-  double Error = std::sqrt(Difference.Variance);
-  if (Difference.Mean > Limit)
+  double Error = std::sqrt(Difference.Variance + spellVariance(Sample));
+  if (Difference.Mean - Error > Limit)
     Verdict.IsSuspicious = true;
   if (Difference.Mean - CertainErrors * Error <= Limit)
     return;
@@ -145,13 +158,13 @@
     AllRoutes.add(Pair.New.Responses, Difference);
     if (Pair.New.Responses >= MinTimedResponses &&
         Old.Responses >= MinTimedResponses)
-      judgeTimes(Difference, Sample.NewServers, " on route " + Route, Verdict);
+      judgeTimes(Difference, Sample, " on route " + Route, Verdict);
   }
   if (New.Responses > 0)
     judgeFailures(New, ExpectedFailures / static_cast<double>(New.Responses),
                   "", Verdict);
   if (AllRoutes.weight() >= MinTimedResponses)
-    judgeTimes(AllRoutes.mean(), Sample.NewServers, "", Verdict);
+    judgeTimes(AllRoutes.mean(), Sample, "", Verdict);
   return Verdict;
 }
 
