Plainer names and comments in admission, rollouts and peer connections

Renames names that needed an explanation: server_room to server_headroom, tellOperators to publishStatus, weighed_response to relative_response, the constants of slow spells to slowdowns, fractions and limits in rollout_policy. A comment in dispatcher.hpp ended in mid-sentence. observePressure uses FirstServerError in place of 500. Behaviour, log fields and messages are unchanged; the help texts of two flags are clearer.

--- a/src/dragonflyvane/core/admission/call_pressure.cpp
+++ b/src/dragonflyvane/core/admission/call_pressure.cpp
@@ -30,11 +30,11 @@
 
 void call_pressure::onNestedCallRefused(const std::string &Code,
                                         time_point Now) {
-  bool IsWantOfRoom = Code == "queue-full" || Code == "displaced" ||
-                      Code == "waited-too-long" || Code == "no-time-left" ||
-                      Code == "link-full" || Code == "nested-calls-refused" ||
-                      Code.starts_with("server-refused-5");
-  if (IsWantOfRoom)
+  bool IsOverload = Code == "queue-full" || Code == "displaced" ||
+                    Code == "waited-too-long" || Code == "no-time-left" ||
+                    Code == "link-full" || Code == "nested-calls-refused" ||
+                    Code.starts_with("server-refused-5");
+  if (IsOverload)
     LastRefusedCall = Now;
 }
 
--- a/src/dragonflyvane/core/admission/call_pressure.hpp
+++ b/src/dragonflyvane/core/admission/call_pressure.hpp
@@ -1,5 +1,5 @@
-/// Refuses requests whose nested calls would find no room, before they take a
-/// slot.
+/// Refuses requests whose nested calls would be refused by an overloaded
+/// service, before they take a slot.
 #ifndef DRAGONFLYVANE_CORE_ADMISSION_CALL_PRESSURE_HPP
 #define DRAGONFLYVANE_CORE_ADMISSION_CALL_PRESSURE_HPP
 
@@ -30,8 +30,8 @@
   static constexpr std::chrono::milliseconds ReturnDelay{2000};
 
   /// To be called when a nested call of the local backend server was refused
-  /// with this code. Refusals for other reasons than a want of room are
-  /// ignored.
+  /// with this code. Refusals for other reasons than overload of the called
+  /// service are ignored.
   void onNestedCallRefused(const std::string &Code, time_point Now);
   /// To be called when the backend server has responded to a request.
   void onEnd(const ended_run &Run, time_point Now);
@@ -59,7 +59,7 @@
     recent_count Passed;
     /// Requests that failed while nested calls were refused.
     recent_count Failed;
-    /// The part of a request that is due to be refused.
+    /// Accumulated share of refusals; a request is refused once it reaches 1.
     double DueRefusals = 0;
   };
 
--- a/src/dragonflyvane/core/admission/hot_points.cpp
+++ b/src/dragonflyvane/core/admission/hot_points.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-/// Arrivals of this time are counted. It bounds how long a limit outlasts its
-/// load.
+/// Period over which arrivals are counted. A limit outlasts its load by at most
+/// about this time.
 constexpr std::chrono::milliseconds Window{1000};
 constexpr size_t MaxArrivals = 512;
 constexpr std::chrono::milliseconds RefreshPeriod{100};
@@ -33,7 +33,7 @@
 /// A hot span may use this much of its limit at once.
 constexpr double BurstSeconds = 0.1;
 constexpr std::chrono::milliseconds MinRetryAfter{100};
-/// Limits change within this time, so a later retry would be told in vain.
+/// Limits change within this time, so a longer forecast would be out of date.
 constexpr std::chrono::milliseconds MaxRetryAfter{4000};
 
 double medianOf(const std::map<key_point, size_t> &Counts) {
@@ -50,13 +50,14 @@
 
 } // namespace
 
-std::optional<duration>
-hot_points::admit(key_point Point, const server_room &Room, time_point Now) {
+std::optional<duration> hot_points::admit(key_point Point,
+                                          const server_headroom &Headroom,
+                                          time_point Now) {
   record(Point, Now);
-  if (!Room.IsFull)
+  if (!Headroom.IsFull)
     return std::nullopt;
   if (Now - RefreshedAt >= RefreshPeriod)
-    refresh(Room.Rate, Now);
+    refresh(Headroom.Rate, Now);
   limited_span *Limited = find(Point);
   if (!Limited || Limited->Tokens.take(1, Now))
     return std::nullopt;
@@ -198,7 +199,7 @@
 }
 
 duration hot_points::scheduleRetry(limited_span &Limited, time_point Now) {
-  // Each refused request is told a time of its own, so that retries arrive at
+  // Each refused request gets a different retry time, so that retries arrive at
   // the rate of the limit instead of together.
   std::chrono::duration<double> Interval(1 / std::max(Limited.Span.Limit, 0.1));
   time_point At =
--- a/src/dragonflyvane/core/admission/hot_points.hpp
+++ b/src/dragonflyvane/core/admission/hot_points.hpp
@@ -15,8 +15,8 @@
 
 namespace dragonflyvane {
 
-/// What the server takes at the moment.
-struct server_room {
+/// The capacity of the server at the moment, and whether it is used up.
+struct server_headroom {
   /// The requests per second that the server can process.
   double Rate = 0;
   /// Whether a new request would have to wait.
@@ -41,9 +41,9 @@
 class hot_points {
 public:
   /// Records a request. Returns nothing if it may be admitted, else the time
-  /// after which its point is expected to have room.
-  std::optional<duration> admit(key_point Point, const server_room &Room,
-                                time_point Now);
+  /// after which a retry is expected to be admitted.
+  std::optional<duration>
+  admit(key_point Point, const server_headroom &Headroom, time_point Now);
   /// Returns the limit in force for a point; none if it is not limited.
   std::optional<hot_span> limitOf(key_point Point) const;
 
@@ -63,9 +63,9 @@
 
   void record(key_point Point, time_point Now);
   void evictExpired(time_point Now);
-  /// The time over which the recorded arrivals came.
+  /// The seconds that the recorded arrivals span.
   double secondsRecorded(time_point Now) const;
-  /// Finds the hot spans anew and sets their limits.
+  /// Finds the current hot spans and sets their limits.
   void refresh(double ServerRate, time_point Now);
   /// Returns the hot spans with their demand, without limits.
   std::vector<hot_span> findSpans(time_point Now) const;
@@ -75,9 +75,12 @@
   void findHotGroups(const counts &Points, std::vector<hot_span> &Spans) const;
   /// Shares out a rate among the spans; none gets more than its demand.
   static void shareOut(double Rate, std::vector<hot_span> &Spans);
-  /// Puts spans with a limit in force and keeps the state of those known.
+  /// Replaces the limits by those of the spans. A span that was limited before
+  /// keeps its tokens and its retry time.
   void apply(const std::vector<hot_span> &Spans, time_point Now);
   limited_span *find(key_point Point);
+  /// Returns the time after which a refused request may be retried, a different
+  /// one for each.
   static duration scheduleRetry(limited_span &Limited, time_point Now);
 
   std::deque<arrival> Arrivals;
--- a/src/dragonflyvane/core/admission/in_flight_bytes.cpp
+++ b/src/dragonflyvane/core/admission/in_flight_bytes.cpp
@@ -15,13 +15,13 @@
 /// The allowance rises to this multiple of what the server held when it
 /// completed a request.
 constexpr double Growth = 1.25;
-/// The parts of what a server held when it crashed that it is sent next, and
-/// that it is sent at most while the crash counts.
+/// Fractions of the bytes that a server held when it crashed: the allowance
+/// after the crash, and its upper bound while the crash counts.
 constexpr double CutFraction = 0.5;
 constexpr double CeilingFraction = 0.75;
 /// A lost connection belongs to a crash that is detected within this time.
 constexpr std::chrono::seconds CrashWindow{8};
-/// How long the first crash counts, and the most that a later one does.
+/// How long the first crash counts, and the longest time for a later one.
 constexpr std::chrono::seconds FirstCeilingTime{60};
 constexpr std::chrono::seconds MaxCeilingTime{960};
 
--- a/src/dragonflyvane/core/admission/nested_calls.cpp
+++ b/src/dragonflyvane/core/admission/nested_calls.cpp
@@ -8,7 +8,8 @@
 constexpr std::chrono::seconds ElsewhereMemory{60};
 /// The weight of the newest request in the share of a route.
 constexpr double NewestWeight = 0.05;
-/// A route with a larger share of requests from elsewhere is one of callers.
+/// A route with a larger share of requests from other addresses is used by
+/// callers, so a request on it is not taken for a nested call.
 constexpr double MaxShareOfNestedRoute = 0.5;
 
 } // namespace
--- a/src/dragonflyvane/core/admission/recent_route_times.cpp
+++ b/src/dragonflyvane/core/admission/recent_route_times.cpp
@@ -9,17 +9,18 @@
 
 namespace {
 
-/// Responses of this period count. With the lower quartile, a lasting slowdown
-/// shows once it fills three quarters of it, within the 3 s in which the load
-/// has to follow; a recovery shows after a quarter.
+/// Responses of this period count. The lower quartile shows a lasting slowdown
+/// once it fills three quarters of the period, within the 3 s in which the load
+/// has to follow, and a recovery after a quarter of it.
 constexpr std::chrono::milliseconds WindowLength{2000};
 /// A route with few responses is judged by older ones too, up to this age.
 constexpr std::chrono::seconds MaxAge{10};
 constexpr size_t MinResponses = 8;
 constexpr size_t MaxResponses = 128;
 constexpr size_t MaxRoutes = 16;
-/// The quantile is the position 1 / `QuantileDivisor`. A server that is slow a
-/// fifth of the time at random rarely is so for three quarters of the window.
+/// The usual time is the 1 / `QuantileDivisor` quantile, the lower quartile. A
+/// server that is slow at random for a fifth of the time is rarely slow for
+/// three quarters of the window.
 constexpr size_t QuantileDivisor = 4;
 
 } // namespace
--- a/src/dragonflyvane/core/admission/recent_route_times.hpp
+++ b/src/dragonflyvane/core/admission/recent_route_times.hpp
@@ -14,7 +14,7 @@
 /// Usual times by the name of the route.
 using route_times = std::map<std::string, duration>;
 
-/// The largest number of routes for which a host tells its usual times.
+/// The largest number of routes for which a host reports its usual times.
 inline constexpr size_t MaxReportedRoutes = 8;
 
 /// Keeps the recent responses of a bounded number of routes.
@@ -36,13 +36,15 @@
   };
   using response_window = std::deque<response>;
 
-  /// The usual time of a route, and the number of responses that it is from.
+  /// The usual time of a route, and the number of responses it is computed
+  /// from.
   struct usual_time {
     duration Time{0};
     size_t Count = 0;
   };
 
   static usual_time usualTimeIn(const response_window &Window, time_point Now);
+  /// Evicts the route with the oldest latest response if the bound is reached.
   void makeRoomForRoute();
 
   std::map<std::string, response_window> Routes;
--- a/src/dragonflyvane/core/admission/return_schedule.cpp
+++ b/src/dragonflyvane/core/admission/return_schedule.cpp
@@ -9,8 +9,9 @@
 /// No caller is told to return later than this. Demand changes within seconds,
 /// so a longer forecast would be wrong.
 constexpr std::chrono::seconds MaxReturnDelay{5};
-/// A caller waits for at most its time left divided by this.
-constexpr int HonouredDivisor = 3;
+/// Callers wait for at most their time left divided by this, whatever they are
+/// told.
+constexpr int MaxWaitDivisor = 3;
 
 } // namespace
 
@@ -24,7 +25,7 @@
     ReturnAt = std::max(ReturnAt, Until);
   }
   duration Delay = ReturnAt - Now;
-  if (Delay <= Request.TimeLeft / HonouredDivisor)
+  if (Delay <= Request.TimeLeft / MaxWaitDivisor)
     ReservedUntil[Request.Priority] =
         ReturnAt +
         std::chrono::duration_cast<duration>(Request.Work / Forecast.SlotsLeft);
--- a/src/dragonflyvane/core/admission/return_schedule.hpp
+++ b/src/dragonflyvane/core/admission/return_schedule.hpp
@@ -8,7 +8,8 @@
 
 namespace dragonflyvane {
 
-/// When there is room at a backend server for a request that is refused now.
+/// When a backend server is expected to have capacity for a request that is
+/// refused now.
 struct room_forecast {
   /// Time until the work that goes first is expected to be done.
   duration UntilRoom{0};
@@ -29,9 +30,9 @@
 /// return reserves its work behind those of the same and of more urgent
 /// priorities.
 ///
-/// A caller returns after a third of its time at the latest, whatever it is
-/// told. A later time is named all the same, since an earlier return has no
-/// chance, but it reserves nothing.
+/// A caller returns after a third of its time left at the latest, whatever it
+/// is told. A later time is given all the same, since a request that returns
+/// earlier would be refused again, but it reserves nothing.
 class return_schedule {
 public:
   /// Returns the time after which the caller is told to return, and reserves
--- a/src/dragonflyvane/core/admission/service_route_times.cpp
+++ b/src/dragonflyvane/core/admission/service_route_times.cpp
@@ -7,7 +7,7 @@
 
 namespace {
 
-/// Hosts report every second; a host that has not for this long may be gone.
+/// Hosts report every second. An older report may be of a host that is gone.
 constexpr std::chrono::seconds MaxReportAge{5};
 /// The median of the first few hosts that report to a new coordinator would
 /// change the speed of all servers for a moment.
--- a/src/dragonflyvane/core/admission/service_route_times.hpp
+++ b/src/dragonflyvane/core/admission/service_route_times.hpp
@@ -19,7 +19,7 @@
                 const route_times &Times, time_point Now);
   /// Returns the median over the hosts of the service for the routes that most
   /// hosts report, at most `MaxReportedRoutes`. Old reports do not count, and
-  /// nothing is returned until all hosts had the time to report.
+  /// nothing is returned until all hosts have had time to report.
   route_times mediansOf(const std::string &Service, time_point Now) const;
 
 private:
--- a/src/dragonflyvane/core/admission/throughput_knee.cpp
+++ b/src/dragonflyvane/core/admission/throughput_knee.cpp
@@ -34,12 +34,13 @@
 /// A check with too little load for a result ends the limit after this time.
 constexpr std::chrono::seconds MaxCheckTime{60};
 
-struct weighed_response {
+/// A response, with its time relative to the mean of its route.
+struct relative_response {
   double InFlight = 0;
   double LogTime = 0;
 };
 
-using weighed_iterator = std::vector<weighed_response>::const_iterator;
+using response_iterator = std::vector<relative_response>::const_iterator;
 
 double logOf(duration Time) {
   return std::log(
@@ -47,7 +48,7 @@
 }
 
 /// Returns the times relative to the mean of their routes in the block.
-std::vector<weighed_response>
+std::vector<relative_response>
 relativeToRoutes(const std::vector<server_response> &Block) {
   struct sum {
     double LogTime = 0;
@@ -59,7 +60,7 @@
     Sum.LogTime += logOf(Response.TimeAtServer);
     ++Sum.Count;
   }
-  std::vector<weighed_response> Result;
+  std::vector<relative_response> Result;
   Result.reserve(Block.size());
   for (const server_response &Response : Block) {
     const sum &Sum = Routes[Response.Route];
@@ -69,17 +70,17 @@
   return Result;
 }
 
-double meanInFlight(weighed_iterator Begin, weighed_iterator End) {
+double meanInFlight(response_iterator Begin, response_iterator End) {
   double Sum = 0;
   for (auto It = Begin; It != End; ++It)
     Sum += It->InFlight;
   return Sum / static_cast<double>(std::distance(Begin, End));
 }
 
-double medianLogTime(weighed_iterator Begin, weighed_iterator End) {
+double medianLogTime(response_iterator Begin, response_iterator End) {
   std::vector<double> Times;
   std::transform(Begin, End, std::back_inserter(Times),
-                 [](const weighed_response &R) { return R.LogTime; });
+                 [](const relative_response &R) { return R.LogTime; });
   auto Middle =
       std::next(Times.begin(), static_cast<std::ptrdiff_t>(Times.size() / 2));
   std::nth_element(Times.begin(), Middle, Times.end());
@@ -101,9 +102,9 @@
 
 std::optional<throughput_knee::comparison>
 throughput_knee::compareHalves() const {
-  std::vector<weighed_response> Responses = relativeToRoutes(Block);
+  std::vector<relative_response> Responses = relativeToRoutes(Block);
   std::stable_sort(Responses.begin(), Responses.end(),
-                   [](const weighed_response &A, const weighed_response &B) {
+                   [](const relative_response &A, const relative_response &B) {
                      return A.InFlight < B.InFlight;
                    });
   auto Middle = std::next(Responses.cbegin(),
--- a/src/dragonflyvane/core/admission/throughput_knee.hpp
+++ b/src/dragonflyvane/core/admission/throughput_knee.hpp
@@ -55,7 +55,8 @@
   std::vector<server_response> Block;
   time_point BlockStart{};
   std::deque<comparison> Comparisons;
-  /// The knee; none while there is none.
+  /// The number of requests in flight beyond which throughput no longer grows;
+  /// none if no such number was found.
   std::optional<uint32_t> Knee;
   time_point FoundAt{};
 };
--- a/src/dragonflyvane/core/configuration/feature_switch.hpp
+++ b/src/dragonflyvane/core/configuration/feature_switch.hpp
@@ -1,4 +1,4 @@
-/// Turns features on that not every deployment calls for.
+/// Switches for features that not every deployment needs.
 #ifndef DRAGONFLYVANE_CORE_CONFIGURATION_FEATURE_SWITCH_HPP
 #define DRAGONFLYVANE_CORE_CONFIGURATION_FEATURE_SWITCH_HPP
 
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -1,6 +1,6 @@
 /// The operator state of a daemon: the configuration, evacuations and rollout
-/// orders in force,
-/// and the time at which the store last confirmed that they are current.
+/// orders in force, and the time at which the store last confirmed that they
+/// are current.
 #ifndef DRAGONFLYVANE_CORE_CONFIGURATION_OPERATOR_STATE_HPP
 #define DRAGONFLYVANE_CORE_CONFIGURATION_OPERATOR_STATE_HPP
 
--- a/src/dragonflyvane/core/liveness_check.hpp
+++ b/src/dragonflyvane/core/liveness_check.hpp
@@ -26,11 +26,11 @@
   void onActive(time_point Now);
   /// To be called when bytes were received.
   void onReceived(time_point Now);
-  /// To be called when the PING has its place in the bytes that are sent, and
-  /// ends with the byte of this number.
+  /// To be called when the PING is queued. `PingEnd` is the number of its last
+  /// byte among all bytes that the connection sends.
   void onPingQueued(uint64_t PingEnd) { this->PingEnd = PingEnd; }
   /// Returns what to do now. `Accepted` is the number of bytes that the peer's
-  /// host has accepted so far. `HasInput` tells that received bytes have not
+  /// host has accepted so far. `HasInput` says whether received bytes have not
   /// been read yet, as after a pause of this process.
   liveness_action check(uint64_t Accepted, bool HasInput, time_point Now);
   /// When bytes were last received; at first, when the object was created.
--- a/src/dragonflyvane/core/rollout/departure_gate.hpp
+++ b/src/dragonflyvane/core/rollout/departure_gate.hpp
@@ -10,11 +10,11 @@
 
 namespace dragonflyvane {
 
-/// The gate in front of one server. It stays open for a moment after the host
-/// has learned that the server must leave, until all routers have learned it.
+/// Requests are still accepted for a grace period after the host has learned
+/// that the server must leave, until all request routers know it too.
 class departure_gate {
 public:
-  /// Within this time, routers that watch the store know of a change.
+  /// Time within which routers that watch the store learn of a change.
   static constexpr std::chrono::milliseconds GracePeriod{800};
 
   /// Applies a state of the rollout that the host has seen.
@@ -29,8 +29,8 @@
   bool refuses(time_point Now) const {
     return Since && Now - *Since >= GracePeriod;
   }
-  /// Returns the sequence number of the state that the server is subject to; 0
-  /// while the gate is still open although the server must leave.
+  /// Returns the sequence number of the state that is applied to the server; 0
+  /// during the grace period.
   uint64_t sequence(time_point Now) const {
     return Since && !refuses(Now) ? 0 : LatestSequence;
   }
--- a/src/dragonflyvane/core/rollout/key_placement.cpp
+++ b/src/dragonflyvane/core/rollout/key_placement.cpp
@@ -9,9 +9,10 @@
 constexpr double AllPoints = LastPoint + 1.0;
 /// The capacity of a canary, as a fraction of that of any other server.
 constexpr double CanaryCapacity = 1e-6;
-/// A canary with this part of its share gets no further keys.
-constexpr double EnoughOfShare = 0.8;
+/// A canary with this fraction of its share gets no further keys.
+constexpr double SufficientFraction = 0.8;
 
+/// Returns the number of key points that a host owns after the planned moves.
 double plannedPoints(const ownership_map &Map, const std::string &Host) {
   double Points = 0;
   for (const owned_range &Range : Map.Ranges)
@@ -36,6 +37,7 @@
   return Largest;
 }
 
+/// Plans a move of the last `Points` key points of a range, at most half of it.
 void moveEnd(ownership_map &Map, const owned_range &Source, double Points,
              const std::string &To) {
   auto Size = static_cast<key_point>(
@@ -84,7 +86,7 @@
       static_cast<double>(std::max<size_t>(1, Placement.Canaries.size()));
   for (const candidate &Canary : Placement.Canaries) {
     double Points = plannedPoints(Map, Canary.Host);
-    if (Points >= Target * EnoughOfShare)
+    if (Points >= Target * SufficientFraction)
       continue;
     const owned_range *Source = largestSource(Map, Placement.Canaries);
     if (!Source)
--- a/src/dragonflyvane/core/rollout/rollout_evidence.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_evidence.cpp
@@ -9,7 +9,7 @@
 
 /// A server with fewer responses says little about the speed of its version.
 constexpr uint64_t MinResponsesOfServer = 10;
-/// Reports of a rollout that is kept from ending are not collected for ever.
+/// Bounds the memory of a rollout that does not end.
 constexpr size_t MaxEntries = 100'000;
 
 } // namespace
--- a/src/dragonflyvane/core/rollout/rollout_policy_test.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_policy_test.cpp
@@ -102,13 +102,13 @@
                        : 0.5;
     encounter Encounter{draw() < 0.7 ? "parts" : "orders", Now, Use};
     behaviour Behaviour = IsNew ? NewVersion(Encounter) : behaviour{};
-    bool IsSlowSpell =
+    bool IsSlowedDown =
         std::hash<double>{}(double(Server * 1000 + Now.count() / 400 + IsNew)) %
             5 ==
         0;
     double Ms = (Encounter.Route == "parts" ? 140 : 40) * Behaviour.Factor *
                 std::exp(std::normal_distribution<double>(0, 0.4)(Random)) /
-                Speeds[Server] * (IsSlowSpell ? 3 : 1);
+                Speeds[Server] * (IsSlowedDown ? 3 : 1);
     ++Total;
     Exposed += IsNew ? 1 : 0;
     std::string Host = IsNew ? Hosts[Server] : "old-" + std::to_string(Server);
@@ -174,7 +174,7 @@
 
 } // namespace
 
-// Guards against a rollback because of failures and slow spells that good
+// Guards against a rollback because of failures and slowdowns that good
 // versions have, too, and against a completion after the deadline.
 TEST_CASE("a good version is completed well before its deadline") {
   checkCompleted(1000);
--- a/src/dragonflyvane/core/rollout/rollout_verdict.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_verdict.cpp
@@ -24,16 +24,16 @@
 constexpr uint64_t MinSuspiciousFailures = 2;
 /// Responses of each version without which times are not compared.
 constexpr uint64_t MinTimedResponses = 40;
-/// The standard deviation of the logarithm of the times of one route, with the
-/// spells in which a machine is three times slower, and its increase because
-/// the requests of one spell are not independent.
+/// The standard deviation of the logarithm of the times of one route, slowdowns
+/// of machines included, and the factor by which it increases because the
+/// requests of one slowdown are not independent.
 constexpr double LogTimeDeviation = 0.8;
-constexpr double SpellFactor = 1.6;
-/// A machine is three times slower for a fifth of the time, in spells of this
-/// length. Few spells of few servers do not average out, however many requests
-/// they have.
-constexpr std::chrono::milliseconds SpellLength{400};
-constexpr double SpellVariance = 0.2;
+constexpr double SlowdownFactor = 1.6;
+/// A machine is three times slower for a fifth of the time, in slowdowns of
+/// this length. A few slowdowns of few servers do not average out, however many
+/// requests fall into them.
+constexpr std::chrono::milliseconds SlowdownLength{400};
+constexpr double SlowdownVariance = 0.2;
 /// A difference of times is certain if it exceeds this number of standard
 /// errors.
 constexpr double CertainErrors = 2;
@@ -53,6 +53,7 @@
   return std::max(0.0, 1 - Below);
 }
 
+/// Returns the failure rate that a version as good as the old one may have.
 double expectedFailureRate(const response_counts &Old) {
   double Rate = (static_cast<double>(Old.Failures) + PriorFailures) /
                 (static_cast<double>(Old.Responses) + PriorResponses);
@@ -80,19 +81,20 @@
 
 /// The variance of the mean logarithm of the times.
 double meanVariance(const response_counts &Counts) {
-  constexpr double Deviation = LogTimeDeviation * SpellFactor;
+  constexpr double Deviation = LogTimeDeviation * SlowdownFactor;
   return Deviation * Deviation / static_cast<double>(Counts.Responses);
 }
 
-/// The variance of the mean of a sample that the spells of its servers cause.
-double spellVariance(const rollout_sample &Sample) {
-  double Spells =
-      std::max(1.0, std::chrono::duration<double>(Sample.Span) / SpellLength);
-  return SpellVariance /
-         (Spells * static_cast<double>(std::max<size_t>(1, Sample.NewServers)));
+/// The part of the variance of a sample's mean that is due to slowdowns of its
+/// servers.
+double slowdownVariance(const rollout_sample &Sample) {
+  double Periods = std::max(1.0, std::chrono::duration<double>(Sample.Span) /
+                                     SlowdownLength);
+  return SlowdownVariance / (Periods * static_cast<double>(std::max<size_t>(
+                                           1, Sample.NewServers)));
 }
 
-/// The logarithm of the ratio of times, and the variance of it.
+/// The mean logarithm of the ratio of new to old times, and its variance.
 struct time_difference {
   double Mean = 0;
   double Variance = 0;
@@ -102,7 +104,7 @@
                 const std::string &Where, rollout_verdict &Verdict) {
   double Servers = static_cast<double>(std::max<size_t>(1, Sample.NewServers));
   double Limit = std::log(MinTimeRatio + TimeRatioOfOneServer / Servers);
-  double Error = std::sqrt(Difference.Variance + spellVariance(Sample));
+  double Error = std::sqrt(Difference.Variance + slowdownVariance(Sample));
   if (Difference.Mean - Error > Limit)
     Verdict.IsSuspicious = true;
   if (Difference.Mean - CertainErrors * Error <= Limit)
@@ -112,14 +114,14 @@
 }
 
 /// The mean of the differences of the routes, weighted by the responses of the
-/// new version. So another mix of routes is no difference.
+/// new version, so that a different mix of routes shows no difference.
 class mean_difference {
 public:
   void add(uint64_t Weight, const time_difference &Difference) {
-    auto W = static_cast<double>(Weight);
-    Weights += W;
-    Sum += W * Difference.Mean;
-    Variances += W * W * Difference.Variance;
+    auto Factor = static_cast<double>(Weight);
+    Weights += Factor;
+    Sum += Factor * Difference.Mean;
+    Variances += Factor * Factor * Difference.Variance;
   }
   uint64_t weight() const { return static_cast<uint64_t>(Weights); }
   time_difference mean() const {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -104,7 +104,7 @@
     /// Bytes of the current piece that are not sent yet.
     size_t SendableBytes = 0;
     /// The number of the message's last byte among all bytes that the
-    /// connection sends, once it has its place among them.
+    /// connection sends, once it is queued.
     std::optional<uint64_t> EndPosition;
   };
   /// The request and response of a stream. The client fills `Response` from the
@@ -149,7 +149,8 @@
   /// Hands `WriteBuffer` to the socket as far as the socket takes it.
   void writeAvailable();
   void awaitWritable();
-  /// Notes the places of the frames that ended with the bytes queued last.
+  /// Records the end positions of the frames that ended with the bytes queued
+  /// last.
   void notePositions();
   /// Whether the peer has closed the connection, which this side has not read
   /// yet.
@@ -182,6 +183,7 @@
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
+  /// Logs that the connection was closed while streams were open.
   void logLoss(const std::string &Reason, size_t OpenStreams) const;
   /// Server: describes the request of a stream that ends.
   unanswered_request describe(stream Ended) const;
--- a/src/dragonflyvane/node/admin/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -10,11 +10,12 @@
 ABSL_FLAG(std::string, log_level, "info",
           "lowest level that is logged: debug, info, warning or error");
 ABSL_FLAG(std::string, overload_control, "auto",
-          "whether requests are ordered and refused by what they can still be "
-          "served for: auto, on or off; auto is on without workspaces");
+          "whether requests are ordered and refused by the deadlines that they "
+          "can still meet: auto, on or off; auto is on without workspaces");
 ABSL_FLAG(std::string, learned_capacity, "auto",
-          "whether the capacity of backend servers is learned from their "
-          "responses: auto, on or off; auto is on without workspaces");
+          "whether the concurrency limit and the speed of backend servers are "
+          "learned from their responses: auto, on or off; auto is on without "
+          "workspaces");
 
 namespace dragonflyvane {
 
--- a/src/dragonflyvane/node/cluster/rollout_manager.cpp
+++ b/src/dragonflyvane/node/cluster/rollout_manager.cpp
@@ -13,15 +13,17 @@
 
 constexpr std::chrono::milliseconds TickPeriod{250};
 /// A new coordinator waits this long for the reports of all hosts.
-constexpr std::chrono::milliseconds FirstReports{1500};
-/// Older reports say nothing about the present.
+constexpr std::chrono::milliseconds CollectionTime{1500};
+/// Older reports are ignored.
 constexpr std::chrono::milliseconds MaxReportAge{3000};
 /// Without a confirmation by the store for this long, no step is taken.
 constexpr std::chrono::milliseconds MaxStoreAge{3000};
-/// The span in which a version that has become bad is noticed.
+/// Evidence of this period is also judged alone, to detect a version that has
+/// become bad.
 constexpr std::chrono::milliseconds RecentSpan{2000};
-/// A version without servers for this long is gone; restarts take less.
-constexpr std::chrono::milliseconds GoneTime{30'000};
+/// An ended rollout is closed after one of the versions has had no servers for
+/// this long. A restart of servers takes less.
+constexpr std::chrono::milliseconds ClosingDelay{30'000};
 
 bool isServing(const host_info &Info) {
   return Info.Availability == server_availability::Ready ||
@@ -88,12 +90,13 @@
     return begin(Order->second, Known);
   if (!Known)
     return;
-  rollout_state Adopted = Known->Content;
-  if (IsOrdered && Adopted.Order != Order->second.RowVersion) {
-    Adopted.Order = Order->second.RowVersion;
-    return write(Service, Adopted);
+  // Operators have written the order again in a new era of the store.
+  if (IsOrdered && Known->Content.Order != Order->second.RowVersion) {
+    rollout_state Reordered = Known->Content;
+    Reordered.Order = Order->second.RowVersion;
+    return write(Service, Reordered);
   }
-  tellOperators(Service, *Known);
+  publishStatus(Service, *Known);
   if (!Known->Content.isRunning())
     return closeEnded(Service, *Known);
   if (!IsOrdered)
@@ -117,12 +120,13 @@
 void rollout_manager::advance(const std::string &Service,
                               const known_rollout &Known) {
   const rollout_state &State = Known.Content;
-  if (Deps.Clock.now() - *ActiveSince < FirstReports)
+  if (Deps.Clock.now() - *ActiveSince < CollectionTime)
     return;
   progress &Progress = Rollouts[Service];
   rollout_situation Situation = situationOf(Service, State);
   if (std::exchange(Progress.Order, State.Order) != State.Order) {
-    // What an earlier coordinator has counted, and what it may have missed.
+    // What an earlier coordinator has counted, and an estimate of the requests
+    // since then.
     double Seconds =
         std::chrono::duration<double>(Situation.Now - State.StepAt).count();
     auto Since = static_cast<uint64_t>(Situation.Rate * std::max(0.0, Seconds));
@@ -148,13 +152,13 @@
     HasBoth |= Row.Content.Service == Service && isServing(Row.Content) &&
                Use != version_use::Any;
   }
-  std::optional<time_point> &Since = Rollouts[Service].AloneSince;
+  std::optional<time_point> &Since = Rollouts[Service].SingleVersionSince;
   time_point Now = Deps.Clock.now();
   if (HasBoth)
     return Since.reset();
   if (!Since)
     Since = Now;
-  if (Now - *Since < GoneTime)
+  if (Now - *Since < ClosingDelay)
     return;
   rollout_state Closed = Known.Content;
   Closed.Outcome = rollout_outcome::Closed;
@@ -162,12 +166,13 @@
   write(Service, Closed);
 }
 
-void rollout_manager::tellOperators(const std::string &Service,
+void rollout_manager::publishStatus(const std::string &Service,
                                     const known_rollout &Known) {
   progress &Progress = Rollouts[Service];
   const rollout_state &State = Known.Content;
   std::pair<std::string, rollout_outcome> Latest{State.To, State.Outcome};
-  if (Progress.Told == Latest || State.Outcome == rollout_outcome::Closed)
+  if (Progress.PublishedStatus == Latest ||
+      State.Outcome == rollout_outcome::Closed)
     return;
   store_transaction Transaction;
   Transaction.Conditions = {{rolloutRow(Service), Known.Version}};
@@ -179,7 +184,7 @@
                        progress &Progress = Rollouts[Service];
                        Progress.IsWriteInFlight = false;
                        if (Result.Outcome == transaction_outcome::Committed)
-                         Progress.Told = Latest;
+                         Progress.PublishedStatus = Latest;
                      });
 }
 
@@ -214,8 +219,6 @@
   });
 }
 
-// The situation of a rollout.
-
 bool rollout_manager::isKeyed(const std::string &Service) const {
   auto Config = Deps.OperatorState.config();
   if (!Config)
--- a/src/dragonflyvane/node/cluster/rollout_manager.hpp
+++ b/src/dragonflyvane/node/cluster/rollout_manager.hpp
@@ -1,5 +1,5 @@
 /// The coordinator's part in rollouts: collects the reports of the hosts, and
-/// writes the steps of each rollout and what operators read about it.
+/// writes the state and the status of each rollout.
 #ifndef DRAGONFLYVANE_NODE_CLUSTER_ROLLOUT_MANAGER_HPP
 #define DRAGONFLYVANE_NODE_CLUSTER_ROLLOUT_MANAGER_HPP
 
@@ -57,21 +57,27 @@
     uint64_t ExposedBefore = 0;
     uint64_t TotalBefore = 0;
     bool IsWriteInFlight = false;
-    /// What operators have been told.
-    std::optional<std::pair<std::string, rollout_outcome>> Told;
+    /// The version and outcome in the status row that was written last.
+    std::optional<std::pair<std::string, rollout_outcome>> PublishedStatus;
     /// Since when one of the versions has had no servers.
-    std::optional<time_point> AloneSince;
+    std::optional<time_point> SingleVersionSince;
   };
 
   void tick();
   /// Whether the store was reachable a short time ago.
   bool isStoreReachable() const;
+  /// Does what is due for the rollout of a service, unless a write is in
+  /// flight.
   void manage(const std::string &Service);
   void begin(const rollout_order &Order, const known_rollout *Previous);
   void advance(const std::string &Service, const known_rollout &Known);
-  /// Ends the special treatment of versions once one of them is gone.
+  /// Closes an ended rollout once one of the versions has had no servers for
+  /// some time.
   void closeEnded(const std::string &Service, const known_rollout &Known);
-  void tellOperators(const std::string &Service, const known_rollout &Known);
+  /// Writes the status row if the version or the outcome has changed.
+  void publishStatus(const std::string &Service, const known_rollout &Known);
+  /// Writes a state with the next sequence number, or with the same one if it
+  /// is the known state, which the store has lost.
   void write(const std::string &Service, rollout_state State);
   rollout_situation situationOf(const std::string &Service,
                                 const rollout_state &State) const;
--- a/src/dragonflyvane/node/serving/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -77,8 +77,8 @@
   void refuseUnserved(const std::string &Code,
                       std::chrono::milliseconds RetryAfter);
   /// Refuses with status 503 before a backend server has begun the request.
-  /// The caller is told to return at the given time or somewhat later, since
-  /// earlier there is no room.
+  /// The caller is told to return after the given time or somewhat later, since
+  /// a request that returns earlier would be refused again.
   void refuseUntilRoom(const std::string &Code,
                        std::chrono::milliseconds RetryAfter);
   /// `Mean` times a random factor from 0.5 to 1.5, so that refused callers do
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -20,12 +20,12 @@
 /// Connections that were idle for longer are not reused, since backend servers
 /// close idle connections after some seconds.
 constexpr std::chrono::milliseconds ServerMaxIdle{4000};
-/// The code of a request whose nested calls would find no room.
+/// Refusal code of requests whose nested calls would be refused.
 constexpr const char *NestedCallsRefused = "nested-calls-refused";
 /// The status of a request for a key, or of an instance, that the server does
 /// not have.
 constexpr int MisdirectedRequest = 421;
-/// Responses of this status and above say that the server failed.
+/// Responses with this status or a higher one count as failures of the server.
 constexpr int FirstServerError = 500;
 
 /// The result of a request that no backend server has run.
@@ -177,8 +177,8 @@
   if (!Entry.Metadata.Point || !OverloadControl.isOn())
     return false;
   key_point Point = *Entry.Metadata.Point;
-  server_room Room{processableRate(), Running >= slotCount()};
-  auto RetryAfter = HotPoints.admit(Point, Room, Deps.Clock.now());
+  server_headroom Headroom{processableRate(), Running >= slotCount()};
+  auto RetryAfter = HotPoints.admit(Point, Headroom, Deps.Clock.now());
   if (!RetryAfter)
     return false;
   hot_span Span = HotPoints.limitOf(Point).value_or(hot_span{Point, Point});
@@ -192,7 +192,7 @@
        {"last_point", Span.Last},
        {"demand_per_s", std::lround(Span.Demand)},
        {"limit_per_s", std::lround(Span.Limit)},
-       {"server_per_s", std::lround(Room.Rate)},
+       {"server_per_s", std::lround(Headroom.Rate)},
        {"running", Running},
        {"waiting", Queue.size()},
        {"retry_after_ms", inMilliseconds(*RetryAfter)}});
@@ -462,9 +462,9 @@
                                  const call_result &Result) {
   if (Result.Outcome != call_outcome::Completed)
     return;
-  Pressure.onEnd(
-      {Entry.Metadata.Route, Entry.SentAt, Result.Response.Status >= 500},
-      Deps.Clock.now());
+  Pressure.onEnd({Entry.Metadata.Route, Entry.SentAt,
+                  Result.Response.Status >= FirstServerError},
+                 Deps.Clock.now());
 }
 
 void dispatcher::onNestedCallRefused(const std::string &Code) {
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -76,8 +76,11 @@
     std::function<void(const server_condition &)> OnCondition;
     /// Called with the condition of the server that a peer knows.
     std::function<void(const condition_report &)> OnReportedCondition;
-    /// Whether the number of requests that the server runs at the same time,
+    /// Whether the concurrency limit and the speed of the server are learned
+    /// from its responses.
     feature_mode LearnedCapacity = feature_mode::On;
+    /// Whether requests are ordered and refused by the deadlines that they can
+    /// still meet, with floors for priorities and limits for hot key points.
     feature_mode OverloadControl = feature_mode::On;
   };
 
@@ -160,7 +163,7 @@
   /// Applies the rates that the server takes now.
   void updateAllowance();
   void dispatch(dispatch_id Id);
-  /// Puts requests back whose bodies are too large for now.
+  /// Queues requests again whose bodies exceed the allowance of bytes now.
   void requeue(const std::vector<dispatch_id> &Ids);
   /// Counts the end of a call to the server.
   void countBytes(const entry &Entry, call_outcome Outcome);
--- a/src/dragonflyvane/node/serving/host_selector.cpp
+++ b/src/dragonflyvane/node/serving/host_selector.cpp
@@ -19,8 +19,7 @@
 constexpr double DefaultProcessingTimeMs = 50;
 /// The weight of the newest report in the processing time of a service.
 constexpr double NewestWeight = 0.05;
-/// A reported speed is relative to a service, of which a host may have seen
-/// only a part.
+/// Bounds of a reported speed, which may be based on few hosts of the service.
 constexpr double MinSpeed = 0.2;
 constexpr double MaxSpeed = 5;
 /// Without news of a host, half of the difference of its speed from the usual
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -57,10 +57,11 @@
   /// A backend server gets no new requests once it has been leaving for this
   /// long.
   std::chrono::milliseconds DrainTimeout{2000};
-  /// Whether requests are ordered and refused by what they can still be served
-  /// for.
+  /// Whether requests are ordered and refused by the deadlines that they can
+  /// still meet, with floors for priorities and limits for hot key points.
   feature_mode OverloadControl = feature_mode::Automatic;
-  /// Whether the capacity of backend servers is learned from their responses.
+  /// Whether the concurrency limit and the speed of backend servers are learned
+  /// from their responses.
   feature_mode LearnedCapacity = feature_mode::Automatic;
   /// Limits for retries, applied to each service separately.
   retry_budget_options RetryBudgetOptions;
