Review findings: rollouts without old or new servers, large uploads, returns

- Without servers of another version, requests and keys go to all new servers, not only to the chosen one or two.
- A rollout whose new servers are all gone after the move of all traffic is rolled back.
- Evidence is summarized when it grows, so the exposure is not forgotten.
- A waiting large body is not overtaken by other large ones, and small ones are not counted.
- Room for a return is reserved only if a request is refused for want of room.
- Recognising nested calls obeys the switch of overload control.

--- a/src/dragonflyvane/core/admission/in_flight_bytes.cpp
+++ b/src/dragonflyvane/core/admission/in_flight_bytes.cpp
@@ -7,9 +7,6 @@
 
 namespace {
 
-/// Bodies up to this size always pass; all slots of a server together hold few
-/// bytes of such bodies.
-constexpr size_t SmallBody = size_t{16} << 10;
 /// A crash does not cut the allowance below this.
 constexpr size_t MinAllowance = size_t{64} << 10;
 /// The allowance rises to this multiple of what the server held when it
@@ -32,11 +29,11 @@
 } // namespace
 
 bool in_flight_bytes::admits(size_t Bytes) const {
-  return Bytes <= SmallBody || InFlight == 0 || InFlight + Bytes <= Allowance;
+  return isSmall(Bytes) || InFlight == 0 || InFlight + Bytes <= Allowance;
 }
 
 uint32_t in_flight_bytes::concurrencyOf(size_t Bytes) const {
-  if (Bytes <= SmallBody)
+  if (isSmall(Bytes))
     return std::numeric_limits<uint32_t>::max();
   return static_cast<uint32_t>(std::max<size_t>(1, Allowance / Bytes));
 }
--- a/src/dragonflyvane/core/admission/in_flight_bytes.hpp
+++ b/src/dragonflyvane/core/admission/in_flight_bytes.hpp
@@ -18,6 +18,9 @@
 /// cause; the time doubles with each crash.
 class in_flight_bytes {
 public:
+  /// Whether a body is so small that it always passes and is not counted: all
+  /// slots of a server together hold few bytes of such bodies.
+  static bool isSmall(size_t Bytes) { return Bytes <= SmallBody; }
   /// Returns whether a request with a body of this size may be sent now. Always
   /// true for a small body, and if no other body is in flight.
   bool admits(size_t Bytes) const;
@@ -25,9 +28,9 @@
   /// once; at least 1.
   uint32_t concurrencyOf(size_t Bytes) const;
   /// To be called when a request is sent.
-  void onSent(size_t Bytes) { InFlight += Bytes; }
+  void onSent(size_t Bytes) { InFlight += countedBytes(Bytes); }
   /// To be called when a request has ended without a response.
-  void onEnded(size_t Bytes) { InFlight -= Bytes; }
+  void onEnded(size_t Bytes) { InFlight -= countedBytes(Bytes); }
   /// To be called when the server has responded to a request.
   void onCompleted(size_t Bytes, time_point Now);
   /// To be called when the connection of a request was lost. The request has
@@ -43,6 +46,10 @@
   size_t allowance() const { return Allowance; }
 
 private:
+  static constexpr size_t SmallBody = size_t{16} << 10;
+  static size_t countedBytes(size_t Bytes) {
+    return isSmall(Bytes) ? 0 : Bytes;
+  }
   /// Bytes that any server is expected to hold.
   static constexpr size_t InitialAllowance = size_t{256} << 10;
 
--- a/src/dragonflyvane/core/rollout/key_placement.cpp
+++ b/src/dragonflyvane/core/rollout/key_placement.cpp
@@ -67,9 +67,12 @@
     else if (Use == version_use::LastResort)
       Spare.push_back(Candidate);
   }
-  if (Placement.Balanced.empty())
-    Placement.Balanced = std::exchange(
-        Placement.Canaries.empty() ? Spare : Placement.Canaries, {});
+  if (Placement.Balanced.empty()) {
+    // Without another version there is nothing to spare the chosen servers for.
+    Placement.Balanced = std::exchange(Placement.Canaries, {});
+    Placement.Balanced.insert(Placement.Balanced.end(), Spare.begin(),
+                              Spare.end());
+  }
   Placement.Owners = Placement.Balanced;
   for (candidate Canary : Placement.Canaries) {
     Canary.Capacity *= CanaryCapacity;
--- a/src/dragonflyvane/core/rollout/rollout_evidence.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_evidence.cpp
@@ -9,8 +9,8 @@
 
 /// A server with fewer responses says little about the speed of its version.
 constexpr uint64_t MinResponsesOfServer = 10;
-/// Bounds the memory of a rollout that does not end.
-constexpr size_t MaxEntries = 100'000;
+/// Bounds the memory and the CPU time of a rollout that does not end.
+constexpr size_t MaxEntries = 20'000;
 
 } // namespace
 
@@ -26,13 +26,24 @@
 void rollout_evidence::add(time_point Now, const std::string &Host, bool IsNew,
                            const std::vector<version_outcomes> &Outcomes) {
   if (Entries.size() > MaxEntries)
-    Entries.erase(Entries.begin(), Entries.begin() + MaxEntries / 2);
+    summarizeOld();
   for (const version_outcomes &Outcome : Outcomes)
     Entries.push_back({Now, Host, IsNew, Outcome.Route, Outcome.Counts});
 }
 
+void rollout_evidence::summarizeOld() {
+  auto End = Entries.begin() + MaxEntries / 2;
+  for (auto It = Entries.begin(); It != End; ++It) {
+    version_pair &Pair = Summarized[It->Route];
+    (It->IsNew ? Pair.New : Pair.Old) += It->Counts;
+  }
+  Entries.erase(Entries.begin(), End);
+}
+
 rollout_sample rollout_evidence::since(time_point Since) const {
   rollout_sample Sample;
+  if (Since == time_point{})
+    Sample.Routes = Summarized;
   std::map<std::string, uint64_t> ResponsesOfServer;
   std::optional<time_point> First;
   for (const entry &Entry : Entries) {
--- a/src/dragonflyvane/core/rollout/rollout_evidence.hpp
+++ b/src/dragonflyvane/core/rollout/rollout_evidence.hpp
@@ -41,7 +41,10 @@
   /// Returns all that was reported.
   rollout_sample all() const { return since(time_point{}); }
   /// Forgets everything, for another order.
-  void clear() { Entries.clear(); }
+  void clear() {
+    Entries.clear();
+    Summarized.clear();
+  }
 
 private:
   struct entry {
@@ -52,7 +55,13 @@
     response_counts Counts;
   };
 
+  /// Replaces the older half of the entries with their sums by route.
+  void summarizeOld();
+
   std::vector<entry> Entries;
+  /// The sums of entries that are no longer kept. They are older than any span
+  /// of time that is asked for.
+  std::map<std::string, version_pair> Summarized;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/rollout/rollout_policy.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_policy.cpp
@@ -75,6 +75,8 @@
     if (isSuspicious() && elapsed() > State.Duration - SuspicionEnd &&
         State.Step >= rollout_step::Load)
       return changed(rolledBack(State, "suspicious until the deadline"));
+    if (State.Step == rollout_step::All && Situation.NewHosts.empty())
+      return changed(rolledBack(State, "no server of the version is left"));
     if (State.Step == rollout_step::All)
       return completed();
     if (Situation.NewHosts.empty())
--- a/src/dragonflyvane/core/rollout/version_filter.cpp
+++ b/src/dragonflyvane/core/rollout/version_filter.cpp
@@ -60,9 +60,12 @@
     else if (Use == version_use::LastResort)
       Spare.push_back(Host);
   }
-  if (!Shared.empty() && (Draw < share() || Rest.empty()))
+  if (Rest.empty()) {
+    // Without another version there is nothing to spare the chosen servers for.
+    Shared.insert(Shared.end(), Spare.begin(), Spare.end());
     return Shared;
-  return Rest.empty() ? Spare : Rest;
+  }
+  return !Shared.empty() && Draw < share() ? Shared : Rest;
 }
 
 bool version_filter::mustLeave(const std::string &Host,
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -114,14 +114,17 @@
 bool request_router::active_request::isNestedCall() const {
   const dispatcher &Dispatcher = Router.Deps.Dispatcher;
   bool HasKey = Request.Headers.find(Router.Deps.Names.CallerKey).has_value();
+  bool IsAnonymous = Route->AllowsAnonymous && !HasKey;
+  if (!Router.OverloadControl.isOn())
+    return IsAnonymous && Dispatcher.activeCount() > 0;
   call_origin Origin;
   Origin.Route = Route->Name;
-  Origin.IsAnonymous = Route->AllowsAnonymous && !HasKey;
+  Origin.IsAnonymous = IsAnonymous;
   Origin.HasWorkspaces = !Config->Workspaces.empty();
   Origin.Address = Exchange->remoteAddress();
   Origin.ServerAddress = Router.Deps.LocalServer.address().Address;
   Origin.IsServerActive = Dispatcher.activeCount() > 0;
-  Origin.IsServerRunning = Dispatcher.mostUrgentRunning().has_value();
+  Origin.IsServerRunning = Dispatcher.isServerRunning();
   return Router.NestedCalls.observe(Origin, Router.Deps.Clock.now());
 }
 
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -37,6 +37,12 @@
 }
 
 /// The result of a request that the backend server may have run.
+/// Whether a refusal with this code is for want of room at the server.
+bool isForRoom(const std::string &Code) {
+  return Code == "queue-full" || Code == "displaced" ||
+         Code == "waited-too-long";
+}
+
 forward_result unknown(std::string Code) {
   forward_result Result;
   Result.Outcome = forward_outcome::Unknown;
@@ -285,7 +291,7 @@
       refuse(*Id, Code);
     else if (mustWaitForGrant(Entries.at(*Id).Metadata))
       AwaitingGrant.push_back(*Id);
-    else if (!InFlight.admits(Entries.at(*Id).Request.Body.size()))
+    else if (!fitsInFlight(Entries.at(*Id), !TooLarge.empty()))
       TooLarge.push_back(*Id);
     else
       dispatch(*Id);
@@ -295,6 +301,12 @@
     refuse(Id, "waited-too-long");
 }
 
+bool dispatcher::fitsInFlight(const entry &Entry, bool IsOvertaking) const {
+  size_t Bytes = Entry.Request.Body.size();
+  bool MayOvertake = !IsOvertaking || in_flight_bytes::isSmall(Bytes);
+  return MayOvertake && InFlight.admits(Bytes);
+}
+
 void dispatcher::requeue(const std::vector<dispatch_id> &Ids) {
   for (dispatch_id Id : Ids) {
     auto Found = Entries.find(Id);
@@ -401,7 +413,7 @@
                 Classified.Outcome == forward_outcome::NotRun &&
                 Classified.Reached && !WasKeyRefused;
   if (IsShed)
-    Classified.RetryAfter = retryAfter(Entry);
+    Classified.RetryAfter = retryAfter(Entry, true);
   finish(Id, std::move(Classified));
   if (WasRefused && IsSameIncarnation)
     Deps.OnRefusedConnection();
@@ -591,12 +603,13 @@
           Capacity.speed()};
 }
 
-std::chrono::milliseconds dispatcher::retryAfter(const entry &Entry) {
+std::chrono::milliseconds dispatcher::retryAfter(const entry &Entry,
+                                                 bool IsForRoom) {
   time_point Now = Deps.Clock.now();
   duration TokenDelay = Allowance.delayOf(Queue.size(), Now);
   duration ReturnDelay =
       Queue.queuedProcessingTime() / std::max(1U, slotCount());
-  if (OverloadControl.isOn())
+  if (OverloadControl.isOn() && IsForRoom)
     ReturnDelay = reserveReturn(Entry, Now);
   return std::chrono::duration_cast<std::chrono::milliseconds>(
       std::max<duration>({ReturnDelay, TokenDelay, MinRetryAfter}));
@@ -626,8 +639,9 @@
     return;
   // The queue of this server says nothing about the services that it calls.
   refuse(Id, Code,
-         Code == NestedCallsRefused ? call_pressure::ReturnDelay
-                                    : retryAfter(Found->second));
+         Code == NestedCallsRefused
+             ? call_pressure::ReturnDelay
+             : retryAfter(Found->second, isForRoom(Code)));
 }
 
 void dispatcher::refuse(dispatch_id Id, const std::string &Code,
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -99,6 +99,8 @@
   void dispatchWaiting();
   /// Number of requests that run or wait.
   size_t activeCount() const { return Entries.size(); }
+  /// Whether a request runs at the server.
+  bool isServerRunning() const { return Running > 0; }
   /// The priority of the most urgent request that runs; none if none runs.
   std::optional<int> mostUrgentRunning() const;
   /// To be called when a nested call of the backend server was refused.
@@ -163,6 +165,9 @@
   /// Applies the rates that the server takes now.
   void updateAllowance();
   void dispatch(dispatch_id Id);
+  /// Whether the server may get the body of the request now. A large body does
+  /// not overtake one that waits, which would otherwise wait for ever.
+  bool fitsInFlight(const entry &Entry, bool IsOvertaking) const;
   /// Queues requests again whose bodies exceed the allowance of bytes now.
   void requeue(const std::vector<dispatch_id> &Ids);
   /// Counts the end of a call to the server.
@@ -195,7 +200,8 @@
   void refuse(dispatch_id Id, const std::string &Code,
               std::chrono::milliseconds RetryAfter);
   /// The time until room is expected for the request if it returns.
-  std::chrono::milliseconds retryAfter(const entry &Entry);
+  /// Room is reserved if the request is refused for want of it.
+  std::chrono::milliseconds retryAfter(const entry &Entry, bool IsForRoom);
   /// Reserves room for the return of a refused request.
   duration reserveReturn(const entry &Entry, time_point Now);
   /// Learns from a response whether nested calls found room.
