--- a/src/dragonflyvane/core/admission/in_flight_bytes_test.cpp
+++ b/src/dragonflyvane/core/admission/in_flight_bytes_test.cpp
@@ -66,6 +66,16 @@
   CHECK(Bytes.admits(Upload));
 }
 
+// Guards against a large upload that waits for ever behind small bodies, of
+// which a busy server always has some.
+TEST_CASE("small bodies do not keep the largest upload waiting") {
+  in_flight_bytes Bytes;
+  Bytes.onSent(2'000);
+  CHECK(Bytes.admits(LargestUpload));
+  Bytes.onEnded(2'000);
+  CHECK(Bytes.inFlight() == 0);
+}
+
 // Guards against a server that crashes again and again of the same load.
 TEST_CASE("a crash cuts the bytes in flight and limits them for a time") {
   in_flight_bytes Bytes;
--- a/src/dragonflyvane/core/rollout/rollout_policy_test.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_policy_test.cpp
@@ -2,6 +2,8 @@
 // are those of the deployment with rollouts.
 #include "dragonflyvane/core/rollout/rollout_policy.hpp"
 
+#include "dragonflyvane/core/rollout/rollout_evidence.hpp"
+
 #include <doctest/doctest.h>
 
 #include <cmath>
@@ -257,6 +259,32 @@
   CHECK(Service.State.Outcome == rollout_outcome::Completed);
 }
 
+// Guards against a service that nobody serves: old servers refuse while new
+// ones are to get all traffic, and these are gone.
+TEST_CASE("a rollout is rolled back when all new servers are gone at its end") {
+  rollout_state State;
+  State.To = "v2";
+  State.Duration = seconds(12);
+  State.Step = rollout_step::All;
+  State.Share = 1;
+  rollout_situation Situation;
+  Situation.Now = seconds(9);
+  auto Next = nextState(State, rollout_bounds{}, Situation);
+  REQUIRE(Next);
+  CHECK(Next->Outcome == rollout_outcome::RolledBack);
+}
+
+// Guards against a bound on the exposure that begins anew when a long rollout
+// has collected much evidence.
+TEST_CASE("summarized evidence still counts") {
+  rollout_evidence Evidence;
+  time_point Now(seconds(100));
+  constexpr uint64_t Reports = 50'000;
+  for (uint64_t I = 0; I < Reports; ++I)
+    Evidence.add(Now, "new-1", true, {{"desk", "v2", "parts", {1, 0, 5}}});
+  CHECK(Evidence.all().total().New.Responses == Reports);
+}
+
 // Guards against traffic for a version after its rollout has ended.
 TEST_CASE("an ended rollout takes no step") {
   modelled_service Service(1, 1000, good);
--- a/src/dragonflyvane/core/rollout/version_filter_test.cpp
+++ b/src/dragonflyvane/core/rollout/version_filter_test.cpp
@@ -94,6 +94,23 @@
   CHECK(Filter.select({{"c", &New}}, 0.06) == std::vector<std::string>{"c"});
 }
 
+// Guards against all traffic at the one or two servers of a small share, when
+// an order names the version that already serves, or the old servers are lost.
+TEST_CASE("without old servers all new ones share the requests") {
+  version_filter_fixture F;
+  F.order("v2", 5);
+  rollout_state State =
+      F.stateOf(rollout_outcome::Running, rollout_step::Canary);
+  State.Share = 0.05;
+  State.Canaries = {"b"};
+  F.write(State);
+  host_info New;
+  New.Version = "v2";
+  version_filter Filter(F.View, F.OperatorState, "desk");
+  CHECK(Filter.select({{"b", &New}, {"c", &New}}, 0.04).size() == 2);
+  CHECK(Filter.select({{"b", &New}, {"c", &New}}, 0.06).size() == 2);
+}
+
 TEST_CASE("after completed only the new version is used while it has servers") {
   version_filter_fixture F;
   F.order("v2", 5);
