--- a/src/dragonflyvane/node/admin/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -9,7 +9,7 @@
 ABSL_FLAG(std::string, config, "", "path of the settings file");
 ABSL_FLAG(std::string, log_level, "info",
           "lowest level that is logged: debug, info, warning or error");
-ABSL_FLAG(std::string, overload_control, "auto",
+ABSL_FLAG(std::string, overload_control, "off",
           "whether requests are ordered and refused by the deadlines that they "
           "can still meet: auto, on or off; auto is on without workspaces");
 ABSL_FLAG(std::string, learned_capacity, "auto",
--- a/src/dragonflyvane/node/admin/daemon_flags.hpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.hpp
@@ -15,7 +15,7 @@
   std::string ConfigPath;
   /// Messages below this level are not logged.
   log_level LogLevel = log_level::Info;
-  feature_mode OverloadControl = feature_mode::Automatic;
+  feature_mode OverloadControl = feature_mode::Off;
   feature_mode LearnedCapacity = feature_mode::Automatic;
 };
 
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -59,7 +59,7 @@
   std::chrono::milliseconds DrainTimeout{2000};
   /// Whether requests are ordered and refused by the deadlines that they can
   /// still meet, with floors for priorities and limits for hot key points.
-  feature_mode OverloadControl = feature_mode::Automatic;
+  feature_mode OverloadControl = feature_mode::Off;
   /// Whether the concurrency limit and the speed of backend servers are learned
   /// from their responses.
   feature_mode LearnedCapacity = feature_mode::Automatic;
