--- a/tests/process/arriving_requests_test.cpp
+++ b/tests/process/arriving_requests_test.cpp
@@ -1,8 +1,8 @@
 // Planned stops of real daemons while requests are still arriving.
 #include "process/local_cluster.hpp"
-#include "slow_link.hpp"
 #include "process/steady_callers.hpp"
 #include "process/upload_callers.hpp"
+#include "slow_link.hpp"
 
 #include <doctest/doctest.h>
 
--- a/tests/process/fault_soak_test.cpp
+++ b/tests/process/fault_soak_test.cpp
@@ -4,10 +4,10 @@
 // seeds, `DRAGONFLYVANE_SOAK_SECONDS` the length of the run of a seed.
 #include "process/local_cluster.hpp"
 #include "process/processor_watch.hpp"
-#include "slow_link.hpp"
 #include "process/soak_caller.hpp"
 #include "process/soak_checks.hpp"
 #include "process/soak_plan.hpp"
+#include "slow_link.hpp"
 
 #include <doctest/doctest.h>
 
