--- a/src/dragonflyvane/node/serving/host_selector.hpp
+++ b/src/dragonflyvane/node/serving/host_selector.hpp
@@ -19,21 +19,22 @@
 /// Load and reachability of all hosts, as seen by one request router.
 class host_selector {
 public:
-  /// `Host` and `FailureDomain` are those of this daemon.
+  /// `Host` and `FailureDomain` are those of this daemon. `Seed` is for the
+  /// random choices.
   host_selector(const cluster_view &View, const operator_state &OperatorState,
                 const clock_source &Clock, std::string Host,
-                std::string FailureDomain)
+                std::string FailureDomain,
+                uint64_t Seed = std::random_device{}())
       : View(View), OperatorState(OperatorState), Clock(Clock),
         LocalHost(std::move(Host)),
-        LocalFailureDomain(std::move(FailureDomain)),
-        Random(std::random_device{}()) {}
+        LocalFailureDomain(std::move(FailureDomain)), Random(Seed) {}
 
-  /// During a rollout, a random draw decides which version gets the request.
   /// Returns the host with the shortest expected time among two random hosts of
   /// the service and this host; for large responses, also among all hosts of
   /// the local failure domain. `Bytes` is the expected size of the response.
   /// Hosts in `TriedHosts` and unreachable hosts are returned only if there is
-  /// no other. Returns nothing if no host outside the evacuated failure domains
+  /// no other. During a rollout, a random draw decides which version gets the
+  /// request. Returns nothing if no host outside the evacuated failure domains
   /// has a ready server of the service.
   std::optional<std::string> pick(const std::string &Service, size_t Bytes,
                                   const std::set<std::string> &TriedHosts);
