--- a/src/dragonflyvane/core/admission/hot_points.cpp
+++ b/src/dragonflyvane/core/admission/hot_points.cpp
@@ -186,7 +186,7 @@
         Limited.Span = Span;
         Limited.Tokens.resize(Span.Limit, Burst, Now);
       }
-    Limits.push_back(std::move(Limited));
+    Limits.push_back(Limited);
   }
 }
 
--- a/src/dragonflyvane/core/rollout/rollout_policy_test.cpp
+++ b/src/dragonflyvane/core/rollout/rollout_policy_test.cpp
@@ -104,10 +104,10 @@
                        : 0.5;
     encounter Encounter{draw() < 0.7 ? "parts" : "orders", Now, Use};
     behaviour Behaviour = IsNew ? NewVersion(Encounter) : behaviour{};
+    auto Spell =
+        static_cast<int64_t>(Server) * 1000 + Now.count() / 400 + IsNew;
     bool IsSlowedDown =
-        std::hash<double>{}(double(Server * 1000 + Now.count() / 400 + IsNew)) %
-            5 ==
-        0;
+        std::hash<double>{}(static_cast<double>(Spell)) % 5 == 0;
     double Ms = (Encounter.Route == "parts" ? 140 : 40) * Behaviour.Factor *
                 std::exp(std::normal_distribution<double>(0, 0.4)(Random)) /
                 Speeds[Server] * (IsSlowedDown ? 3 : 1);
--- a/src/dragonflyvane/node/cluster/rollout_manager_test.cpp
+++ b/src/dragonflyvane/node/cluster/rollout_manager_test.cpp
@@ -69,7 +69,8 @@
       Info.Version = Version;
       Info.Availability = server_availability::Ready;
       Info.Slots = 9;
-      std::string Name = Service + "-" + Version + "-" + std::to_string(I);
+      std::string Name = Service;
+      Name.append("-").append(Version).append("-").append(std::to_string(I));
       FakeStore.put(hostRow(Name), encodeHost(Info));
     }
   }
