--- a/src/dragonflyvane/node/admin/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -12,7 +12,7 @@
 ABSL_FLAG(std::string, overload_control, "off",
           "whether requests are ordered and refused by the deadlines that they "
           "can still meet: auto, on or off; auto is on without workspaces");
-ABSL_FLAG(std::string, learned_capacity, "auto",
+ABSL_FLAG(std::string, learned_capacity, "off",
           "whether the concurrency limit and the speed of backend servers are "
           "learned from their responses: auto, on or off; auto is on without "
           "workspaces");
