Options of connections between daemons in one struct

The client and the server of peers take one set of options instead of a pacer, so that what bounds received bytes and what is measured can be added beside it. No behaviour changes. The path of the example configuration is compiled into the platform tests only, which alone read it.

--- a/cmake/dragonflyvane_tests.cmake
+++ b/cmake/dragonflyvane_tests.cmake
@@ -11,8 +11,6 @@
   endif()
   add_executable(${Layer}_tests ${Tests} ${PROJECT_SOURCE_DIR}/tests/main.cc)
   target_link_libraries(${Layer}_tests PRIVATE dragonflyvane_test_support)
-  target_compile_definitions(${Layer}_tests PRIVATE
-    EXAMPLE_CONFIGURATION="${PROJECT_SOURCE_DIR}/examples/lakeshore/config.json")
   add_test(NAME ${Layer} COMMAND ${Layer}_tests)
 endfunction()
 
@@ -20,6 +18,8 @@
 dragonflyvane_tests(net src/dragonflyvane/net)
 dragonflyvane_tests(node src/dragonflyvane/node)
 dragonflyvane_tests(platform platform)
+target_compile_definitions(platform_tests PRIVATE
+  EXAMPLE_CONFIGURATION="${PROJECT_SOURCE_DIR}/examples/lakeshore/config.json")
 
 # The simulations with random faults are split by seed into several tests, so that
 # they run on all cores.
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -103,10 +103,11 @@
 
 peer_connection::peer_connection(socket Socket, peer_role Role,
                                  size_t MaxBodyBytes, memory_budget &BodyMemory,
-                                 http_handler Handler, bulk_pacer *Pacer)
+                                 http_handler Handler,
+                                 const peer_options &Options)
     : Socket(std::move(Socket)), LivenessTimer(this->Socket.get_executor()),
       Role(Role), MaxBodyBytes(MaxBodyBytes), BodyMemory(BodyMemory),
-      Handler(std::move(Handler)), Pacer(Pacer), Liveness(Clock.now()) {
+      Handler(std::move(Handler)), Options(Options), Liveness(Clock.now()) {
   setUpSession();
 }
 
@@ -475,8 +476,8 @@
 
 void peer_connection::setBody(outgoing_body &Out, const message_body &Body) {
   Out.Body = Body;
-  if (Pacer && Pacer->isBulk(Body.size()))
-    Out.Transfer = bulk_transfer(*Pacer, Body.size());
+  if (Options.Outgoing && Options.Outgoing->isBulk(Body.size()))
+    Out.Transfer = bulk_transfer(*Options.Outgoing, Body.size());
 }
 
 void peer_connection::awaitPiece(stream_id Id, outgoing_body &Body) {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -3,7 +3,6 @@
 #ifndef DRAGONFLYVANE_NET_PEER_CONNECTION_HPP
 #define DRAGONFLYVANE_NET_PEER_CONNECTION_HPP
 
-#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/liveness_check.hpp"
@@ -11,6 +10,7 @@
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/peer_options.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
 
@@ -43,11 +43,10 @@
 
   /// `Handler` serves requests on the server side; a client has none. A stream
   /// is reset when the body received on it exceeds `MaxBodyBytes`, or when
-  /// `BodyMemory` has no room for it. With a pacer, large bodies are sent in
-  /// pieces.
+  /// `BodyMemory` has no room for it.
   peer_connection(socket Socket, peer_role Role, size_t MaxBodyBytes,
                   memory_budget &BodyMemory, http_handler Handler,
-                  bulk_pacer *Pacer = nullptr);
+                  const peer_options &Options);
   ~peer_connection();
   peer_connection(const peer_connection &) = delete;
   peer_connection &operator=(const peer_connection &) = delete;
@@ -203,7 +202,7 @@
   size_t MaxBodyBytes;
   memory_budget &BodyMemory;
   http_handler Handler;
-  bulk_pacer *Pacer;
+  peer_options Options;
   nghttp2_session *Session = nullptr;
   bool Open = true;
   /// Whether frames are collected or written; nothing else may be sent then.
--- a/src/dragonflyvane/net/peer_liveness_test.cpp
+++ b/src/dragonflyvane/net/peer_liveness_test.cpp
@@ -164,9 +164,10 @@
   endpoint Listen{"127.0.0.1", freePort()};
   peer_server Server(
       Loop, Listen, MaxBodyBytes,
-      [](const exchange_pointer &Exchange) { Exchange->respond({}); }, &Pacer);
+      [](const exchange_pointer &Exchange) { Exchange->respond({}); },
+      {&Pacer});
   slow_link Link(Listen, {{}, Rate}, {});
-  peer_client Client(Loop, MaxBodyBytes, &Pacer);
+  peer_client Client(Loop, MaxBodyBytes, {&Pacer});
   bool UploadEnded = false;
   Client.send(Link.localEndpoint(), makeUpload(1'000'000), CallTimeout,
               [&](const call_result &Result) {
@@ -200,7 +201,7 @@
   endpoint Listen{"127.0.0.1", freePort()};
   peer_server Server(Loop, Listen, MaxBodyBytes, [](const auto &) {});
   slow_link Link(Listen, {std::chrono::hours(1), 0}, {});
-  peer_client Client(Loop, MaxBodyBytes, &Pacer);
+  peer_client Client(Loop, MaxBodyBytes, {&Pacer});
   call_id Call = Client.send(Link.localEndpoint(), makeUpload(1'000'000),
                              CallTimeout, [](const call_result &) {});
   timer Later = Loop.after(milliseconds(100), [&] {
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -25,8 +25,9 @@
 class peer_client::implementation
     : public std::enable_shared_from_this<implementation> {
 public:
-  implementation(event_loop &Loop, size_t MaxBodyBytes, bulk_pacer *Pacer)
-      : Loop(Loop), MaxBodyBytes(MaxBodyBytes), Pacer(Pacer) {}
+  implementation(event_loop &Loop, size_t MaxBodyBytes,
+                 const peer_options &Options)
+      : Loop(Loop), MaxBodyBytes(MaxBodyBytes), Options(Options) {}
 
   call_id send(const endpoint &Peer, http_request Request,
                std::chrono::milliseconds Timeout, callback Callback) {
@@ -127,7 +128,7 @@
       ReplacedConnections.push_back(Channel.Connection);
       Channel.Connection = std::make_shared<peer_connection>(
           std::move(Socket), peer_role::Client, MaxBodyBytes, Loop.bodyMemory(),
-          nullptr, Pacer);
+          nullptr, Options);
       Channel.Connection->start();
     }
     Channel.ConnectingSocket.reset();
@@ -179,7 +180,7 @@
   event_loop &Loop;
   boot_clock Clock;
   size_t MaxBodyBytes;
-  bulk_pacer *Pacer;
+  peer_options Options;
   call_id LastId = 0;
   std::map<call_id, call> Calls;
   std::map<endpoint, channel> Channels;
@@ -189,9 +190,9 @@
 };
 
 peer_client::peer_client(event_loop &Loop, size_t MaxBodyBytes,
-                         bulk_pacer *Pacer)
+                         const peer_options &Options)
     : Implementation(
-          std::make_shared<implementation>(Loop, MaxBodyBytes, Pacer)) {
+          std::make_shared<implementation>(Loop, MaxBodyBytes, Options)) {
   Implementation->closeIdle();
 }
 
@@ -210,13 +211,14 @@
     : public std::enable_shared_from_this<implementation> {
 public:
   implementation(event_loop &Loop, size_t MaxBodyBytes, http_handler Handler,
-                 bulk_pacer *Pacer)
+                 const peer_options &Options)
       : Loop(Loop),
         Listener(std::make_shared<listener>(Loop,
                                             [this](listener::socket Socket) {
                                               addConnection(std::move(Socket));
                                             })),
-        MaxBodyBytes(MaxBodyBytes), Handler(std::move(Handler)), Pacer(Pacer) {}
+        MaxBodyBytes(MaxBodyBytes), Handler(std::move(Handler)),
+        Options(Options) {}
 
   void listen(const endpoint &Listen) { Listener->listen(Listen); }
 
@@ -261,7 +263,7 @@
   void addConnection(tcp::socket Socket) {
     auto Connection = std::make_shared<peer_connection>(
         std::move(Socket), peer_role::Server, MaxBodyBytes, Loop.bodyMemory(),
-        Handler, Pacer);
+        Handler, Options);
     std::erase_if(Connections, [](const auto &Weak) { return Weak.expired(); });
     Connections.push_back(Connection);
     Connection->onUnanswered(
@@ -288,7 +290,7 @@
   std::shared_ptr<listener> Listener;
   size_t MaxBodyBytes;
   http_handler Handler;
-  bulk_pacer *Pacer;
+  peer_options Options;
   unanswered_callback OnUnanswered;
   /// Whether no more connections are accepted.
   bool Stopping = false;
@@ -298,9 +300,9 @@
 
 peer_server::peer_server(event_loop &Loop, const endpoint &Listen,
                          size_t MaxBodyBytes, http_handler Handler,
-                         bulk_pacer *Pacer)
+                         const peer_options &Options)
     : Implementation(std::make_shared<implementation>(
-          Loop, MaxBodyBytes, std::move(Handler), Pacer)) {
+          Loop, MaxBodyBytes, std::move(Handler), Options)) {
   Implementation->listen(Listen);
 }
 
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -3,11 +3,11 @@
 #ifndef DRAGONFLYVANE_NET_PEER_TRANSPORT_HPP
 #define DRAGONFLYVANE_NET_PEER_TRANSPORT_HPP
 
-#include "dragonflyvane/core/admission/bulk_pacer.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/peer_options.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
 
@@ -22,10 +22,9 @@
 class peer_client {
 public:
   /// A call whose response body exceeds `MaxBodyBytes` ends as
-  /// `ConnectionLost`. With a pacer, which must outlive the client, large
-  /// requests are sent in pieces.
+  /// `ConnectionLost`.
   peer_client(event_loop &Loop, size_t MaxBodyBytes,
-              bulk_pacer *Pacer = nullptr);
+              const peer_options &Options = {});
   /// Closes all connections; open calls are not called back.
   ~peer_client();
   peer_client(const peer_client &) = delete;
@@ -51,10 +50,10 @@
 class peer_server final : public stoppable_server {
 public:
   /// Listens at once. The stream of a request whose body exceeds `MaxBodyBytes`
-  /// is reset. With a pacer, large responses are sent in pieces. Throws
-  /// `step_error` if the endpoint cannot be bound, as when it is in use.
+  /// is reset. Throws `step_error` if the endpoint cannot be bound, as when it
+  /// is in use.
   peer_server(event_loop &Loop, const endpoint &Listen, size_t MaxBodyBytes,
-              http_handler Handler, bulk_pacer *Pacer = nullptr);
+              http_handler Handler, const peer_options &Options = {});
   /// Closes the listening socket and all connections.
   ~peer_server() override;
   peer_server(const peer_server &) = delete;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -51,7 +51,7 @@
                                         this->Platform.DecodeOperatorRow),
         Shutdown(Clock, Settings.StopTimeout),
         Pacer(Loop, Clock, Settings.LinkRate),
-        Peers(Loop, MaxPeerBodyBytes, &Pacer),
+        Peers(Loop, MaxPeerBodyBytes, {&Pacer}),
         RestorableStore(this->Platform.Store, Loop,
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
@@ -102,9 +102,9 @@
                 this->Platform.Names, Metrics, Pacer, Shutdown}),
         Admin({this->Settings, Clock, OperatorState, Ownership, Dispatcher,
                Guard, Metrics}),
-        PeerServer(
-            Loop, Settings.PeerEndpoint, MaxPeerBodyBytes,
-            [this](const exchange_pointer &E) { servePeer(E); }, &Pacer),
+        PeerServer(Loop, Settings.PeerEndpoint, MaxPeerBodyBytes,
+                   [this](const exchange_pointer &E) { servePeer(E); },
+                   {&Pacer}),
         AdminServer(Loop, Settings.AdminEndpoint, {},
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
         CallerServer(
