Test links that several connections share

The proxy of the tests gave each connection the whole rate, so no test could show what happens when several hosts send to one host: their bytes wait in one queue at that host's link. A link may now share its rate among all connections, in each direction in the order in which the bytes were sent, also of several targets (a host's ports). It still accepts bytes at once and delivers them late.

Tests: a small message waits behind a large one of another connection on a shared link only; the directions are independent.

--- a/tests/process/slow_link_test.cpp
+++ b/tests/process/slow_link_test.cpp
@@ -6,6 +6,7 @@
 #include <doctest/doctest.h>
 
 #include <string>
+#include <thread>
 
 using namespace dragonflyvane;
 using std::chrono::milliseconds;
@@ -51,6 +52,57 @@
   CHECK(timeSince(Start) >= milliseconds(250));
 }
 
+// Guards against a shared link on which each connection has the whole rate, or
+// on which bytes pass others that were sent before.
+TEST_CASE("connections through a shared link wait for each other's bytes") {
+  constexpr size_t Rate = 64 << 10;
+  link_direction Slow{milliseconds(0), Rate};
+  scripted_server Server([](scripted_connection &Connection) {
+    Connection.send(std::string(Connection.readRest().size(), 'x'));
+  });
+  bool IsShared = false;
+  SUBCASE("shared") { IsShared = true; }
+  SUBCASE("not shared") {}
+  slow_link Link(endpointOf(Server), Slow, Slow,
+                 IsShared ? link_sharing::AllConnections : link_sharing::None);
+  endpoint Further = Link.addTarget(endpointOf(Server));
+  raw_connection Large(Link.localEndpoint().Port);
+  raw_connection Small(Further.Port);
+  auto Start = steady_clock::now();
+  Large.send(std::string(Rate / 4, 'x'));
+  Large.endSending();
+  // The proxy accepts all bytes long before it delivers them.
+  std::this_thread::sleep_for(milliseconds(50));
+  Small.send("abc");
+  Small.endSending();
+  CHECK(Small.readAll() == "xxx");
+  if (IsShared)
+    CHECK(timeSince(Start) >= milliseconds(250));
+  else
+    CHECK(!Large.awaitInput(milliseconds(0)));
+  CHECK(Large.readAll().size() == Rate / 4);
+  CHECK(timeSince(Start) >= milliseconds(500));
+  CHECK(Link.connectionCount() == 2);
+}
+
+// Guards against a shared link whose directions wait for each other.
+TEST_CASE("the directions of a shared link are independent") {
+  constexpr size_t Size = 32 << 10;
+  link_direction Slow{milliseconds(0), 2 * Size};
+  scripted_server Server([](scripted_connection &Connection) {
+    Connection.send(std::string(Size, 'x'));
+    Connection.readRest();
+  });
+  slow_link Link(endpointOf(Server), Slow, Slow, link_sharing::AllConnections);
+  raw_connection Caller(Link.localEndpoint().Port);
+  auto Start = steady_clock::now();
+  Caller.send(std::string(Size, 'x'));
+  Caller.endSending();
+  CHECK(Caller.readAll().size() == Size);
+  CHECK(timeSince(Start) >= milliseconds(500));
+  CHECK(timeSince(Start) < milliseconds(1'000));
+}
+
 // Guards against a link that closes both directions when one ends, or that ends
 // a direction before its last bytes have arrived.
 TEST_CASE("a slow link passes on the end of one direction after its bytes") {
--- a/tests/slow_link.cpp
+++ b/tests/slow_link.cpp
@@ -4,11 +4,13 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <array>
+#include <atomic>
 #include <deque>
 #include <fcntl.h>
 #include <mutex>
@@ -46,12 +48,39 @@
   Socket.close(Ignored);
 }
 
+/// The sender's end of one direction of a link, where bytes wait until the link
+/// takes them.
+class link_queue {
+public:
+  explicit link_queue(const link_direction &Link) : Link(Link) {}
+
+  /// Adds bytes that are sent now, and returns when they arrive.
+  steady_clock::time_point add(size_t Bytes) {
+    LeftAt = std::max(LeftAt, steady_clock::now()) + sendTime(Bytes);
+    return LeftAt + Link.Delay;
+  }
+
+private:
+  std::chrono::nanoseconds sendTime(size_t Bytes) const {
+    if (Link.BytesPerSecond == 0)
+      return {};
+    return std::chrono::nanoseconds(std::chrono::seconds(Bytes)) /
+           Link.BytesPerSecond;
+  }
+
+  link_direction Link;
+  /// When the last bytes leave the sender.
+  steady_clock::time_point LeftAt{};
+};
+
+using queue_pointer = std::shared_ptr<link_queue>;
+
 /// Carries what one socket receives to another one. The sockets close when both
 /// directions of a connection are gone.
 class one_way : public std::enable_shared_from_this<one_way> {
 public:
-  one_way(socket_pointer From, socket_pointer To, const link_direction &Link)
-      : From(std::move(From)), To(std::move(To)), Link(Link),
+  one_way(socket_pointer From, socket_pointer To, queue_pointer Queue)
+      : From(std::move(From)), To(std::move(To)), Queue(std::move(Queue)),
         Timer(this->From->get_executor()) {}
 
   void read() {
@@ -75,19 +104,12 @@
   }
 
   void send(segment_kind Kind, std::string Bytes) {
-    LeftAt = std::max(LeftAt, steady_clock::now()) + sendTime(Bytes.size());
-    Segments.push_back({Kind, std::move(Bytes), LeftAt + Link.Delay});
+    auto ArrivesAt = Queue->add(Bytes.size());
+    Segments.push_back({Kind, std::move(Bytes), ArrivesAt});
     if (Segments.size() == 1)
       awaitArrival();
   }
 
-  std::chrono::nanoseconds sendTime(size_t Size) const {
-    if (Link.BytesPerSecond == 0)
-      return {};
-    return std::chrono::nanoseconds(std::chrono::seconds(Size)) /
-           Link.BytesPerSecond;
-  }
-
   void awaitArrival() {
     Timer.expires_at(Segments.front().ArrivesAt);
     Timer.async_wait(
@@ -121,12 +143,10 @@
 
   socket_pointer From;
   socket_pointer To;
-  link_direction Link;
+  queue_pointer Queue;
   boost::asio::steady_timer Timer;
   std::array<char, SegmentSize> Buffer{};
   std::deque<segment> Segments;
-  /// When the last segment left the sender.
-  steady_clock::time_point LeftAt{};
 };
 
 } // namespace
@@ -134,12 +154,11 @@
 class slow_link::implementation {
 public:
   implementation(const endpoint &Target, const link_direction &ToTarget,
-                 const link_direction &FromTarget)
-      : Target(boost::asio::ip::make_address(Target.Address), Target.Port),
-        ToTarget(ToTarget), FromTarget(FromTarget),
-        Acceptor(Io, {boost::asio::ip::address_v4::loopback(), 0}) {
-    closeOnExec(Acceptor.native_handle());
-    accept();
+                 const link_direction &FromTarget, link_sharing Sharing)
+      : ToTarget(ToTarget), FromTarget(FromTarget), Sharing(Sharing),
+        ToTargets(std::make_shared<link_queue>(ToTarget)),
+        FromTargets(std::make_shared<link_queue>(FromTarget)),
+        Local(addTarget(Target)) {
     Thread = std::thread([this] { Io.run(); });
   }
 
@@ -148,26 +167,47 @@
     Thread.join();
   }
 
-  endpoint localEndpoint() const {
-    tcp::endpoint Local = Acceptor.local_endpoint();
-    return {Local.address().to_string(), Local.port()};
+  endpoint localEndpoint() const { return Local; }
+
+  endpoint addTarget(const endpoint &Target) {
+    auto Entry = std::make_shared<entry>(
+        Io, tcp::endpoint{boost::asio::ip::make_address(Target.Address),
+                          Target.Port});
+    tcp::endpoint Accepting = Entry->Acceptor.local_endpoint();
+    boost::asio::post(Io, [this, Entry] { accept(Entry); });
+    return {Accepting.address().to_string(), Accepting.port()};
   }
 
+  int connectionCount() const { return ConnectionCount; }
+
   bool hasRefused(uint16_t CallerPort) const {
     std::lock_guard Lock(Mutex);
     return RefusedPorts.contains(CallerPort);
   }
 
 private:
-  void accept() {
-    Acceptor.async_accept([this](const error_code &Error, tcp::socket Socket) {
-      if (!Error)
-        connect(std::make_shared<tcp::socket>(std::move(Socket)));
-      accept();
-    });
+  /// Accepts the connections to one target.
+  struct entry {
+    entry(boost::asio::io_context &Io, tcp::endpoint Target)
+        : Target(std::move(Target)),
+          Acceptor(Io, {boost::asio::ip::address_v4::loopback(), 0}) {
+      closeOnExec(Acceptor.native_handle());
+    }
+    tcp::endpoint Target;
+    tcp::acceptor Acceptor;
+  };
+
+  void accept(const std::shared_ptr<entry> &Entry) {
+    Entry->Acceptor.async_accept(
+        [this, Entry](const error_code &Error, tcp::socket Socket) {
+          if (!Error)
+            connect(std::make_shared<tcp::socket>(std::move(Socket)),
+                    Entry->Target);
+          accept(Entry);
+        });
   }
 
-  void connect(const socket_pointer &Caller) {
+  void connect(const socket_pointer &Caller, const tcp::endpoint &Target) {
     auto Server = std::make_shared<tcp::socket>(Io, Target.protocol());
     closeOnExec(Caller->native_handle());
     closeOnExec(Server->native_handle());
@@ -189,28 +229,37 @@
     reset(Caller);
   }
 
-  void carry(const socket_pointer &Caller, const socket_pointer &Server) const {
+  void carry(const socket_pointer &Caller, const socket_pointer &Server) {
+    ++ConnectionCount;
     error_code Ignored;
     Caller->set_option(tcp::no_delay(true), Ignored);
     Server->set_option(tcp::no_delay(true), Ignored);
-    std::make_shared<one_way>(Caller, Server, ToTarget)->read();
-    std::make_shared<one_way>(Server, Caller, FromTarget)->read();
+    bool IsShared = Sharing == link_sharing::AllConnections;
+    auto To = IsShared ? ToTargets : std::make_shared<link_queue>(ToTarget);
+    auto From =
+        IsShared ? FromTargets : std::make_shared<link_queue>(FromTarget);
+    std::make_shared<one_way>(Caller, Server, To)->read();
+    std::make_shared<one_way>(Server, Caller, From)->read();
   }
 
-  tcp::endpoint Target;
   link_direction ToTarget;
   link_direction FromTarget;
+  link_sharing Sharing;
+  /// The queues of a shared link.
+  queue_pointer ToTargets;
+  queue_pointer FromTargets;
   boost::asio::io_context Io{1};
-  tcp::acceptor Acceptor;
+  endpoint Local;
+  std::atomic<int> ConnectionCount{0};
   mutable std::mutex Mutex;
   std::set<uint16_t> RefusedPorts;
   std::thread Thread;
 };
 
 slow_link::slow_link(const endpoint &Target, const link_direction &ToTarget,
-                     const link_direction &FromTarget)
-    : Implementation(
-          std::make_unique<implementation>(Target, ToTarget, FromTarget)) {}
+                     const link_direction &FromTarget, link_sharing Sharing)
+    : Implementation(std::make_unique<implementation>(Target, ToTarget,
+                                                      FromTarget, Sharing)) {}
 
 slow_link::~slow_link() = default;
 
@@ -218,6 +267,14 @@
   return Implementation->localEndpoint();
 }
 
+endpoint slow_link::addTarget(const endpoint &Target) {
+  return Implementation->addTarget(Target);
+}
+
+int slow_link::connectionCount() const {
+  return Implementation->connectionCount();
+}
+
 bool slow_link::hasRefused(uint16_t CallerPort) const {
   return Implementation->hasRefused(CallerPort);
 }
--- a/tests/slow_link.hpp
+++ b/tests/slow_link.hpp
@@ -19,6 +19,15 @@
   size_t BytesPerSecond = 0;
 };
 
+/// Which connections share the rate of a link.
+enum class link_sharing {
+  /// Each connection has the whole rate.
+  None,
+  /// In each direction, the bytes of all connections wait in one queue, in the
+  /// order in which they were sent, as at the network link of a host.
+  AllConnections,
+};
+
 /// A proxy in front of an endpoint, on a thread of its own. The link holds any
 /// number of bytes, so what a side sends leaves it at once and arrives late.
 /// The end of a stream and a reset arrive after the bytes that precede them.
@@ -27,14 +36,20 @@
 class slow_link {
 public:
   slow_link(const endpoint &Target, const link_direction &ToTarget,
-            const link_direction &FromTarget);
+            const link_direction &FromTarget,
+            link_sharing Sharing = link_sharing::None);
   ~slow_link();
   slow_link(const slow_link &) = delete;
   slow_link &operator=(const slow_link &) = delete;
 
   /// The address at which the proxy accepts connections.
   endpoint localEndpoint() const;
-  /// Whether the target refused a connection from this port of a caller, which
+  /// Puts the link in front of a further endpoint too. Returns the address at
+  /// which the proxy accepts connections to it.
+  endpoint addTarget(const endpoint &Target);
+  /// The number of connections that were opened to the targets.
+  int connectionCount() const;
+  /// Whether a target refused a connection from this port of a caller, which
   /// a busy machine may reset late.
   bool hasRefused(uint16_t CallerPort) const;
 
