Large requests choose hosts by their incoming links

Cause: the expected time of a host is made of its server's processing time and queue; the link that an upload has to cross was not counted. With few reports a host pair gets about one a second, so the reported delay is halved each second instead of being dropped.

host_selector_test, 'large requests avoid a host whose incoming link is busy', does not compile before (the message has no such delay).

--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -96,7 +96,8 @@
              [this](const condition_report &Report) {
                Ownership.onReportedCondition(Report);
              },
-             Settings.LearnedCapacity, Settings.OverloadControl}),
+             Settings.LearnedCapacity, Settings.OverloadControl,
+             &IncomingPacer}),
         Rates(Clock,
               [this](const std::string &Workspace, double Amount,
                      rate_limiter::pool_callback Callback) {
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -210,7 +210,8 @@
 std::optional<std::string> request_router::active_request::chooseHost() {
   if (!IsKeyed)
     return Router.HostSelector.pick(
-        Metadata.Service, Router.Costs.responseBytesOf(Metadata.Route),
+        Metadata.Service,
+        {Request.Body.size(), Router.Costs.responseBytesOf(Metadata.Route)},
         TriedHosts);
   const known_map *Map = Router.Deps.View.map(Metadata.Service);
   if (!Map)
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -592,6 +592,8 @@
 }
 
 dispatcher_load dispatcher::load() const {
+  duration IncomingDelay =
+      Deps.IncomingLink ? Deps.IncomingLink->backlog() : duration{0};
   return {Running + static_cast<uint32_t>(Queue.size() + AwaitingGrant.size()),
           Capacity.settledLimit(Deps.Clock.now()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
@@ -600,7 +602,8 @@
               Deps.Link.backlog()),
           std::chrono::duration_cast<std::chrono::milliseconds>(
               Allowance.delayOf(Queue.size(), Deps.Clock.now())),
-          Capacity.speed()};
+          Capacity.speed(),
+          std::chrono::duration_cast<std::chrono::milliseconds>(IncomingDelay)};
 }
 
 std::chrono::milliseconds dispatcher::retryAfter(const entry &Entry,
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -61,7 +61,7 @@
     const operator_state &OperatorState;
     const header_names &Names;
     metrics &Metrics;
-    /// Paces large messages on the link of this host.
+    /// Paces large messages on the outgoing link of this host.
     const bulk_pacer &Link;
     const graceful_shutdown &Shutdown;
     /// Returns whether this host owns the key point in the ownership map.
@@ -82,6 +82,9 @@
     /// Whether requests are ordered and refused by the deadlines that they can
     /// still meet, with floors for priorities and limits for hot key points.
     feature_mode OverloadControl = feature_mode::On;
+    /// Divides the incoming link among the large requests of peers; none if
+    /// they are not divided.
+    const bulk_pacer *IncomingLink = nullptr;
   };
 
   /// Starts the periodic check for timeouts and crashes.
--- a/src/dragonflyvane/node/serving/forwarding.cpp
+++ b/src/dragonflyvane/node/serving/forwarding.cpp
@@ -23,8 +23,9 @@
 constexpr const char *CodeField = "x-dragonflyvane-code";
 constexpr const char *ReachedField = "x-dragonflyvane-reached";
 constexpr const char *RetryAfterField = "x-dragonflyvane-retry-ms";
-/// `BUSY,SLOTS,WORK_MS,LINK_DELAY_MS,TOKEN_DELAY_MS`. Daemons of earlier
-/// versions leave out the last part.
+/// `BUSY,SLOTS,WORK_MS,LINK_DELAY_MS,TOKEN_DELAY_MS,SPEED,INCOMING_DELAY_MS`.
+/// The speed is 0 if it is not known. Daemons of earlier versions leave out the
+/// last parts.
 constexpr const char *LoadField = "x-dragonflyvane-load";
 
 /// A `condition_report`, in requests and in results.
@@ -54,14 +55,16 @@
 }
 
 std::string encodeLoad(const dispatcher_load &Load) {
-  std::string Text = std::to_string(Load.Busy) + "," +
-                     std::to_string(Load.Slots) + "," +
-                     std::to_string(Load.ProcessingTime.count()) + "," +
-                     std::to_string(Load.LinkDelay.count()) + "," +
-                     std::to_string(Load.TokenDelay.count());
-  if (Load.Speed)
-    Text.append(",").append(
-        std::to_string(std::lround(*Load.Speed * SpeedUnits)));
+  long Speed = std::lround(Load.Speed.value_or(0) * SpeedUnits);
+  std::string Text;
+  for (long Value :
+       {long{Load.Busy}, long{Load.Slots}, Load.ProcessingTime.count(),
+        Load.LinkDelay.count(), Load.TokenDelay.count(), Speed,
+        Load.IncomingDelay.count()}) {
+    if (!Text.empty())
+      Text.push_back(',');
+    Text.append(std::to_string(Value));
+  }
   return Text;
 }
 
@@ -73,10 +76,11 @@
   long LinkDelay = 0;
   long TokenDelay = 0;
   long Speed = 0;
-  int FieldCount =
-      Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld,%ld,%ld", &Busy, &Slots,
-                    &ProcessingTime, &LinkDelay, &TokenDelay, &Speed)
-           : 0;
+  long IncomingDelay = 0;
+  int FieldCount = Text ? sscanf(Text->c_str(), "%u,%u,%ld,%ld,%ld,%ld,%ld",
+                                 &Busy, &Slots, &ProcessingTime, &LinkDelay,
+                                 &TokenDelay, &Speed, &IncomingDelay)
+                        : 0;
   if (FieldCount < 4)
     return Load;
   Load = {Busy, Slots, std::chrono::milliseconds(ProcessingTime),
@@ -84,6 +88,7 @@
           std::chrono::milliseconds(TokenDelay)};
   if (Speed > 0)
     Load.Speed = static_cast<double>(Speed) / SpeedUnits;
+  Load.IncomingDelay = std::chrono::milliseconds(IncomingDelay);
   return Load;
 }
 
--- a/src/dragonflyvane/node/serving/forwarding.hpp
+++ b/src/dragonflyvane/node/serving/forwarding.hpp
@@ -68,6 +68,9 @@
   /// How much faster the backend server works than the service usually does;
   /// none if not known, and from peers that do not learn it.
   std::optional<double> Speed = std::nullopt;
+  /// How long a large request would wait for the incoming link of the host;
+  /// zero from peers that do not measure it.
+  std::chrono::milliseconds IncomingDelay{0};
 };
 
 /// The result of a forwarded request.
--- a/src/dragonflyvane/node/serving/forwarding_test.cpp
+++ b/src/dragonflyvane/node/serving/forwarding_test.cpp
@@ -49,6 +49,11 @@
   CHECK(Decoded.Load.TokenDelay == milliseconds(90));
   // Peers of earlier versions send no speed.
   CHECK_FALSE(Decoded.Load.Speed);
+  CHECK(Decoded.Load.IncomingDelay == milliseconds(0));
+  ServerResult.Load.IncomingDelay = milliseconds(120);
+  Decoded = decodeResult(encodeResult(ServerResult));
+  CHECK_FALSE(Decoded.Load.Speed);
+  CHECK(Decoded.Load.IncomingDelay == milliseconds(120));
   ServerResult.Load.Speed = 0.583;
   Decoded = decodeResult(encodeResult(ServerResult));
   CHECK(Decoded.Load.Speed == doctest::Approx(0.583));
--- a/src/dragonflyvane/node/serving/host_selector.cpp
+++ b/src/dragonflyvane/node/serving/host_selector.cpp
@@ -31,11 +31,14 @@
 /// if it is faster by this much.
 constexpr double LocalDomainPenaltyMs = 2;
 constexpr double CrossDomainPenaltyMs = 4;
-/// Responses of at least this size are large.
-constexpr size_t LargeResponseBytes = size_t{16} << 10;
+/// Messages of at least this size are large.
+constexpr size_t LargeMessageBytes = size_t{16} << 10;
 /// The penalties for large responses, which use the links of both hosts.
 constexpr double LargeLocalDomainPenaltyMs = 20;
 constexpr double LargeCrossDomainPenaltyMs = 150;
+/// Half of the delay that a host reported for its incoming link is forgotten in
+/// this time.
+constexpr std::chrono::duration<double> IncomingDelayHalfLife{1.0};
 /// Number of random hosts that are compared ("power of two choices").
 constexpr size_t RandomChoices = 2;
 
@@ -98,9 +101,9 @@
 }
 
 double host_selector::expectedTime(const std::string &Name,
-                                   size_t Bytes) const {
+                                   const message_sizes &Sizes) const {
   const host_info *Info = View.host(Name);
-  bool IsLarge = Bytes >= LargeResponseBytes;
+  bool IsLarge = Sizes.Response >= LargeMessageBytes;
   double PenaltyMs = IsLarge ? LargeLocalDomainPenaltyMs : LocalDomainPenaltyMs;
   if (Name == LocalHost)
     PenaltyMs = 0;
@@ -123,13 +126,21 @@
     PenaltyMs += static_cast<double>(State.Load.LinkDelay.count());
   if (IsFresh)
     PenaltyMs += static_cast<double>(State.Load.TokenDelay.count());
+  if (Sizes.Request >= LargeMessageBytes && Name != LocalHost)
+    PenaltyMs += incomingDelay(State);
   // The term for busy slots spreads requests over hosts without a queue.
   return ProcessingTimeMs * (1 + Waiting / Slots + 0.3 * Busy / Slots) +
          PenaltyMs;
 }
 
+double host_selector::incomingDelay(const state &State) const {
+  std::chrono::duration<double> Age = Clock.now() - State.LoadAt;
+  return static_cast<double>(State.Load.IncomingDelay.count()) *
+         std::exp2(-Age / IncomingDelayHalfLife);
+}
+
 std::optional<std::string>
-host_selector::pick(const std::string &Service, size_t Bytes,
+host_selector::pick(const std::string &Service, const message_sizes &Sizes,
                     const std::set<std::string> &TriedHosts) {
   std::vector<std::pair<std::string, const host_info *>> Usable;
   for (const auto &[Name, Row] : View.hosts()) {
@@ -160,10 +171,10 @@
   for (size_t I = 0; I < Candidates.size(); ++I) {
     bool IsCompared =
         I < RandomChoices || Candidates[I] == LocalHost ||
-        (Bytes >= LargeResponseBytes && isInLocalDomain(Candidates[I]));
+        (Sizes.Response >= LargeMessageBytes && isInLocalDomain(Candidates[I]));
     if (!IsCompared)
       continue;
-    double Time = expectedTime(Candidates[I], Bytes);
+    double Time = expectedTime(Candidates[I], Sizes);
     if (Best && Time >= BestTime)
       continue;
     Best = &Candidates[I];
--- a/src/dragonflyvane/node/serving/host_selector.hpp
+++ b/src/dragonflyvane/node/serving/host_selector.hpp
@@ -16,6 +16,12 @@
 
 namespace dragonflyvane {
 
+/// The bodies of a request and its response, in bytes.
+struct message_sizes {
+  size_t Request = 0;
+  size_t Response = 0;
+};
+
 /// Load and reachability of all hosts, as seen by one request router.
 class host_selector {
 public:
@@ -31,12 +37,13 @@
 
   /// Returns the host with the shortest expected time among two random hosts of
   /// the service and this host; for large responses, also among all hosts of
-  /// the local failure domain. `Bytes` is the expected size of the response.
-  /// Hosts in `TriedHosts` and unreachable hosts are returned only if there is
-  /// no other. During a rollout, a random draw decides which version gets the
+  /// the local failure domain. `Sizes` has the size of the request and the
+  /// expected size of the response. Hosts in `TriedHosts` and unreachable hosts
+  /// are returned only if there is no other. During a rollout, a random draw decides which version gets the
   /// request. Returns nothing if no host outside the evacuated failure domains
   /// has a ready server of the service.
-  std::optional<std::string> pick(const std::string &Service, size_t Bytes,
+  std::optional<std::string> pick(const std::string &Service,
+                                  const message_sizes &Sizes,
                                   const std::set<std::string> &TriedHosts);
 
   /// Counts a call to the host as outstanding.
@@ -68,7 +75,11 @@
   double processingTime(const std::string &Service, const state &State) const;
   /// Expected time in milliseconds until a response arrives, with penalties for
   /// hosts that are farther away.
-  double expectedTime(const std::string &Name, size_t Bytes) const;
+  double expectedTime(const std::string &Name,
+                      const message_sizes &Sizes) const;
+  /// How long a large request is likely to wait for the incoming link of the
+  /// host, in milliseconds.
+  double incomingDelay(const state &State) const;
 
   const cluster_view &View;
   const operator_state &OperatorState;
--- a/src/dragonflyvane/node/serving/host_selector_test.cpp
+++ b/src/dragonflyvane/node/serving/host_selector_test.cpp
@@ -46,13 +46,26 @@
                             {Busy, 6, milliseconds(50), LinkDelay, TokenDelay});
   }
 
+  void reportIncomingDelay(const std::string &Name, milliseconds Delay) {
+    dispatcher_load Load;
+    Load.Slots = 6;
+    Load.ProcessingTime = milliseconds(50);
+    Load.IncomingDelay = Delay;
+    HostSelector.onSent(Name);
+    HostSelector.onFinished(Name, Load);
+  }
+
   /// Number of requests, out of 200, for which the host is picked.
-  int countPicks(const std::string &Name, size_t Bytes) {
+  int countPicks(const std::string &Name, const message_sizes &Sizes) {
     int Count = 0;
     for (int I = 0; I < 200; ++I)
-      Count += HostSelector.pick("catalogue", Bytes, {}) == Name;
+      Count += HostSelector.pick("catalogue", Sizes, {}) == Name;
     return Count;
   }
+  /// The same for a response of this size.
+  int countPicks(const std::string &Name, size_t Bytes) {
+    return countPicks(Name, message_sizes{0, Bytes});
+  }
 
   manual_clock Clock;
   cluster_view View;
@@ -64,6 +77,26 @@
 
 } // namespace
 
+// Guards against uploads that all go to the fastest server, whose host has a
+// full link, while the links of others are free.
+TEST_CASE("large requests avoid a host whose incoming link is busy") {
+  host_selector_fixture Selector;
+  for (const char *Name : {"own", "near", "far-1", "far-2"})
+    Selector.reportIncomingDelay(Name, milliseconds(0));
+  Selector.reportIncomingDelay("near", milliseconds(800));
+  CHECK(Selector.countPicks("near", {Large, 0}) == 0);
+  // The link that a request of this host does not cross is no reason.
+  Selector.reportIncomingDelay("own", milliseconds(800));
+  CHECK(Selector.countPicks("own", {Large, 0}) > 100);
+  // Small requests do not wait for large ones.
+  Selector.reportLoad("own", 12, milliseconds(0));
+  CHECK(Selector.countPicks("near", {100, 0}) > 0);
+  // A report of the past says little.
+  Selector.Clock.advance(std::chrono::seconds(10));
+  Selector.reportLoad("own", 12, milliseconds(0));
+  CHECK(Selector.countPicks("near", {Large, 0}) > 0);
+}
+
 TEST_CASE("large responses prefer the own host, then its failure domain") {
   host_selector_fixture Selector;
   CHECK(Selector.countPicks("own", Large) == 200);
@@ -96,10 +129,11 @@
 TEST_CASE("a host that was tried is picked only if there is no other") {
   host_selector_fixture Selector;
   for (int I = 0; I < 50; ++I)
-    CHECK(Selector.HostSelector.pick("catalogue", Large, {"own"}) != "own");
-  CHECK(Selector.HostSelector.pick("catalogue", Large,
+    CHECK(Selector.HostSelector.pick("catalogue", {0, Large}, {"own"}) !=
+          "own");
+  CHECK(Selector.HostSelector.pick("catalogue", {0, Large},
                                    {"own", "near", "far-1", "far-2"}));
-  CHECK_FALSE(Selector.HostSelector.pick("unknown", Large, {}));
+  CHECK_FALSE(Selector.HostSelector.pick("unknown", {0, Large}, {}));
 }
 
 // Guards against requests that are sent to a server at its rate limit while
@@ -238,7 +272,7 @@
   void arrive() {
     ++Arrived;
     size_t Router = Arrived % Count;
-    std::string Name = *Routers[Router].pick("desk", 1000, {});
+    std::string Name = *Routers[Router].pick("desk", {0, 1000}, {});
     Routers[Router].onSent(Name);
     server &Server = Servers[Name.back() - '0'];
     Server.Waiting.push_back({Clock.now(), Router});
