Requests and responses between daemons tell when they were sent

A daemon could not know that a request had waited 1 s on a full link: its metadata state a time left that counts from the arrival. Each request and response now carries its send time in an internal header field that only peer_connection sees. The receiver takes the delay of the header by transit_delay, and adds its own time from there to the last byte of the body, so that the body of a first request counts too. http_exchange::transitDelay() and call_result::TransitDelay offer it. Peers that send no time, or no number, are served as before, with no delay.

The field is not indexed by the header compression, since its value never repeats.

--- a/src/dragonflyvane/net/call_result.hpp
+++ b/src/dragonflyvane/net/call_result.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYVANE_NET_CALL_RESULT_HPP
 #define DRAGONFLYVANE_NET_CALL_RESULT_HPP
 
+#include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 
 #include <cstdint>
@@ -35,6 +36,9 @@
   http_response Response;
   /// The cause of a failure; empty if the outcome is `Completed`.
   std::string Error;
+  /// How much longer than usual the response of a peer was on its way; zero if
+  /// it is not known.
+  duration TransitDelay{0};
 };
 
 /// Identifies a call of one client, for `cancel`. Never 0.
--- a/src/dragonflyvane/net/http_exchange.hpp
+++ b/src/dragonflyvane/net/http_exchange.hpp
@@ -2,6 +2,7 @@
 #ifndef DRAGONFLYVANE_NET_HTTP_EXCHANGE_HPP
 #define DRAGONFLYVANE_NET_HTTP_EXCHANGE_HPP
 
+#include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 
 #include <functional>
@@ -19,6 +20,9 @@
   /// The address that the connection comes from, in numeric form; empty if it
   /// is unknown.
   virtual std::string remoteAddress() const { return ""; }
+  /// How much longer than usual the request of a peer was on its way, up to the
+  /// arrival of its last byte; zero if it is not known.
+  virtual duration transitDelay() const { return duration{0}; }
   /// Sends a whole response. Does nothing if the connection or stream has
   /// closed, or a response was sent already.
   virtual void respond(http_response Response) = 0;
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -15,6 +15,7 @@
 #include <netinet/tcp.h>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
+#include <system_error>
 
 namespace dragonflyvane {
 
@@ -45,6 +46,10 @@
 constexpr std::array<uint8_t, 8> ShutdownPing{'s', 'h', 'u', 't',
                                               'd', 'o', 'w', 'n'};
 
+/// When the sender passed the message to the connection, in milliseconds of its
+/// clock. Only `peer_connection` sees this field.
+constexpr const char *SentAtField = "x-dragonflyvane-sent-at";
+
 std::string toLower(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
     return static_cast<char>(std::tolower(C));
@@ -66,12 +71,15 @@
 class peer_exchange final : public http_exchange {
 public:
   peer_exchange(std::weak_ptr<peer_connection> Connection,
-                peer_connection::stream_id Id, http_request Request)
-      : Connection(std::move(Connection)), Id(Id), Request(std::move(Request)) {
-  }
+                peer_connection::stream_id Id, http_request Request,
+                duration TransitDelay)
+      : Connection(std::move(Connection)), Id(Id), Request(std::move(Request)),
+        TransitDelay(TransitDelay) {}
 
   const http_request &request() const override { return Request; }
 
+  duration transitDelay() const override { return TransitDelay; }
+
   void respond(http_response Response) override {
     if (Done)
       return;
@@ -97,6 +105,7 @@
   std::weak_ptr<peer_connection> Connection;
   peer_connection::stream_id Id;
   http_request Request;
+  duration TransitDelay;
   std::function<void()> OnDisconnect;
   bool Done = false;
 };
@@ -516,16 +525,27 @@
 
 namespace {
 
+/// A send time never repeats, and would only displace other fields from the
+/// table of the header compression.
+uint8_t indexingFlag(const header &Field) {
+  return Field.Name == SentAtField ? NGHTTP2_NV_FLAG_NO_INDEX
+                                   : NGHTTP2_NV_FLAG_NONE;
+}
+
 std::vector<nghttp2_nv> toNameValuePairs(header_list &Fields) {
   std::vector<nghttp2_nv> Pairs;
   for (const header &H : Fields.all())
     Pairs.push_back(
         {reinterpret_cast<uint8_t *>(const_cast<char *>(H.Name.data())),
          reinterpret_cast<uint8_t *>(const_cast<char *>(H.Value.data())),
-         H.Name.size(), H.Value.size(), NGHTTP2_NV_FLAG_NONE});
+         H.Name.size(), H.Value.size(), indexingFlag(H)});
   return Pairs;
 }
 
+std::string toSendTime(time_point Now) {
+  return std::to_string(inMilliseconds(Now.time_since_epoch()));
+}
+
 header_list mergeLowercase(const header_list &Pseudo,
                            const header_list &Headers) {
   header_list All = Pseudo;
@@ -542,6 +562,7 @@
   Pseudo.add(":method", Request.Method);
   Pseudo.add(":scheme", "http");
   Pseudo.add(":path", Request.Target);
+  Pseudo.add(SentAtField, toSendTime(Clock.now()));
   header_list Fields = mergeLowercase(Pseudo, Request.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
@@ -597,6 +618,7 @@
   Stream.IsResponding = true;
   header_list Pseudo;
   Pseudo.add(":status", std::to_string(Response.Status));
+  Pseudo.add(SentAtField, toSendTime(Clock.now()));
   header_list Fields = mergeLowercase(Pseudo, Response.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   setBody(Stream.Out, Response.Body);
@@ -645,6 +667,8 @@
   stream &Stream = openStream(Id);
   Stream.BytesRead += Name.size() + Value.size();
   Stream.LastReadAt = Liveness.lastReceived();
+  if (Name == SentAtField)
+    return onSendTime(Stream, Value);
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
@@ -660,6 +684,27 @@
   }
 }
 
+void peer_connection::onSendTime(stream &Stream, const std::string &Value) {
+  int64_t SentAt = 0;
+  const char *End = Value.data() + Value.size();
+  auto Read = std::from_chars(Value.data(), End, SentAt);
+  bool IsValid = Read.ec == std::errc() && Read.ptr == End && SentAt >= 0;
+  if (!IsValid || Stream.HeaderArrivedAt)
+    return;
+  Stream.HeaderArrivedAt = Liveness.lastReceived();
+  Stream.HeaderDelay = Transit.observe(std::chrono::milliseconds(SentAt),
+                                       *Stream.HeaderArrivedAt);
+}
+
+duration peer_connection::transitDelay(const stream &Stream) const {
+  // A peer of an earlier version sends no time, and has subtracted the expected
+  // time of the transfer from the time that it left.
+  if (!Stream.HeaderArrivedAt)
+    return duration{0};
+  return Stream.HeaderDelay +
+         (Liveness.lastReceived() - *Stream.HeaderArrivedAt);
+}
+
 void peer_connection::onData(stream_id Id, const uint8_t *Data, size_t Size) {
   auto Found = Streams.find(Id);
   if (Found == Streams.end() || Found->second.IsRejected)
@@ -699,8 +744,8 @@
     return finishCall(Stream, call_outcome::Completed, "");
   }
   Stream.Request.Body = std::move(Body);
-  auto Exchange = std::make_shared<peer_exchange>(weak_from_this(), Id,
-                                                  std::move(Stream.Request));
+  auto Exchange = std::make_shared<peer_exchange>(
+      weak_from_this(), Id, std::move(Stream.Request), transitDelay(Stream));
   Stream.Exchange = Exchange;
   serveGuarded(Handler, Exchange);
 }
@@ -762,7 +807,9 @@
   Stream.Callback = nullptr;
   // Called from within nghttp2, which no exception may cross.
   runGuarded("peer result", [&] {
-    Callback({Outcome, std::move(Stream.Response), Error});
+    Callback({Outcome, std::move(Stream.Response), Error,
+              Outcome == call_outcome::Completed ? transitDelay(Stream)
+                                                 : duration{0}});
   });
 }
 
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/liveness_check.hpp"
 #include "dragonflyvane/core/memory_budget.hpp"
+#include "dragonflyvane/core/transit_delay.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
@@ -118,6 +119,10 @@
     /// when the last of them were.
     size_t BytesRead = 0;
     time_point LastReadAt{};
+    /// When the send time of the message arrived, and how late it was then;
+    /// none if the peer sends no time.
+    std::optional<time_point> HeaderArrivedAt;
+    duration HeaderDelay{0};
     /// Whether the message from the peer has arrived completely.
     bool HasArrived = false;
     /// Whether the response was passed to the session.
@@ -177,6 +182,10 @@
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
+  /// Notes when the peer sent the message of a stream.
+  void onSendTime(stream &Stream, const std::string &Value);
+  /// How late the message of a stream is, which has arrived completely now.
+  duration transitDelay(const stream &Stream) const;
   void onData(stream_id Id, const uint8_t *Data, size_t Size);
   void onMessageEnd(stream_id Id);
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
@@ -222,6 +231,7 @@
   bool PingEnding = false;
   liveness_check Liveness;
   bool LivenessCheckActive = false;
+  transit_delay Transit;
   /// When the peer was last told of received bytes.
   time_point ProgressReportedAt{};
   std::map<stream_id, stream> Streams;
