--- a/src/dragonflyvane/net/http_server.cpp
+++ b/src/dragonflyvane/net/http_server.cpp
@@ -17,15 +17,20 @@
 class http_server::implementation {
 public:
   implementation(event_loop &Loop, const http_limits &Limits,
-                 http_handler Handler, bulk_pacer *Pacer)
+                 http_handler Handler, bulk_pacer *Pacer, link_monitor *Monitor)
       : Loop(Loop),
         Listener(std::make_shared<listener>(Loop,
                                             [this](listener::socket Socket) {
                                               addConnection(std::move(Socket));
                                             })),
-        State(std::make_shared<http_server_state>(http_server_state{
-            Limits, std::move(Handler), Loop.bodyMemory(), Pacer, false, {}})) {
-  }
+        State(std::make_shared<http_server_state>(
+            http_server_state{Limits,
+                              std::move(Handler),
+                              Loop.bodyMemory(),
+                              Pacer,
+                              false,
+                              {},
+                              Monitor})) {}
 
   void listen(const endpoint &Listen) {
     Listener->listen(Listen);
@@ -88,9 +93,9 @@
 
 http_server::http_server(event_loop &Loop, const endpoint &Listen,
                          const http_limits &Limits, http_handler Handler,
-                         bulk_pacer *Pacer)
+                         bulk_pacer *Pacer, link_monitor *Monitor)
     : Implementation(std::make_shared<implementation>(
-          Loop, Limits, std::move(Handler), Pacer)) {
+          Loop, Limits, std::move(Handler), Pacer, Monitor)) {
   Implementation->listen(Listen);
 }
 
--- a/src/dragonflyvane/net/http_server.hpp
+++ b/src/dragonflyvane/net/http_server.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/link_monitor.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
 
@@ -39,11 +40,12 @@
 ///     });
 class http_server final : public stoppable_server {
 public:
-  /// Listens at once. With a pacer, large responses are sent in pieces. Throws
-  /// `step_error` if the endpoint cannot be bound, as when it is in use.
+  /// Listens at once. With a pacer, large responses are sent in pieces. A
+  /// monitor learns what arrives from other hosts. Throws `step_error` if the
+  /// endpoint cannot be bound, as when it is in use.
   http_server(event_loop &Loop, const endpoint &Listen,
               const http_limits &Limits, http_handler Handler,
-              bulk_pacer *Pacer = nullptr);
+              bulk_pacer *Pacer = nullptr, link_monitor *Monitor = nullptr);
   /// Closes the listening socket and all connections.
   ~http_server() override;
   http_server(const http_server &) = delete;
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -96,6 +96,8 @@
   auto Remote = Socket.remote_endpoint(Ignored);
   if (!Ignored)
     RemoteAddress = Remote.address().to_string();
+  auto Local = Socket.local_endpoint(Ignored);
+  IsRemote = Remote.address() != Local.address();
   LastProgress = Clock.now();
   readMore();
 }
@@ -236,6 +238,8 @@
 
 void http_server_connection::onRead(size_t Size) {
   Buffer.commit(Size);
+  if (IsRemote && State->Monitor)
+    State->Monitor->onCallerBytesReceived(Size);
   LastReadAt = Clock.now();
   if (Phase == phase::Lingering) {
     BytesRead += Size;
--- a/src/dragonflyvane/net/http_server_connection.hpp
+++ b/src/dragonflyvane/net/http_server_connection.hpp
@@ -32,6 +32,8 @@
   /// Called for each request that ends without a complete response; may be
   /// empty.
   unanswered_callback OnUnanswered;
+  /// Learns what arrives from other hosts.
+  link_monitor *Monitor = nullptr;
 };
 
 /// A connection that serves one request at a time. A read stays pending while a
@@ -109,6 +111,8 @@
   socket Socket;
   /// The address of the caller in numeric form.
   std::string RemoteAddress;
+  /// Whether the caller is on another host.
+  bool IsRemote = false;
   std::shared_ptr<http_server_state> State;
   boot_clock Clock;
   phase Phase = phase::Idle;
--- a/src/dragonflyvane/net/metrics.cpp
+++ b/src/dragonflyvane/net/metrics.cpp
@@ -24,14 +24,20 @@
 constexpr const char *Prefix = "dragonflyvane_";
 
 /// Upper bounds of the histogram buckets in seconds.
-constexpr std::array<double, 12> BucketBounds = {0.0005, 0.001, 0.002, 0.004,
-                                                 0.008,  0.012, 0.025, 0.05,
-                                                 0.1,    0.25,  1.0,   5.0};
+constexpr std::array<double, 14> BucketBounds = {
+    0.0005, 0.001, 0.002, 0.004, 0.008, 0.012, 0.025,
+    0.05,   0.1,   0.25,  0.5,   1.0,   2.0,   5.0};
 
 struct histogram {
   latency_accumulator Total;
   /// Cumulative: each bucket counts all values up to its bound.
   std::array<uint64_t, BucketBounds.size()> Buckets{};
+
+  void add(double Seconds) {
+    Total(Seconds);
+    for (size_t I = 0; I < BucketBounds.size(); ++I)
+      Buckets[I] += Seconds <= BucketBounds[I];
+  }
 };
 
 /// Escapes a label value.
@@ -113,12 +119,15 @@
 
 void metrics::observe(const std::string &Name, const metric_labels &Labels,
                       duration Elapsed) {
-  double Seconds = std::chrono::duration<double>(Elapsed).count();
+  observe(Name, Labels, std::vector{Elapsed});
+}
+
+void metrics::observe(const std::string &Name, const metric_labels &Labels,
+                      const std::vector<duration> &Elapsed) {
   std::lock_guard Lock(Series->Mutex);
   histogram &Histogram = Series->Histograms[Name][render(Labels)];
-  Histogram.Total(Seconds);
-  for (size_t I = 0; I < BucketBounds.size(); ++I)
-    Histogram.Buckets[I] += Seconds <= BucketBounds[I];
+  for (duration Time : Elapsed)
+    Histogram.add(std::chrono::duration<double>(Time).count());
 }
 
 std::string metrics::exposition() const {
--- a/src/dragonflyvane/net/metrics.hpp
+++ b/src/dragonflyvane/net/metrics.hpp
@@ -40,6 +40,9 @@
   /// Adds a duration to a histogram, in seconds.
   void observe(const std::string &Name, const metric_labels &Labels,
                duration Elapsed);
+  /// Adds several durations at once, which is cheaper.
+  void observe(const std::string &Name, const metric_labels &Labels,
+               const std::vector<duration> &Elapsed);
   /// Returns all series in the text exposition format, with the prefix
   /// `dragonflyvane_` before each name.
   std::string exposition() const;
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -187,6 +187,8 @@
       boost::asio::detail::socket_option::integer<IPPROTO_TCP,
                                                   TCP_NOTSENT_LOWAT>;
   Socket.set_option(not_sent_limit(MaxUnsentInKernel), Ignored);
+  auto Remote = Socket.remote_endpoint(Ignored);
+  Peer = {Remote.address().to_string(), Remote.port()};
   readMore();
   // Later, so that the first request leaves together with the preface.
   boost::asio::post(Socket.get_executor(),
@@ -340,6 +342,8 @@
 
 void peer_connection::onRead(const uint8_t *Data, size_t Size) {
   Liveness.onReceived(Clock.now());
+  if (Options.Monitor)
+    Options.Monitor->onPeerBytesReceived(Size);
   Receiving = true;
   ssize_t Consumed = nghttp2_session_mem_recv(Session, Data, Size);
   Receiving = false;
@@ -423,6 +427,8 @@
           [Self = shared_from_this()] { Self->close("write failed"); });
     WriteOffset += Size;
     HandedBytes += Size;
+    if (Options.Monitor)
+      Options.Monitor->onPeerBytesSent(Size);
   }
   BeingWritten.clear();
   // Lets other connections have their turn before the next batch.
@@ -705,6 +711,14 @@
          (Liveness.lastReceived() - *Stream.HeaderArrivedAt);
 }
 
+void peer_connection::reportArrival(const stream &Stream) {
+  if (!Options.Monitor || !Stream.HeaderArrivedAt)
+    return;
+  message_kind Kind = Role == peer_role::Server ? message_kind::Request
+                                                : message_kind::Response;
+  Options.Monitor->onMessage(Kind, transitDelay(Stream), Peer);
+}
+
 void peer_connection::onData(stream_id Id, const uint8_t *Data, size_t Size) {
   auto Found = Streams.find(Id);
   if (Found == Streams.end() || Found->second.IsRejected)
@@ -737,6 +751,7 @@
     return;
   stream &Stream = Found->second;
   Stream.HasArrived = true;
+  reportArrival(Stream);
   message_body Body(std::move(Stream.Received),
                     std::move(Stream.ReceivedShare));
   if (Role == peer_role::Client) {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -186,6 +186,8 @@
   void onSendTime(stream &Stream, const std::string &Value);
   /// How late the message of a stream is, which has arrived completely now.
   duration transitDelay(const stream &Stream) const;
+  /// Reports a message that has arrived completely to the monitor.
+  void reportArrival(const stream &Stream);
   void onData(stream_id Id, const uint8_t *Data, size_t Size);
   void onMessageEnd(stream_id Id);
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
@@ -213,6 +215,7 @@
   http_handler Handler;
   peer_options Options;
   nghttp2_session *Session = nullptr;
+  endpoint Peer;
   bool Open = true;
   /// Whether frames are collected or written; nothing else may be sent then.
   bool Writing = false;
--- a/src/dragonflyvane/net/peer_options.hpp
+++ b/src/dragonflyvane/net/peer_options.hpp
@@ -3,6 +3,7 @@
 #define DRAGONFLYVANE_NET_PEER_OPTIONS_HPP
 
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
+#include "dragonflyvane/net/link_monitor.hpp"
 
 namespace dragonflyvane {
 
@@ -13,6 +14,8 @@
   bulk_pacer *Outgoing = nullptr;
   /// Peers may send large messages in pieces only, as this pacer allows.
   bulk_pacer *Incoming = nullptr;
+  /// Observes the connections.
+  link_monitor *Monitor = nullptr;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -51,7 +51,9 @@
                                         this->Platform.DecodeOperatorRow),
         Shutdown(Clock, Settings.StopTimeout),
         Pacer(Loop, Clock, Settings.LinkRate),
-        Peers(Loop, MaxPeerBodyBytes, {&Pacer}),
+        Monitor(Loop, Clock, Metrics, Settings.LinkRate),
+        Peers(Loop, MaxPeerBodyBytes,
+              {.Outgoing = &Pacer, .Monitor = &Monitor}),
         RestorableStore(this->Platform.Store, Loop,
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
@@ -104,12 +106,13 @@
                Guard, Metrics}),
         PeerServer(Loop, Settings.PeerEndpoint, MaxPeerBodyBytes,
                    [this](const exchange_pointer &E) { servePeer(E); },
-                   {&Pacer}),
+                   {.Outgoing = &Pacer, .Monitor = &Monitor}),
         AdminServer(Loop, Settings.AdminEndpoint, {},
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
         CallerServer(
             Loop, Settings.CallerEndpoint, {},
-            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer),
+            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer,
+            &Monitor),
         Sequence({Loop, Clock, Shutdown,
                   [this] { return activeCount() > 0 || !Pacer.isIdle(); },
                   [this] {
@@ -359,6 +362,7 @@
   operator_state OperatorState;
   graceful_shutdown Shutdown;
   bulk_pacer Pacer;
+  link_monitor Monitor;
   peer_client Peers;
   restorable_store RestorableStore;
   coalescing_store CoalescingStore;
