--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -56,7 +56,8 @@
         Shutdown(Clock, Settings.StopTimeout),
         Pacer(Loop, Clock, Settings.LinkRate),
         IncomingPacer(Loop, Clock, Settings.LinkRate, IncomingBulkShare),
-        Peers(Loop, MaxPeerBodyBytes, {&Pacer, &IncomingPacer}),
+        Monitor(Loop, Clock, Metrics, Settings.LinkRate),
+        Peers(Loop, MaxPeerBodyBytes, peerOptions()),
         RestorableStore(this->Platform.Store, Loop,
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
@@ -108,14 +109,15 @@
                 this->Platform.Names, Metrics, Pacer, Shutdown}),
         Admin({this->Settings, Clock, OperatorState, Ownership, Dispatcher,
                Guard, Metrics}),
-        PeerServer(Loop, Settings.PeerEndpoint, MaxPeerBodyBytes,
-                   [this](const exchange_pointer &E) { servePeer(E); },
-                   {&Pacer, &IncomingPacer}),
+        PeerServer(
+            Loop, Settings.PeerEndpoint, MaxPeerBodyBytes,
+            [this](const exchange_pointer &E) { servePeer(E); }, peerOptions()),
         AdminServer(Loop, Settings.AdminEndpoint, {},
                     [this](const exchange_pointer &E) { Admin.serve(E); }),
         CallerServer(
             Loop, Settings.CallerEndpoint, {},
-            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer),
+            [this](const exchange_pointer &E) { Router.serve(E); }, &Pacer,
+            &Monitor),
         Sequence({Loop, Clock, Shutdown,
                   [this] { return activeCount() > 0 || !Pacer.isIdle(); },
                   [this] {
@@ -172,6 +174,11 @@
   }
 
 private:
+  peer_options peerOptions() {
+    return {
+        .Outgoing = &Pacer, .Incoming = &IncomingPacer, .Monitor = &Monitor};
+  }
+
   void onClusterChange() {
     auto Config = OperatorState.config();
     if (Config && Config != AppliedConfig) {
@@ -367,6 +374,7 @@
   bulk_pacer Pacer;
   /// Divides the incoming link among the large messages of peers.
   bulk_pacer IncomingPacer;
+  link_monitor Monitor;
   peer_client Peers;
   restorable_store RestorableStore;
   coalescing_store CoalescingStore;
