Calls that nobody can repeat wait for a silent peer

What callers saw: a peer that showed no sign of life for 0.7 to 0.9 s ended every call on its connection as lost, and callers were answered 502 although the server got the request whole and its response was on its way (full link, or a process that did not run).

Cause: one limit for all calls. For a call that can go to another host it is right; for one that nobody can repeat, an early "unknown" is of no use.

Change: a call is sent with a policy, End (as before, the default) or Wait. When the liveness check counts the peer as lost, calls with End, and calls whose last byte was not sent, end as before. If others wait, the connection stays open, takes no more calls, and ends 3 s after a PING without a sign of life (core/silence_watch). Another connection is opened at once; a refused one ends the wait, and so does 500 ms of silence after the peer has answered a PING on it. An answered PING, not the peer's SETTINGS: the SETTINGS come without our bytes having arrived, as behind a relay.

--- a/src/dragonflyvane/core/liveness_check.hpp
+++ b/src/dragonflyvane/core/liveness_check.hpp
@@ -35,13 +35,14 @@
   liveness_action check(uint64_t Accepted, bool HasInput, time_point Now);
   /// When bytes were last received; at first, when the object was created.
   time_point lastReceived() const { return LastReceived; }
+  /// When the last PING was requested, or the peer's host accepted further
+  /// bytes up to its end.
+  time_point lastProgress() const { return LastProgress; }
 
 private:
   time_point LastReceived;
   time_point ActiveSince;
   bool PingPending = false;
-  /// When the PING was requested, or the peer's host accepted further bytes up
-  /// to its end.
   time_point LastProgress{};
   uint64_t PingEnd = 0;
   uint64_t KnownAccepted = 0;
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -40,10 +40,13 @@
 /// A peer that has not confirmed a shutdown notice after this time is not
 /// waited for.
 constexpr std::chrono::milliseconds ConfirmationTimeout{500};
-/// The opaque data of the PING that follows a shutdown notice; others have
+/// The opaque data of a PING.
+using ping_data = std::array<uint8_t, 8>;
+/// That of the PING that follows a shutdown notice, and of a probe; others have
 /// zeros.
-constexpr std::array<uint8_t, 8> ShutdownPing{'s', 'h', 'u', 't',
-                                              'd', 'o', 'w', 'n'};
+constexpr ping_data ShutdownPing{'s', 'h', 'u', 't', 'd', 'o', 'w', 'n'};
+constexpr ping_data ProbePing{'p', 'r', 'o', 'b', 'e'};
+constexpr const char *NoResponse = "connection timed out: no response to PING";
 
 std::string toLower(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
@@ -107,7 +110,7 @@
                                  const peer_options &Options)
     : Socket(std::move(Socket)), LivenessTimer(this->Socket.get_executor()),
       Role(Role), MaxBodyBytes(MaxBodyBytes), BodyMemory(BodyMemory),
-      Handler(std::move(Handler)), Options(Options), Liveness(Clock.now()) {
+      Handler(std::move(Handler)), Options(Options), Silence(Clock.now()) {
   setUpSession();
 }
 
@@ -209,6 +212,17 @@
   }
 }
 
+void peer_connection::logSilence() const {
+  auto Waiting =
+      std::count_if(Streams.begin(), Streams.end(),
+                    [](const auto &Entry) { return isWaiting(Entry.second); });
+  writeLog(log_level::Warning, "peer is silent",
+           {{"step", "peers"},
+            {"role", Role == peer_role::Client ? "client" : "server"},
+            {"streams", Streams.size()},
+            {"waiting", Waiting}});
+}
+
 void peer_connection::logLoss(const std::string &Reason,
                               size_t OpenStreams) const {
   time_point Now = Clock.now();
@@ -218,7 +232,7 @@
             {"reason", Reason},
             {"streams", OpenStreams},
             {"unwritten_bytes", QueuedBytes - HandedBytes},
-            {"since_read_ms", inMilliseconds(Now - Liveness.lastReceived())}});
+            {"since_read_ms", inMilliseconds(Now - Silence.lastReceived())}});
 }
 
 server_activity peer_connection::activity() const {
@@ -294,10 +308,17 @@
 }
 
 bool peer_connection::acceptsCalls() {
-  return Open && nghttp2_session_check_request_allowed(Session) != 0 &&
+  return Open && !Silence.wasSilent() &&
+         nghttp2_session_check_request_allowed(Session) != 0 &&
          !wasClosedByPeer();
 }
 
+void peer_connection::probe(std::function<void()> Callback) {
+  OnProbed = std::move(Callback);
+  nghttp2_submit_ping(Session, NGHTTP2_FLAG_NONE, ProbePing.data());
+  flush();
+}
+
 bool peer_connection::wasClosedByPeer() {
   char Next = 0;
   ssize_t Size = recv(Socket.native_handle(), &Next, sizeof(Next),
@@ -330,7 +351,7 @@
 }
 
 void peer_connection::onRead(const uint8_t *Data, size_t Size) {
-  Liveness.onReceived(Clock.now());
+  Silence.onReceived(Clock.now());
   Receiving = true;
   ssize_t Consumed = nghttp2_session_mem_recv(Session, Data, Size);
   Receiving = false;
@@ -395,7 +416,7 @@
       Found->second.Out.EndPosition = QueuedBytes;
   }
   if (std::exchange(PingEnding, false))
-    Liveness.onPingQueued(QueuedBytes);
+    Silence.onPingQueued(QueuedBytes);
 }
 
 void peer_connection::writeAvailable() {
@@ -459,21 +480,73 @@
       return;
     boost::system::error_code Ignored;
     bool HasInput = Self->Socket.available(Ignored) > 0;
-    liveness_action Action =
+    silence_action Action =
         Self->Streams.empty()
-            ? liveness_action::None
-            : Self->Liveness.check(Self->acceptedBytes(), HasInput,
-                                   Self->Clock.now());
-    if (Action == liveness_action::Close)
-      return Self->close("connection timed out: no response to PING");
-    if (Action == liveness_action::SendPing) {
-      nghttp2_submit_ping(Self->Session, NGHTTP2_FLAG_NONE, nullptr);
-      Self->flush();
-    }
-    Self->checkLiveness();
+            ? silence_action::None
+            : Self->Silence.check(Self->acceptedBytes(), HasInput,
+                                  Self->hasWaiting(), Self->Clock.now());
+    if (Self->applyCheck(Action))
+      Self->checkLiveness();
   });
 }
 
+bool peer_connection::applyCheck(silence_action Action) {
+  switch (Action) {
+  case silence_action::None:
+    break;
+  case silence_action::SendPing:
+    nghttp2_submit_ping(Session, NGHTTP2_FLAG_NONE, nullptr);
+    flush();
+    break;
+  case silence_action::Wait:
+    logSilence();
+    if (OnSilent)
+      OnSilent();
+    endOnSilence();
+    break;
+  case silence_action::Close:
+    close(NoResponse);
+    break;
+  }
+  return Open;
+}
+
+bool peer_connection::isWaiting(const stream &Stream) {
+  return Stream.Callback && Stream.Policy == silence_policy::Wait &&
+         Stream.Out.EndPosition;
+}
+
+bool peer_connection::hasWaiting() const {
+  return std::any_of(Streams.begin(), Streams.end(),
+                     [](const auto &Entry) { return isWaiting(Entry.second); });
+}
+
+void peer_connection::endOnSilence() {
+  std::vector<stream_id> Ended;
+  for (const auto &[Id, Stream] : Streams)
+    if (!isWaiting(Stream))
+      Ended.push_back(Id);
+  // A callback may end further streams, or the connection.
+  for (stream_id Id : Ended)
+    endOnSilence(Id);
+  flush();
+}
+
+void peer_connection::endOnSilence(stream_id Id) {
+  auto Found = Streams.find(Id);
+  if (Found == Streams.end() || Found->second.IsRejected)
+    return;
+  stream &Stream = Found->second;
+  // An end that is in `WriteBuffer` is still handed to the socket.
+  bool MayArrive = Stream.Out.EndPosition.has_value();
+  // Frees the link at once, although the connection may take no bytes now.
+  Stream.Out.Transfer = {};
+  reject(Id, Stream, NGHTTP2_CANCEL);
+  finishCall(Stream,
+             MayArrive ? call_outcome::ConnectionLost : call_outcome::NotSent,
+             NoResponse);
+}
+
 void peer_connection::setBody(outgoing_body &Out, const message_body &Body) {
   Out.Body = Body;
   if (Options.Outgoing && Options.Outgoing->isBulk(Body.size()))
@@ -537,6 +610,7 @@
 } // namespace
 
 peer_connection::stream_id peer_connection::call(const http_request &Request,
+                                                 silence_policy Policy,
                                                  call_callback Callback) {
   header_list Pseudo;
   Pseudo.add(":method", Request.Method);
@@ -547,6 +621,7 @@
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
   stream &Stream = openStream(Id);
   setBody(Stream.Out, Request.Body);
+  Stream.Policy = Policy;
   Stream.Callback = std::move(Callback);
   nghttp2_data_provider Provider{{.ptr = &Stream.Out}, &readBody};
   int32_t Submitted = nghttp2_submit_request(
@@ -568,7 +643,7 @@
   if (IsNew)
     Stream.ReceivedShare = memory_share(BodyMemory);
   if (!LivenessCheckActive) {
-    Liveness.onActive(Clock.now());
+    Silence.onActive(Clock.now());
     checkLiveness();
   }
   return Stream;
@@ -616,16 +691,24 @@
       onMessageEnd(Frame.hd.stream_id);
     break;
   case NGHTTP2_PING:
-    if ((Frame.hd.flags & NGHTTP2_FLAG_ACK) != 0 &&
-        std::equal(ShutdownPing.begin(), ShutdownPing.end(),
-                   Frame.ping.opaque_data))
-      ShutdownNotice = shutdown_notice::Confirmed;
+    if ((Frame.hd.flags & NGHTTP2_FLAG_ACK) != 0)
+      onPingAnswered(Frame.ping.opaque_data);
     break;
   default:
     break;
   }
 }
 
+void peer_connection::onPingAnswered(const uint8_t *Data) {
+  if (std::equal(ShutdownPing.begin(), ShutdownPing.end(), Data))
+    ShutdownNotice = shutdown_notice::Confirmed;
+  if (!std::equal(ProbePing.begin(), ProbePing.end(), Data))
+    return;
+  // Called from within nghttp2, which no exception may cross.
+  if (auto Callback = std::exchange(OnProbed, nullptr))
+    runGuarded("probe", Callback);
+}
+
 void peer_connection::onFrameSent(const nghttp2_frame &Frame) {
   // The PING must follow the notice, so that its acknowledgement tells that the
   // peer has received the notice and all its streams have arrived.
@@ -644,7 +727,7 @@
                                std::string Value) {
   stream &Stream = openStream(Id);
   Stream.BytesRead += Name.size() + Value.size();
-  Stream.LastReadAt = Liveness.lastReceived();
+  Stream.LastReadAt = Silence.lastReceived();
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
@@ -666,7 +749,7 @@
     return;
   stream &Stream = Found->second;
   Stream.BytesRead += Size;
-  Stream.LastReadAt = Liveness.lastReceived();
+  Stream.LastReadAt = Silence.lastReceived();
   size_t NewSize = Stream.Received.size() + Size;
   if (NewSize <= MaxBodyBytes && Stream.ReceivedShare.resize(NewSize)) {
     Stream.Received.append(reinterpret_cast<const char *>(Data), Size);
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -5,12 +5,13 @@
 
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/http_message.hpp"
-#include "dragonflyvane/core/liveness_check.hpp"
 #include "dragonflyvane/core/memory_budget.hpp"
+#include "dragonflyvane/core/silence_watch.hpp"
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/peer_options.hpp"
+#include "dragonflyvane/net/silence_policy.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
 
@@ -30,9 +31,9 @@
 enum class peer_role { Client, Server };
 
 /// A connection with its streams. While streams are open and nothing is
-/// received, it checks the peer with an HTTP/2 PING, and is closed if the peer
-/// then shows no sign of life (`liveness_check`). A client closes it when the
-/// peer accepts no more streams and none is open.
+/// received, it checks the peer with an HTTP/2 PING. If the peer then shows no
+/// sign of life, `silence_watch` decides whether it is closed or waits for
+/// longer. A client closes it when it takes no more calls and none is open.
 class peer_connection : public std::enable_shared_from_this<peer_connection> {
 public:
   using socket = boost::asio::ip::tcp::socket;
@@ -78,14 +79,26 @@
   /// requests that have not arrived completely, and closes the connection for
   /// writing once no stream is open. Later calls have no effect.
   void finishClosing();
-  /// Client: whether the peer processes further streams.
+  /// Client: whether the peer processes further streams. False for good once
+  /// the peer has fallen silent while calls waited.
   bool acceptsCalls();
   /// When bytes were last received; at first, when the object was created.
-  time_point lastReadTime() const { return Liveness.lastReceived(); }
+  time_point lastReadTime() const { return Silence.lastReceived(); }
+  /// Client: sets the function that is called each time that the peer falls
+  /// silent while calls wait.
+  void onSilent(std::function<void()> Callback) {
+    OnSilent = std::move(Callback);
+  }
+  /// Client: calls back once the peer has answered a PING that is sent now;
+  /// never if the connection ends before. Replaces an earlier callback.
+  void probe(std::function<void()> Callback);
+  /// To be called when the peer's process has answered on another connection.
+  void onPeerRuns() { Silence.onPeerRuns(Clock.now()); }
 
   /// Client: sends a request on a new stream. If the request cannot be
   /// submitted, calls back with `NotSent` and then returns 0.
-  stream_id call(const http_request &Request, call_callback Callback);
+  stream_id call(const http_request &Request, silence_policy Policy,
+                 call_callback Callback);
   /// Client: cancels a call without calling back, by resetting its stream.
   /// Returns whether the peer may process the request: false if its end is not
   /// sent any more.
@@ -125,6 +138,7 @@
     /// Whether this side resets the stream.
     bool IsRejected = false;
     outgoing_body Out;
+    silence_policy Policy = silence_policy::End;
     call_callback Callback;
     std::shared_ptr<class peer_exchange> Exchange;
   };
@@ -171,6 +185,15 @@
   void awaitPiece(stream_id Id, outgoing_body &Body);
   /// Checks the peer periodically while streams are open.
   void checkLiveness();
+  /// Does what a check asks for. Returns whether the connection stays open.
+  bool applyCheck(silence_action Action);
+  /// Whether the stream's call waits although the peer is silent.
+  static bool isWaiting(const stream &Stream);
+  /// Whether calls wait although the peer is silent.
+  bool hasWaiting() const;
+  /// Ends the calls that do not wait for a silent peer.
+  void endOnSilence();
+  void endOnSilence(stream_id Id);
   /// Returns the stream with this identifier, created if it is new. Starts the
   /// liveness check if it is not active.
   stream &openStream(stream_id Id);
@@ -179,9 +202,12 @@
   void onHeader(stream_id Id, std::string Name, std::string Value);
   void onData(stream_id Id, const uint8_t *Data, size_t Size);
   void onMessageEnd(stream_id Id);
+  void onPingAnswered(const uint8_t *Data);
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
+  /// Logs that the peer has fallen silent while calls wait.
+  void logSilence() const;
   /// Logs that the connection was closed while streams were open.
   void logLoss(const std::string &Reason, size_t OpenStreams) const;
   /// Server: describes the request of a stream that ends.
@@ -220,7 +246,9 @@
   /// the session returns next.
   std::vector<stream_id> EndingStreams;
   bool PingEnding = false;
-  liveness_check Liveness;
+  silence_watch Silence;
+  std::function<void()> OnSilent;
+  std::function<void()> OnProbed;
   bool LivenessCheckActive = false;
   /// When the peer was last told of received bytes.
   time_point ProgressReportedAt{};
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -30,18 +30,22 @@
       : Loop(Loop), MaxBodyBytes(MaxBodyBytes), Options(Options) {}
 
   call_id send(const endpoint &Peer, http_request Request,
-               std::chrono::milliseconds Timeout, callback Callback) {
+               std::chrono::milliseconds Timeout, callback Callback,
+               silence_policy Policy) {
     call_id Id = ++LastId;
     call &Call = Calls[Id];
     Call.Peer = Peer;
     Call.Request = std::move(Request);
     Call.Callback = std::move(Callback);
+    Call.Policy = Policy;
     Call.TimeoutTimer = Loop.after(Timeout, [this, Id] { onTimeout(Id); });
     channel &Channel = Channels[Peer];
     if (Channel.Connection && Channel.Connection->acceptsCalls())
       submit(Id, Channel);
-    else
-      connect(Peer, Channel, Id);
+    else {
+      Channel.WaitingCalls.push_back(Id);
+      connect(Peer, Channel);
+    }
     return Id;
   }
 
@@ -83,6 +87,7 @@
     endpoint Peer;
     http_request Request;
     callback Callback;
+    silence_policy Policy = silence_policy::End;
     timer TimeoutTimer;
     std::weak_ptr<peer_connection> Connection;
     peer_connection::stream_id StreamId = 0;
@@ -95,10 +100,11 @@
     std::shared_ptr<tcp::socket> ConnectingSocket;
     timer ConnectTimer;
     std::vector<call_id> WaitingCalls;
+    /// Connections whose calls wait although the peer fell silent.
+    std::vector<std::weak_ptr<peer_connection>> SilentConnections;
   };
 
-  void connect(const endpoint &Peer, channel &Channel, call_id Id) {
-    Channel.WaitingCalls.push_back(Id);
+  void connect(const endpoint &Peer, channel &Channel) {
     if (Channel.ConnectingSocket)
       return;
     auto Socket = std::make_shared<tcp::socket>(Loop.internals().Io);
@@ -110,11 +116,12 @@
     Socket->async_connect(toAsio(Peer),
                           [Weak = weak_from_this(), Peer, Socket](auto Error) {
                             if (auto Self = Weak.lock())
-                              Self->onConnected(Peer, *Socket, !Error);
+                              Self->onConnected(Peer, *Socket, Error);
                           });
   }
 
-  void onConnected(const endpoint &Peer, tcp::socket &Socket, bool Connected) {
+  void onConnected(const endpoint &Peer, tcp::socket &Socket,
+                   const boost::system::error_code &Error) {
     auto Found = Channels.find(Peer);
     if (Found == Channels.end())
       return;
@@ -122,22 +129,67 @@
     std::vector<call_id> WaitingCalls = std::move(Channel.WaitingCalls);
     Channel.WaitingCalls.clear();
     Channel.ConnectTimer.cancel();
-    if (Connected) {
-      std::erase_if(ReplacedConnections,
-                    [](const auto &Weak) { return Weak.expired(); });
-      ReplacedConnections.push_back(Channel.Connection);
-      Channel.Connection = std::make_shared<peer_connection>(
-          std::move(Socket), peer_role::Client, MaxBodyBytes, Loop.bodyMemory(),
-          nullptr, Options);
-      Channel.Connection->start();
-    }
+    if (!Error)
+      replaceConnection(Peer, Channel, std::move(Socket));
     Channel.ConnectingSocket.reset();
     for (call_id Id : WaitingCalls) {
-      if (Connected)
+      if (!Error)
         submit(Id, Channel);
       else
         finish(Id, {call_outcome::NotSent, {}, "cannot connect"});
     }
+    if (!Error && !Channel.SilentConnections.empty())
+      probe(Peer, Channel);
+    // The process that the silent connections lead to has ended.
+    if (Error == boost::asio::error::connection_refused)
+      for (const auto &Silent : std::exchange(Channel.SilentConnections, {}))
+        if (auto Connection = Silent.lock())
+          Connection->close("peer refuses connections");
+  }
+
+  void replaceConnection(const endpoint &Peer, channel &Channel,
+                         tcp::socket Socket) {
+    std::erase_if(ReplacedConnections,
+                  [](const auto &Weak) { return Weak.expired(); });
+    ReplacedConnections.push_back(Channel.Connection);
+    auto New = std::make_shared<peer_connection>(
+        std::move(Socket), peer_role::Client, MaxBodyBytes, Loop.bodyMemory(),
+        nullptr, Options);
+    New->onSilent([Weak = weak_from_this(), Peer,
+                   Connection = std::weak_ptr<peer_connection>(New)] {
+      if (auto Self = Weak.lock())
+        Self->onSilent(Peer, Connection);
+    });
+    Channel.Connection = New;
+    New->start();
+  }
+
+  void onSilent(const endpoint &Peer,
+                const std::weak_ptr<peer_connection> &Connection) {
+    channel &Channel = Channels[Peer];
+    std::erase_if(Channel.SilentConnections,
+                  [](const auto &Weak) { return Weak.expired(); });
+    Channel.SilentConnections.push_back(Connection);
+    if (Channel.Connection && Channel.Connection->acceptsCalls())
+      probe(Peer, Channel);
+    else
+      connect(Peer, Channel);
+  }
+
+  /// Tells the silent connections once the peer has answered on the present
+  /// one.
+  void probe(const endpoint &Peer, channel &Channel) {
+    Channel.Connection->probe([Weak = weak_from_this(), Peer] {
+      if (auto Self = Weak.lock())
+        Self->onPeerRuns(Peer);
+    });
+  }
+
+  void onPeerRuns(const endpoint &Peer) {
+    for (const auto &Silent :
+         std::exchange(Channels[Peer].SilentConnections, {}))
+      if (auto Connection = Silent.lock())
+        Connection->onPeerRuns();
   }
 
   void submit(call_id Id, channel &Channel) {
@@ -147,10 +199,9 @@
     call &Call = Found->second;
     Call.Connection = Channel.Connection;
     Call.Submitted = true;
-    auto StreamId =
-        Channel.Connection->call(Call.Request, [this, Id](call_result Result) {
-          finish(Id, std::move(Result));
-        });
+    auto StreamId = Channel.Connection->call(
+        Call.Request, Call.Policy,
+        [this, Id](call_result Result) { finish(Id, std::move(Result)); });
     Found = Calls.find(Id);
     if (Found != Calls.end())
       Found->second.StreamId = StreamId;
@@ -184,7 +235,8 @@
   call_id LastId = 0;
   std::map<call_id, call> Calls;
   std::map<endpoint, channel> Channels;
-  /// Connections that peers began to close, with calls that have not ended.
+  /// Connections that peers began to close, or on which they fell silent, with
+  /// calls that have not ended.
   std::vector<std::weak_ptr<peer_connection>> ReplacedConnections;
   timer SweepTimer;
 };
@@ -199,10 +251,10 @@
 peer_client::~peer_client() { Implementation->closeAll(); }
 
 call_id peer_client::send(const endpoint &Peer, http_request Request,
-                          std::chrono::milliseconds Timeout,
-                          callback Callback) {
+                          std::chrono::milliseconds Timeout, callback Callback,
+                          silence_policy Policy) {
   return Implementation->send(Peer, std::move(Request), Timeout,
-                              std::move(Callback));
+                              std::move(Callback), Policy);
 }
 
 void peer_client::cancel(call_id Id) { Implementation->cancel(Id); }
--- a/src/dragonflyvane/net/peer_transport.hpp
+++ b/src/dragonflyvane/net/peer_transport.hpp
@@ -8,6 +8,7 @@
 #include "dragonflyvane/net/event_loop.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/peer_options.hpp"
+#include "dragonflyvane/net/silence_policy.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
 
@@ -17,8 +18,11 @@
 
 /// Calls other daemons. The connection to a peer is opened by the first call to
 /// it, and replaced by the next call after it closed or the peer began to close
-/// it; then it closes once its calls have ended. Never retries a request.
-/// Used on the event loop's thread, on which it also calls back.
+/// it; then it closes once its calls have ended. If the peer falls silent while
+/// calls wait, another connection is opened at once, and takes further calls.
+/// The waiting calls end if the peer refuses that connection, if only it is
+/// answered, or if the silence lasts. Never retries a request. Used on the
+/// event loop's thread, on which it also calls back.
 class peer_client {
 public:
   /// A call whose response body exceeds `MaxBodyBytes` ends as
@@ -34,9 +38,11 @@
   using callback = std::function<void(call_result)>;
 
   /// Sends a request. The timeout covers opening a connection, sending the
-  /// request and receiving the whole response.
+  /// request and receiving the whole response. A call whose last byte was not
+  /// sent ends as `NotSent` when the peer falls silent, whatever the policy.
   call_id send(const endpoint &Peer, http_request Request,
-               std::chrono::milliseconds Timeout, callback Callback);
+               std::chrono::milliseconds Timeout, callback Callback,
+               silence_policy Policy = silence_policy::End);
   /// Cancels a call without calling back. Does nothing if the call has ended.
   void cancel(call_id Id);
 
