Requests that only one host may run wait for a silent peer

What callers saw: when a daemon did not run for a second, all requests that had been passed on to it were answered 502 "peer-lost" after 0.9 s, although it ran them when it went on. Known red "connections between daemons lost at once" shows the same answers.

Change: the request router sends with the policy Wait, unless the request may be repeated and its service is not keyed, so that another host can run it. The timeout of the call bounds the wait (504). A peer counts as unreachable as before: when a call ends as lost, or a new connection fails.

--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -289,7 +289,13 @@
       Info.PeerEndpoint, std::move(Forwarded), Timeout,
       [Self = shared_from_this(), Host](call_result Result) {
         Self->onPeerResult(Host, std::move(Result));
-      });
+      },
+      silencePolicy());
+}
+
+silence_policy request_router::active_request::silencePolicy() const {
+  bool MayRunElsewhere = Route->Idempotent && !IsKeyed;
+  return MayRunElsewhere ? silence_policy::End : silence_policy::Wait;
 }
 
 void request_router::active_request::onPeerResult(const std::string &Host,
--- a/src/dragonflyvane/node/serving/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -51,6 +51,8 @@
   void send(const std::string &Host);
   void sendToPeer(const std::string &Host, const host_info &Info,
                   std::chrono::milliseconds Timeout);
+  /// Only a request that another host can run ends when its peer falls silent.
+  silence_policy silencePolicy() const;
   void onPeerResult(const std::string &Host, call_result Result);
   void onResult(const std::string &Host, forward_result Result);
   /// Whether the request may be sent again. Takes a retry from the budget only
