A peer server waits longer for a peer that is silent

What callers saw: the daemon that ran their request closed the connection after 0.7 to 0.9 s without a sign of life, though its peer was only late: the run was cut, and the caller was answered 502.

Change: on the server side every request of the connection waits, so that the connection is closed 3 s after a PING without a sign of life. This holds for arriving requests too: cut off, their peers can only tell "unknown", or refuse, while their bytes are on the way; their memory is in the budget.

Evidence: two tests.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -214,8 +214,9 @@
 
 void peer_connection::logSilence() const {
   auto Waiting =
-      std::count_if(Streams.begin(), Streams.end(),
-                    [](const auto &Entry) { return isWaiting(Entry.second); });
+      std::count_if(Streams.begin(), Streams.end(), [this](const auto &Entry) {
+        return isWaiting(Entry.second);
+      });
   writeLog(log_level::Warning, "peer is silent",
            {{"step", "peers"},
             {"role", Role == peer_role::Client ? "client" : "server"},
@@ -511,17 +512,22 @@
   return Open;
 }
 
-bool peer_connection::isWaiting(const stream &Stream) {
+bool peer_connection::isWaiting(const stream &Stream) const {
+  if (Role == peer_role::Server)
+    return !Stream.IsRejected;
   return Stream.Callback && Stream.Policy == silence_policy::Wait &&
          Stream.Out.EndPosition;
 }
 
 bool peer_connection::hasWaiting() const {
-  return std::any_of(Streams.begin(), Streams.end(),
-                     [](const auto &Entry) { return isWaiting(Entry.second); });
+  return std::any_of(Streams.begin(), Streams.end(), [this](const auto &Entry) {
+    return isWaiting(Entry.second);
+  });
 }
 
 void peer_connection::endOnSilence() {
+  if (Role == peer_role::Server)
+    return;
   std::vector<stream_id> Ended;
   for (const auto &[Id, Stream] : Streams)
     if (!isWaiting(Stream))
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -187,9 +187,10 @@
   void checkLiveness();
   /// Does what a check asks for. Returns whether the connection stays open.
   bool applyCheck(silence_action Action);
-  /// Whether the stream's call waits although the peer is silent.
-  static bool isWaiting(const stream &Stream);
-  /// Whether calls wait although the peer is silent.
+  /// Whether the stream waits although the peer is silent. All requests wait on
+  /// the server side: a peer that is only late gets its responses.
+  bool isWaiting(const stream &Stream) const;
+  /// Whether any stream waits although the peer is silent.
   bool hasWaiting() const;
   /// Ends the calls that do not wait for a silent peer.
   void endOnSilence();
@@ -206,7 +207,7 @@
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
-  /// Logs that the peer has fallen silent while calls wait.
+  /// Logs that the peer has fallen silent while streams wait.
   void logSilence() const;
   /// Logs that the connection was closed while streams were open.
   void logLoss(const std::string &Reason, size_t OpenStreams) const;
--- a/src/dragonflyvane/net/peer_silence_test.cpp
+++ b/src/dragonflyvane/net/peer_silence_test.cpp
@@ -33,6 +33,25 @@
   return Request;
 }
 
+/// An HTTP/2 frame of a type with flags, on a stream.
+std::string makeFrame(char Type, char Flags, char StreamId,
+                      const std::string &Payload) {
+  return std::string{0,    0,     static_cast<char>(Payload.size()),
+                     Type, Flags, 0,
+                     0,    0,     StreamId} +
+         Payload;
+}
+
+/// A whole request `GET /` on a connection.
+std::string makeRawRequest() {
+  constexpr char SettingsFrame = 4;
+  constexpr char HeadersFrame = 1;
+  constexpr char EndOfStreamAndHeaders = 5;
+  return "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n" +
+         makeFrame(SettingsFrame, 0, 0, "") +
+         makeFrame(HeadersFrame, EndOfStreamAndHeaders, 1, "\x82\x84\x86");
+}
+
 http_handler respondAtOnce() {
   return [](const exchange_pointer &Exchange) { Exchange->respond({}); };
 }
@@ -210,3 +229,47 @@
   CHECK(Caller.call(1).Outcome == call_outcome::Completed);
   CHECK(Caller.call(1).Took < milliseconds(300));
 }
+
+// Guards against a server that cuts off what it runs for a peer whose responses
+// to its PING are late.
+TEST_CASE("a peer server serves a peer that is late") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  timer Work;
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       Work = Loop.after(milliseconds(2000),
+                                         [Exchange] { Exchange->respond({}); });
+                     });
+  slow_link Link(Listen, Late, {});
+  caller Caller{Loop, Link.localEndpoint()};
+  Caller.send(silence_policy::Wait);
+  Loop.run();
+  CHECK(Caller.call(0).Outcome == call_outcome::Completed);
+  CHECK(Caller.call(0).Error == "");
+  CHECK(Caller.call(0).Took > milliseconds(3500));
+}
+
+// Guards against requests of a peer that is gone, which take slots and memory.
+TEST_CASE("a peer server waits for a silent peer for a limited time") {
+  event_loop Loop;
+  boot_clock Clock;
+  endpoint Listen{"127.0.0.1", freePort()};
+  time_point Begin;
+  duration Waited{0};
+  exchange_pointer Held;
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       Held = Exchange;
+                       Begin = Clock.now();
+                       Held->onDisconnect([&] {
+                         Waited = Clock.now() - Begin;
+                         Loop.stop();
+                       });
+                     });
+  raw_connection Peer(Listen);
+  Peer.send(makeRawRequest());
+  Loop.run();
+  CHECK(Waited > milliseconds(3000));
+  CHECK(Waited < milliseconds(4200));
+}
