The time that a request waits on its way counts against its deadline

Calls began at a backend server up to 1 s after their callers had left: the time left that a daemon states counts from the arrival at the other one, and nothing knew how long the request had waited in between. The receiver now subtracts the transit delay from both times left. The sender states its whole time and no longer subtracts its estimate of the transfer, which the receiver measures; it still refuses what its own link cannot carry in time (link-full). A request without time left is refused at once, not run, with the code expired-on-arrival, counted (expired_on_arrival_total) and logged with its transit time; its entrance answers by the usual rules.

A request that waits for its connection to be opened is not covered: its send time is that of the first byte on the connection.

--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -259,7 +259,7 @@
 
   void serveForwarded(const exchange_pointer &Exchange) {
     http_request Request = Exchange->request();
-    auto Metadata = extractMetadata(Request.Headers);
+    auto Metadata = extractMetadata(Request.Headers, Exchange->transitDelay());
     if (!Metadata)
       return Exchange->respond({400, {}, ""});
     auto Id = std::make_shared<dispatch_id>(0);
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -239,22 +239,20 @@
   Metadata.TimeLeft =
       std::chrono::duration_cast<std::chrono::milliseconds>(timeLeft());
   Metadata.IsLocal = Host == Router.Deps.Settings.Host;
+  size_t RequestBytes = Metadata.IsLocal ? 0 : Request.Body.size();
   // The response also crosses the link of this host to the caller.
   duration TransferTime = Router.Deps.Link.transferTime(
-      Metadata.IsLocal ? 0 : Request.Body.size(),
-      Router.Costs.responseBytesOf(Metadata.Route));
-  // The other host counts its times from the arrival of the whole request.
-  std::chrono::milliseconds PeerTimeout = Metadata.TimeLeft;
-  if (!Metadata.IsLocal)
-    Metadata.TimeLeft -= std::chrono::duration_cast<std::chrono::milliseconds>(
-        Router.Deps.Link.transferTime(Request.Body.size()));
+      RequestBytes, Router.Costs.responseBytesOf(Metadata.Route));
   Metadata.SoftTimeLeft = Metadata.TimeLeft;
   duration SoftTimeLeft = timeLeft();
   if (Route->SoftTimeout.count() > 0) {
     SoftTimeLeft = StartedAt + Route->SoftTimeout - Router.Deps.Clock.now();
+    // The other host subtracts what the request really takes to arrive.
+    duration ResponseTime =
+        TransferTime - Router.Deps.Link.transferTime(RequestBytes);
     Metadata.SoftTimeLeft =
         std::chrono::duration_cast<std::chrono::milliseconds>(SoftTimeLeft -
-                                                              TransferTime);
+                                                              ResponseTime);
   }
   if (isLinkTooSlow(TransferTime, timeLeft(), SoftTimeLeft))
     return refuseUnserved(
@@ -276,17 +274,16 @@
     return waitForHost("owner-unknown");
   if (IsKeyed && Router.HostSelector.isInBackoff(Host))
     return refuseUnserved("owner-unreachable", OwnerRetryAfter);
-  sendToPeer(Host, *Info, PeerTimeout);
+  sendToPeer(Host, *Info);
 }
 
-void request_router::active_request::sendToPeer(
-    const std::string &Host, const host_info &Info,
-    std::chrono::milliseconds Timeout) {
+void request_router::active_request::sendToPeer(const std::string &Host,
+                                                const host_info &Info) {
   http_request Forwarded = Request;
   writeMetadata(Metadata, Forwarded.Headers);
   Router.HostSelector.onSent(Host);
   PeerCall = Router.Deps.Peers.send(
-      Info.PeerEndpoint, std::move(Forwarded), Timeout,
+      Info.PeerEndpoint, std::move(Forwarded), Metadata.TimeLeft,
       [Self = shared_from_this(), Host](call_result Result) {
         Self->onPeerResult(Host, std::move(Result));
       });
--- a/src/dragonflyvane/node/serving/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -49,8 +49,7 @@
   /// request.
   void dispatch();
   void send(const std::string &Host);
-  void sendToPeer(const std::string &Host, const host_info &Info,
-                  std::chrono::milliseconds Timeout);
+  void sendToPeer(const std::string &Host, const host_info &Info);
   void onPeerResult(const std::string &Host, call_result Result);
   void onResult(const std::string &Host, forward_result Result);
   /// Whether the request may be sent again. Takes a retry from the budget only
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -22,6 +22,8 @@
 constexpr std::chrono::milliseconds ServerMaxIdle{4000};
 /// Refusal code of requests whose nested calls would be refused.
 constexpr const char *NestedCallsRefused = "nested-calls-refused";
+/// Refusal code of requests whose time ran out on their way to this host.
+constexpr const char *ExpiredOnArrival = "expired-on-arrival";
 /// The status of a request for a key, or of an instance, that the server does
 /// not have.
 constexpr int MisdirectedRequest = 421;
@@ -75,6 +77,8 @@
 
 std::string dispatcher::arrivalRefusalCode(const entry &Entry) {
   const forward_metadata &Metadata = Entry.Metadata;
+  if (Entry.Deadline <= Deps.Clock.now())
+    return ExpiredOnArrival;
   std::string Code = refusalCode(Metadata);
   if (!Code.empty())
     return Code;
@@ -95,6 +99,17 @@
   return HasRoomForCalls ? "" : NestedCallsRefused;
 }
 
+void dispatcher::reportExpired(const entry &Entry) {
+  Deps.Metrics.count("expired_on_arrival_total");
+  writeRequestLog(
+      "request expired on its way",
+      {{"request_id",
+        Entry.Request.Headers.find(Deps.Names.RequestId).value_or("")},
+       {"route", Entry.Metadata.Route},
+       {"transit_ms", Entry.Metadata.TransitDelay.count()},
+       {"late_ms", inMilliseconds(Deps.Clock.now() - Entry.Deadline)}});
+}
+
 bool dispatcher::mustWaitForGrant(const forward_metadata &Metadata) const {
   return Metadata.Point &&
          !Deps.Server.holds(*Metadata.Point, Deps.Clock.now());
@@ -132,6 +147,8 @@
   Entry.Callback = std::move(Callback);
   std::string Code = arrivalRefusalCode(Entry);
   if (!Code.empty()) {
+    if (Code == ExpiredOnArrival)
+      reportExpired(Entry);
     refuse(Id, Code);
     return 0;
   }
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -144,6 +144,8 @@
   std::string refusalCode(const forward_metadata &Metadata) const;
   /// The same for a request that arrives now.
   std::string arrivalRefusalCode(const entry &Entry);
+  /// Counts and logs a request whose time ran out on its way.
+  void reportExpired(const entry &Entry);
   bool mustWaitForGrant(const forward_metadata &Metadata) const;
   queued_request makeQueuedRequest(dispatch_id Id, const entry &Entry) const;
   /// Queues the request if the response is expected to be ready, and sent over
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -156,6 +156,25 @@
   CHECK(Fixture.mostArrivalsIn4s(Known) <= 4 * 8 + 5);
 }
 
+// Guards against requests that are run, or wait, although their time ran out on
+// a full link and their callers have left.
+TEST_CASE("a request whose time ran out on its way is refused at once") {
+  dispatcher_fixture Fixture;
+  for (milliseconds TimeLeft : {milliseconds(0), milliseconds(-300)}) {
+    Fixture.Results.clear();
+    Fixture.submit(TimeLeft);
+    REQUIRE(Fixture.Results.size() == 1);
+    CHECK((Fixture.Results[0].Outcome == forward_outcome::NotRun));
+    CHECK(Fixture.Results[0].Code == "expired-on-arrival");
+    CHECK(!Fixture.Results[0].Reached);
+  }
+  Fixture.Loop.runFor(seconds(1));
+  CHECK(Fixture.Arrivals.empty());
+  CHECK(Fixture.Dispatcher.activeCount() == 0);
+  CHECK(Fixture.Metrics.exposition().find(
+            "dragonflyvane_expired_on_arrival_total 2\n") != std::string::npos);
+}
+
 // Guards against requests that wait for a limit which leaves them no time.
 // Pattern: many callers at a server that takes few requests.
 TEST_CASE("a request that the limit would make too late is refused at once, "
--- a/src/dragonflyvane/node/serving/forwarding.cpp
+++ b/src/dragonflyvane/node/serving/forwarding.cpp
@@ -105,7 +105,8 @@
   addCondition(Metadata.ServerCondition, Headers);
 }
 
-std::optional<forward_metadata> extractMetadata(header_list &Headers) {
+std::optional<forward_metadata> extractMetadata(header_list &Headers,
+                                                duration TransitDelay) {
   auto Service = Headers.find(ServiceField);
   auto TimeLeft = Headers.find(TimeLeftField);
   if (!Service || !TimeLeft)
@@ -121,6 +122,10 @@
   Metadata.TimeLeft = std::chrono::milliseconds(toNumber<int64_t>(TimeLeft, 0));
   Metadata.SoftTimeLeft = std::chrono::milliseconds(toNumber<int64_t>(
       Headers.find(SoftTimeLeftField), Metadata.TimeLeft.count()));
+  Metadata.TransitDelay =
+      std::chrono::duration_cast<std::chrono::milliseconds>(TransitDelay);
+  Metadata.TimeLeft -= Metadata.TransitDelay;
+  Metadata.SoftTimeLeft -= Metadata.TransitDelay;
   Metadata.Idempotent = Headers.find(IdempotentField).has_value();
   Metadata.ServerCondition = findCondition(Headers);
   removeInternal(Headers);
--- a/src/dragonflyvane/node/serving/forwarding.hpp
+++ b/src/dragonflyvane/node/serving/forwarding.hpp
@@ -40,6 +40,9 @@
   bool IsLocal = false;
   /// What the request router knows of the condition of the backend server.
   std::optional<condition_report> ServerCondition = std::nullopt;
+  /// How long the request waited on its way; the times left are without it. Not
+  /// sent to peers.
+  std::chrono::milliseconds TransitDelay{0};
 };
 
 /// How a forwarded request ended.
@@ -89,9 +92,11 @@
 
 /// Adds the metadata as header fields that only daemons use.
 void writeMetadata(const forward_metadata &Metadata, header_list &Headers);
-/// Reads the metadata and removes all fields that only daemons use. Returns
-/// nothing, and removes nothing, if the service or the time left is missing.
-std::optional<forward_metadata> extractMetadata(header_list &Headers);
+/// Reads the metadata and removes all fields that only daemons use. The times
+/// left are those of the sending, less the transit delay. Returns nothing, and
+/// removes nothing, if the service or the time left is missing.
+std::optional<forward_metadata> extractMetadata(header_list &Headers,
+                                                duration TransitDelay);
 
 /// Encodes a result as a response to the peer. Results other than `Answered`
 /// become status 503 (`NotRun`) or 502 (`Unknown`), with the reason in header
--- a/src/dragonflyvane/node/serving/forwarding_test.cpp
+++ b/src/dragonflyvane/node/serving/forwarding_test.cpp
@@ -21,7 +21,7 @@
   header_list Headers;
   Headers.add("X-Other", "1");
   writeMetadata(Metadata, Headers);
-  auto Decoded = extractMetadata(Headers);
+  auto Decoded = extractMetadata(Headers, milliseconds(0));
   REQUIRE(Decoded);
   CHECK(Decoded->Service == "desk");
   CHECK(Decoded->Point == 77);
@@ -32,7 +32,23 @@
   CHECK(Decoded->SoftTimeLeft == milliseconds(150));
   CHECK(Decoded->ServerCondition == Metadata.ServerCondition);
   CHECK(Headers.all().size() == 1);
-  CHECK(!extractMetadata(Headers));
+  CHECK(!extractMetadata(Headers, milliseconds(0)));
+}
+
+// Guards against a request that waited on a full link and is treated as fresh:
+// it runs although its caller has left.
+TEST_CASE("the time that a request waited on its way is not left to it") {
+  forward_metadata Metadata;
+  Metadata.Service = "desk";
+  Metadata.TimeLeft = milliseconds(1000);
+  Metadata.SoftTimeLeft = milliseconds(300);
+  header_list Headers;
+  writeMetadata(Metadata, Headers);
+  auto Decoded = extractMetadata(Headers, std::chrono::microseconds(700'900));
+  REQUIRE(Decoded);
+  CHECK(Decoded->TimeLeft == milliseconds(300));
+  CHECK(Decoded->SoftTimeLeft == milliseconds(-400));
+  CHECK(Decoded->TransitDelay == milliseconds(700));
 }
 
 TEST_CASE("a 503 of the backend server is not taken for a refusal") {
