--- a/src/dragonflyvane/node/serving/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -49,8 +49,7 @@
   /// request.
   void dispatch();
   void send(const std::string &Host);
-  void sendToPeer(const std::string &Host, const host_info &Info,
-                  std::chrono::milliseconds Timeout);
+  void sendToPeer(const std::string &Host, const host_info &Info);
   /// Only a request that another host can run ends when its peer falls silent.
   silence_policy silencePolicy() const;
   void onPeerResult(const std::string &Host, call_result Result);
