Connections to peers: round trips, unaccepted bytes and losses in metrics and one line

When connections are lost, nothing in the record told whether the host received anything at all. Once a second in which connections closed with open streams, one line, 'connections to peers were lost', has the last peer and reason, their number, and the same figures as the line on late messages: bytes received beside the rate of the link, and the delay of the event loop.

New metrics: peer_ping_seconds (round trips of the PINGs, as they are sent today), peer_connections_lost_total by reason, peer_connections_silent_total (a PING unanswered for 250 ms), peer_unaccepted_bytes (handed to the kernel, not accepted by the peers' hosts) and peer_oldest_ping_seconds. The gauges are read once a second from the open connections.

Tests: a manual clock with fake connections; a real client whose peer answers late, and one whose peer is gone. Without the hooks in peer_connection the last two fail (no round trip, no report).

--- a/src/dragonflyvane/net/link_monitor.hpp
+++ b/src/dragonflyvane/net/link_monitor.hpp
@@ -11,6 +11,9 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <optional>
+#include <set>
+#include <string>
 #include <vector>
 
 namespace dragonflyvane {
@@ -18,8 +21,7 @@
 /// What a message between daemons is.
 enum class message_kind : uint8_t { Request, Response };
 
-/// The messages of peers that arrived late in a period of about a second, and
-/// what this host did in that time.
+/// Messages of peers that arrived late.
 struct late_messages {
   /// The message with the longest transit delay.
   endpoint Peer;
@@ -27,6 +29,22 @@
   duration TransitDelay{0};
   /// Number of late messages.
   uint64_t Count = 0;
+};
+
+/// Connections to peers that closed with open streams.
+struct lost_connections {
+  /// The last of them.
+  endpoint Peer;
+  std::string Reason;
+  /// Their number.
+  uint64_t Count = 0;
+};
+
+/// What went wrong on the connections to peers in a period of about a second,
+/// and what this host did in that time.
+struct link_report {
+  late_messages Late;
+  lost_connections Lost;
   /// Bytes received in the period.
   uint64_t PeerBytes = 0;
   uint64_t CallerBytes = 0;
@@ -37,16 +55,28 @@
   duration LoopDelay{0};
 };
 
-/// Counts bytes and late messages. Observations are cheap; once a second they
-/// are added to the metrics, and late messages are logged in one line. Used on
-/// the event loop's thread.
+/// A connection whose state a `link_monitor` reads once a second.
+class monitored_connection {
+public:
+  virtual ~monitored_connection() = default;
+  /// The bytes that were handed to the kernel and that the peer's host has not
+  /// accepted.
+  virtual uint64_t unacceptedBytes() = 0;
+  /// When the first unanswered PING was sent; none if all are answered.
+  virtual std::optional<time_point> oldestPing() const = 0;
+};
+
+/// Counts bytes, late messages and lost connections. Observations are cheap;
+/// once a second they are added to the metrics, and what went wrong is logged.
+/// Used on the event loop's thread.
 class link_monitor {
 public:
-  using late_callback = std::function<void(const late_messages &)>;
+  /// Called after a period in which messages were late or connections lost.
+  using report_callback = std::function<void(const link_report &)>;
 
   /// `Loop`, `Clock` and `Metrics` must outlive this object.
   link_monitor(scheduler &Loop, const clock_source &Clock, metrics &Metrics,
-               double LinkRate, late_callback OnLate = logLateMessages);
+               double LinkRate, report_callback OnReport = writeToLog);
 
   /// To be called with the number of bytes that were read from a connection of
   /// a peer, or handed to the socket of one.
@@ -57,6 +87,14 @@
   /// To be called when a message of a peer has arrived completely.
   void onMessage(message_kind Kind, duration TransitDelay,
                  const endpoint &Peer);
+  /// To be called when a peer has answered a PING.
+  void onPingAnswered(duration RoundTrip);
+  /// Begins and ends the observation of an open connection.
+  void add(monitored_connection &Connection);
+  void remove(monitored_connection &Connection);
+  /// To be called when a connection closes with open streams, before `remove`.
+  void onConnectionLost(monitored_connection &Connection, const endpoint &Peer,
+                        const std::string &Reason);
 
 private:
   /// Bytes since the last publication.
@@ -66,19 +104,23 @@
     uint64_t CallerReceived = 0;
   };
 
-  static void logLateMessages(const late_messages &Late);
+  static void writeToLog(const link_report &Report);
   void publish();
-  void publishTransitDelays();
+  void publishTimes();
+  void publishConnections(time_point Now);
 
   const clock_source &Clock;
   metrics &Metrics;
   double LinkRate;
-  late_callback OnLate;
+  report_callback OnReport;
   event_loop_delay LoopDelay;
   byte_counts Counts;
   /// The transit delays since the last publication, by kind of message.
   std::array<std::vector<duration>, 2> TransitDelays;
+  std::vector<duration> RoundTrips;
   late_messages Late;
+  lost_connections Lost;
+  std::set<monitored_connection *> Connections;
   time_point PublishedAt;
   timer Tick;
 };
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -120,7 +120,11 @@
   setUpSession();
 }
 
-peer_connection::~peer_connection() { nghttp2_session_del(Session); }
+peer_connection::~peer_connection() {
+  if (Open && Options.Monitor)
+    Options.Monitor->remove(*this);
+  nghttp2_session_del(Session);
+}
 
 nghttp2_session_callbacks *peer_connection::makeCallbacks() {
   nghttp2_session_callbacks *Callbacks = nullptr;
@@ -189,6 +193,8 @@
   Socket.set_option(not_sent_limit(MaxUnsentInKernel), Ignored);
   auto Remote = Socket.remote_endpoint(Ignored);
   Peer = {Remote.address().to_string(), Remote.port()};
+  if (Options.Monitor)
+    Options.Monitor->add(*this);
   readMore();
   // Later, so that the first request leaves together with the preface.
   boost::asio::post(Socket.get_executor(),
@@ -199,6 +205,7 @@
   if (!Open)
     return;
   Open = false;
+  reportClose(Reason);
   boost::system::error_code Ignored;
   Socket.close(Ignored);
   LivenessTimer.cancel();
@@ -220,6 +227,14 @@
   }
 }
 
+void peer_connection::reportClose(const std::string &Reason) {
+  if (!Options.Monitor)
+    return;
+  if (!Streams.empty())
+    Options.Monitor->onConnectionLost(*this, Peer, Reason);
+  Options.Monitor->remove(*this);
+}
+
 void peer_connection::logLoss(const std::string &Reason,
                               size_t OpenStreams) const {
   time_point Now = Clock.now();
@@ -459,6 +474,16 @@
   return HandedBytes - std::min(HandedBytes, static_cast<uint64_t>(Held));
 }
 
+uint64_t peer_connection::unacceptedBytes() {
+  return HandedBytes - acceptedBytes();
+}
+
+std::optional<time_point> peer_connection::oldestPing() const {
+  if (UnansweredPings.empty())
+    return std::nullopt;
+  return UnansweredPings.front();
+}
+
 bool peer_connection::mayHaveArrived(const stream &Stream) const {
   return Stream.Out.EndPosition && *Stream.Out.EndPosition <= HandedBytes;
 }
@@ -644,6 +669,8 @@
       onMessageEnd(Frame.hd.stream_id);
     break;
   case NGHTTP2_PING:
+    if ((Frame.hd.flags & NGHTTP2_FLAG_ACK) != 0)
+      onPingAnswered();
     if ((Frame.hd.flags & NGHTTP2_FLAG_ACK) != 0 &&
         std::equal(ShutdownPing.begin(), ShutdownPing.end(),
                    Frame.ping.opaque_data))
@@ -654,6 +681,16 @@
   }
 }
 
+void peer_connection::onPingAnswered() {
+  // A peer answers in the order of the PINGs, and may send answers to none.
+  if (UnansweredPings.empty())
+    return;
+  duration RoundTrip = Clock.now() - UnansweredPings.front();
+  UnansweredPings.pop_front();
+  if (Options.Monitor)
+    Options.Monitor->onPingAnswered(RoundTrip);
+}
+
 void peer_connection::onFrameSent(const nghttp2_frame &Frame) {
   // The PING must follow the notice, so that its acknowledgement tells that the
   // peer has received the notice and all its streams have arrived.
@@ -661,8 +698,11 @@
       Frame.hd.type == NGHTTP2_HEADERS || Frame.hd.type == NGHTTP2_DATA;
   if (IsMessage && (Frame.hd.flags & NGHTTP2_FLAG_END_STREAM) != 0)
     EndingStreams.push_back(Frame.hd.stream_id);
-  if (Frame.hd.type == NGHTTP2_PING && (Frame.hd.flags & NGHTTP2_FLAG_ACK) == 0)
+  if (Frame.hd.type == NGHTTP2_PING &&
+      (Frame.hd.flags & NGHTTP2_FLAG_ACK) == 0) {
     PingEnding = true;
+    UnansweredPings.push_back(Clock.now());
+  }
   if (Frame.hd.type == NGHTTP2_GOAWAY &&
       ShutdownNotice == shutdown_notice::Submitted && !Finishing)
     nghttp2_submit_ping(Session, NGHTTP2_FLAG_NONE, ShutdownPing.data());
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -19,6 +19,7 @@
 #include <boost/asio/steady_timer.hpp>
 #include <nghttp2/nghttp2.h>
 
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -34,7 +35,8 @@
 /// received, it checks the peer with an HTTP/2 PING, and is closed if the peer
 /// then shows no sign of life (`liveness_check`). A client closes it when the
 /// peer accepts no more streams and none is open.
-class peer_connection : public std::enable_shared_from_this<peer_connection> {
+class peer_connection : public monitored_connection,
+                        public std::enable_shared_from_this<peer_connection> {
 public:
   using socket = boost::asio::ip::tcp::socket;
   /// The HTTP/2 stream identifier.
@@ -48,7 +50,7 @@
   peer_connection(socket Socket, peer_role Role, size_t MaxBodyBytes,
                   memory_budget &BodyMemory, http_handler Handler,
                   const peer_options &Options);
-  ~peer_connection();
+  ~peer_connection() override;
   peer_connection(const peer_connection &) = delete;
   peer_connection &operator=(const peer_connection &) = delete;
 
@@ -94,6 +96,9 @@
   /// Server: sends the response on the stream of its request.
   void respond(stream_id Id, const http_response &Response);
 
+  uint64_t unacceptedBytes() override;
+  std::optional<time_point> oldestPing() const override;
+
 private:
   /// The body that a stream sends.
   struct outgoing_body {
@@ -140,6 +145,7 @@
   void setUpSession();
   void onFrameReceived(const nghttp2_frame &Frame);
   void onFrameSent(const nghttp2_frame &Frame);
+  void onPingAnswered();
   void readMore();
   void readAvailable();
   void onRead(const uint8_t *Data, size_t Size);
@@ -193,6 +199,8 @@
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
+  /// Tells the monitor that the connection closes.
+  void reportClose(const std::string &Reason);
   /// Logs that the connection was closed while streams were open.
   void logLoss(const std::string &Reason, size_t OpenStreams) const;
   /// Server: describes the request of a stream that ends.
@@ -235,6 +243,8 @@
   liveness_check Liveness;
   bool LivenessCheckActive = false;
   transit_delay Transit;
+  /// When the PINGs that the peer has not answered were sent.
+  std::deque<time_point> UnansweredPings;
   /// When the peer was last told of received bytes.
   time_point ProgressReportedAt{};
   std::map<stream_id, stream> Streams;
