A run that may not be repeated goes on when its connection ends

What callers saw: when the connection between two daemons was closed or reset, as by the loss of a daemon, the other one cut off all that it ran for it. An upload that the server had whole was lost, and its effect was partial.

Cause: http_exchange told the end of a connection and a cancelled request in the same way.

Change: `onDisconnect` has a cause. A request that the caller or peer cancels is dropped as before. If the connection of a peer ends, the dispatcher lets a request go on that may not be repeated and that the server has; it keeps its slot until it ends. What waits, what is not sent yet, and what may be repeated is dropped as before. Callers that leave cancel as before. Log line "request goes on without its connection", counter runs_without_connection_total.

Evidence: unit test of the dispatcher, test of the causes in peer_silence_test, and a process test that kills a daemon while its peer runs its requests. The stand-in server does not stop work when its connection closes, so the process test reads the daemon's log.

--- a/src/dragonflyvane/net/http_exchange.hpp
+++ b/src/dragonflyvane/net/http_exchange.hpp
@@ -10,6 +10,15 @@
 
 namespace dragonflyvane {
 
+/// Why an exchange closes before it has a response.
+enum class disconnect_cause {
+  /// The caller has left, or the peer has cancelled the request.
+  Cancelled,
+  /// The connection to the peer has ended, which says nothing about the
+  /// request.
+  ConnectionEnded
+};
+
 /// One request of a caller or peer, with at most one response.
 class http_exchange {
 public:
@@ -28,7 +37,7 @@
   /// Sets the callback that runs if the connection or stream closes before
   /// `respond`. It replaces an earlier callback, and never runs if the
   /// connection or stream has closed already.
-  virtual void onDisconnect(std::function<void()> Callback) = 0;
+  virtual void onDisconnect(std::function<void(disconnect_cause)> Callback) = 0;
 };
 
 /// A handler keeps the pointer until it responds. If it drops the pointer
--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -73,7 +73,7 @@
       Target->close("closed by the handler");
   }
 
-  void onDisconnect(std::function<void()> Callback) override {
+  void onDisconnect(std::function<void(disconnect_cause)> Callback) override {
     if (Connection)
       OnDisconnect = std::move(Callback);
   }
@@ -81,13 +81,13 @@
   void disconnect() {
     Connection = nullptr;
     if (auto Callback = std::exchange(OnDisconnect, nullptr))
-      Callback();
+      Callback(disconnect_cause::Cancelled);
   }
 
 private:
   std::shared_ptr<http_server_connection> Connection;
   http_request Request;
-  std::function<void()> OnDisconnect;
+  std::function<void(disconnect_cause)> OnDisconnect;
 };
 
 void http_server_connection::start() {
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -208,7 +208,7 @@
   echo_server Server({}, [&](const exchange_pointer &Exchange) {
     std::lock_guard Lock(Mutex);
     Held = Exchange;
-    Exchange->onDisconnect([&] { Disconnected.set_value(); });
+    Exchange->onDisconnect([&](disconnect_cause) { Disconnected.set_value(); });
   });
   raw_connection Connection(Server.Port);
   Connection.send("GET / HTTP/1.1\r\nHost: x\r\n\r\n");
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -84,23 +84,24 @@
       Target->respond(Id, Response);
   }
 
-  void onDisconnect(std::function<void()> Callback) override {
+  void onDisconnect(std::function<void(disconnect_cause)> Callback) override {
     if (!Done)
       OnDisconnect = std::move(Callback);
   }
 
-  void disconnect() {
-    std::function<void()> Callback = Done ? nullptr : std::move(OnDisconnect);
+  void disconnect(disconnect_cause Cause) {
+    std::function<void(disconnect_cause)> Callback =
+        Done ? nullptr : std::move(OnDisconnect);
     Done = true;
     if (Callback)
-      Callback();
+      Callback(Cause);
   }
 
 private:
   std::weak_ptr<peer_connection> Connection;
   peer_connection::stream_id Id;
   http_request Request;
-  std::function<void()> OnDisconnect;
+  std::function<void(disconnect_cause)> OnDisconnect;
   bool Done = false;
 };
 
@@ -202,7 +203,7 @@
     logLoss(Reason, Ended.size());
   for (auto &[Id, Stream] : Ended) {
     if (Stream.Exchange)
-      Stream.Exchange->disconnect();
+      Stream.Exchange->disconnect(disconnect_cause::ConnectionEnded);
     finishCall(Stream,
                mayHaveArrived(Stream) ? call_outcome::ConnectionLost
                                       : call_outcome::NotSent,
@@ -801,7 +802,7 @@
   stream Ended = std::move(Found->second);
   Streams.erase(Found);
   if (Ended.Exchange)
-    Ended.Exchange->disconnect();
+    Ended.Exchange->disconnect(disconnect_cause::Cancelled);
   // If this side resets the stream, what is in `WriteBuffer` still arrives.
   bool MayArrive = Ended.IsRejected ? Ended.Out.EndPosition.has_value()
                                     : mayHaveArrived(Ended);
--- a/src/dragonflyvane/net/peer_silence_test.cpp
+++ b/src/dragonflyvane/net/peer_silence_test.cpp
@@ -7,6 +7,8 @@
 #include <doctest/doctest.h>
 
 #include <arpa/inet.h>
+#include <functional>
+#include <memory>
 #include <netinet/in.h>
 #include <optional>
 #include <string>
@@ -262,7 +264,7 @@
                      [&](const exchange_pointer &Exchange) {
                        Held = Exchange;
                        Begin = Clock.now();
-                       Held->onDisconnect([&] {
+                       Held->onDisconnect([&](disconnect_cause) {
                          Waited = Clock.now() - Begin;
                          Loop.stop();
                        });
@@ -273,3 +275,36 @@
   CHECK(Waited > milliseconds(3000));
   CHECK(Waited < milliseconds(4200));
 }
+
+// Guards against a run that is cut off because its cause cannot be told: a
+// caller that has left, or a connection that has ended.
+TEST_CASE("a peer server tells why an exchange ends") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  std::optional<disconnect_cause> Cause;
+  auto Client = std::make_unique<peer_client>(Loop, MaxBodyBytes);
+  call_id Call = 0;
+  disconnect_cause Expected = disconnect_cause::Cancelled;
+  std::function<void()> End;
+  SUBCASE("the call is cancelled") {
+    End = [&] { Client->cancel(Call); };
+  }
+  SUBCASE("the connection is closed") {
+    Expected = disconnect_cause::ConnectionEnded;
+    End = [&] { Client.reset(); };
+  }
+  exchange_pointer Held;
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       Held = Exchange;
+                       Held->onDisconnect([&](disconnect_cause Seen) {
+                         Cause = Seen;
+                         Loop.stop();
+                       });
+                       Loop.post(End);
+                     });
+  Call = Client->send(Listen, makeRequest(), CallTimeout,
+                      [](const call_result &) {});
+  Loop.run();
+  CHECK(Cause == Expected);
+}
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -119,7 +119,7 @@
   peer_server Server(Loop, Listen, MaxBodyBytes,
                      [&](const exchange_pointer &Exchange) {
                        Held = Exchange;
-                       Exchange->onDisconnect([&] {
+                       Exchange->onDisconnect([&](disconnect_cause) {
                          Disconnected = true;
                          Loop.stop();
                        });
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -260,7 +260,12 @@
     if (!Metadata)
       return Exchange->respond({400, {}, ""});
     auto Id = std::make_shared<dispatch_id>(0);
-    Exchange->onDisconnect([this, Id] { Dispatcher.cancel(*Id); });
+    Exchange->onDisconnect([this, Id](disconnect_cause Cause) {
+      if (Cause == disconnect_cause::ConnectionEnded)
+        Dispatcher.onConnectionEnded(*Id);
+      else
+        Dispatcher.cancel(*Id);
+    });
     *Id = Dispatcher.submit(
         *Metadata, std::move(Request), [Exchange](forward_result Result) {
           Exchange->respond(encodeResult(std::move(Result)));
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -67,7 +67,7 @@
 }
 
 void request_router::active_request::begin() {
-  Exchange->onDisconnect([Weak = weak_from_this()] {
+  Exchange->onDisconnect([Weak = weak_from_this()](disconnect_cause) {
     if (auto Self = Weak.lock())
       Self->cancel();
   });
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -246,6 +246,24 @@
   dispatchWaiting();
 }
 
+void dispatcher::onConnectionEnded(dispatch_id Id) {
+  auto Found = Entries.find(Id);
+  if (Found == Entries.end())
+    return;
+  const entry &Entry = Found->second;
+  bool IsAtServer = Entry.IsRunning && Entry.WasSent;
+  if (!IsAtServer || Entry.Metadata.Idempotent)
+    return cancel(Id);
+  Deps.Metrics.count("runs_without_connection_total");
+  writeRequestLog(
+      "request goes on without its connection",
+      {{"request_id",
+        Entry.Request.Headers.find(Deps.Names.RequestId).value_or("")},
+       {"route", Entry.Metadata.Route},
+       {"instance", Entry.Incarnation.Instance},
+       {"since_sent_ms", inMilliseconds(Deps.Clock.now() - Entry.SentAt)}});
+}
+
 std::optional<double> dispatcher::warmupRate() const {
   if (!Deps.Server.isCold(Deps.Clock.now()))
     return std::nullopt;
@@ -340,6 +358,13 @@
          Found->second.Incarnation == Deps.Server.incarnation();
 }
 
+bool dispatcher::beginSending(dispatch_id Id) {
+  bool MaySend = maySend(Id);
+  if (MaySend)
+    Entries.at(Id).WasSent = true;
+  return MaySend;
+}
+
 void dispatcher::dispatch(dispatch_id Id) {
   entry &Entry = Entries.at(Id);
   Entry.IsRunning = true;
@@ -366,7 +391,7 @@
   Options.MaxIdle = ServerMaxIdle;
   // A late response to an earlier sending of the same request has the same id.
   Options.MayReuse = SentRequests.insert(RequestId, Entry.SentAt);
-  Options.MaySend = [this, Id] { return maySend(Id); };
+  Options.MaySend = [this, Id] { return beginSending(Id); };
   Options.Match = [Name = Deps.Names.RequestId,
                    RequestId](const http_response &Response, bool IsFirst) {
     auto Echo = Response.Headers.find(Name);
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -94,6 +94,10 @@
   /// Drops a request whose caller disconnected, without calling its callback.
   /// Does nothing if the request has ended.
   void cancel(dispatch_id Id);
+  /// To be called when the connection to the peer that sent a request has
+  /// ended. A request that may not be repeated goes on if the server has it, so
+  /// that its effect is whole; any other is dropped as by `cancel`.
+  void onConnectionEnded(dispatch_id Id);
   /// Dispatches waiting requests for which slots and grants are available. To
   /// be called after a change of ownership, grants or configuration.
   void dispatchWaiting();
@@ -136,6 +140,9 @@
     /// The requests in flight when this one was sent, with this one.
     uint32_t InFlight = 0;
     bool IsRunning = false;
+    /// Whether the server may have the request, which is not so while the
+    /// connection to it is opened.
+    bool WasSent = false;
     /// The incarnation of the server that the request was sent to.
     server_incarnation Incarnation;
   };
@@ -176,6 +183,8 @@
   /// Checks the conditions of the dispatch again once the connection is open:
   /// ownership, grant and incarnation may have changed meanwhile.
   bool maySend(dispatch_id Id) const;
+  /// Notes that the request is sent, if it may be. Returns whether it may.
+  bool beginSending(dispatch_id Id);
   /// Sets the header fields that backend servers expect.
   http_request makeServerRequest(const entry &Entry) const;
   void onResult(dispatch_id Id, call_result Result);
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -30,6 +30,8 @@
 
   call_id receive(const http_request &Request, const call_options &Options,
                   const http_client::callback &Callback) {
+    if (!SendsAtOnce)
+      return ++LastCall;
     if (!Options.MaySend()) {
       Loop.post([Callback] { Callback({call_outcome::NotSent, {}, ""}); });
       return ++LastCall;
@@ -52,22 +54,24 @@
     return ++LastCall;
   }
 
-  void submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1,
-              const std::optional<condition_report> &Known = std::nullopt,
-              size_t BodyBytes = 0) {
+  dispatch_id
+  submit(milliseconds TimeLeft = milliseconds(1000), int Priority = 1,
+         const std::optional<condition_report> &Known = std::nullopt,
+         size_t BodyBytes = 0) {
     forward_metadata Metadata;
     Metadata.Service = "desk";
     Metadata.Route = "peek";
     Metadata.Priority = Priority;
+    Metadata.Idempotent = IsIdempotent;
     Metadata.TimeLeft = TimeLeft;
     Metadata.SoftTimeLeft = TimeLeft;
     Metadata.ServerCondition = Known;
     http_request Request;
     Request.Headers.add(Names.RequestId, std::to_string(++LastRequest));
     Request.Body = std::string(BodyBytes, 'x');
-    Dispatcher.submit(Metadata, Request, [this](const forward_result &Result) {
-      Results.push_back(Result);
-    });
+    return Dispatcher.submit(
+        Metadata, Request,
+        [this](const forward_result &Result) { Results.push_back(Result); });
   }
 
   /// Submits a request every 5 ms.
@@ -94,6 +98,10 @@
   }
 
   bool LearnsCapacity;
+  /// Whether the requests that are submitted may be repeated.
+  bool IsIdempotent = false;
+  /// Whether connections to the server open.
+  bool SendsAtOnce = true;
   /// The time at the server by the number of requests in flight.
   std::function<milliseconds(size_t)> ServerTime = [](size_t) {
     return milliseconds(20);
@@ -107,6 +115,8 @@
   /// The time left that the last request told the server.
   milliseconds LastTimeLeft{0};
   std::vector<forward_result> Results;
+  /// The calls to the server that were cancelled.
+  std::vector<call_id> Cancelled;
   manual_scheduler Loop;
   settings Settings = [] {
     settings Desk;
@@ -130,8 +140,9 @@
               const http_client::callback &Callback) {
          return receive(Request, Options, Callback);
        },
-       [](call_id) {}, Server, Guard, OperatorState, Names, Metrics, Link,
-       Shutdown, [](const std::string &, key_point) { return true; }, [] {},
+       [this](call_id Call) { Cancelled.push_back(Call); }, Server, Guard,
+       OperatorState, Names, Metrics, Link, Shutdown,
+       [](const std::string &, key_point) { return true; }, [] {},
        [](key_point) {},
        [this](const server_condition &Condition) {
          Server.onCondition(Condition);
@@ -407,3 +418,59 @@
   for (const forward_result &Result : Fixture.Results)
     CHECK(Result.Outcome == forward_outcome::Answered);
 }
+
+// Guards against an upload that is lost, though the server had it whole, since
+// the connection of the peer that sent it has ended.
+TEST_CASE("a request that may not be repeated goes on without its connection") {
+  dispatcher_fixture Fixture;
+  dispatch_id Request = Fixture.submit();
+  Fixture.Dispatcher.onConnectionEnded(Request);
+  CHECK(Fixture.Cancelled.empty());
+  CHECK(Fixture.Dispatcher.activeCount() == 1);
+  CHECK(Fixture.Metrics.exposition().find("runs_without_connection_total 1") !=
+        std::string::npos);
+  // It keeps its slot until it ends.
+  for (int I = 0; I < 6; ++I)
+    Fixture.submit();
+  CHECK(Fixture.Arrivals.size() == 6);
+  Fixture.Loop.runFor(milliseconds(30));
+  CHECK(Fixture.Arrivals.size() == 7);
+  Fixture.Loop.runFor(milliseconds(100));
+  CHECK(Fixture.Dispatcher.activeCount() == 0);
+}
+
+// Guards against work that nobody waits for and that loses nothing if it is
+// dropped.
+TEST_CASE("other requests end with the connection of their peer") {
+  dispatcher_fixture Fixture;
+  SUBCASE("a request that may be repeated") {
+    Fixture.IsIdempotent = true;
+    Fixture.Dispatcher.onConnectionEnded(Fixture.submit());
+    CHECK(Fixture.Cancelled.size() == 1);
+    CHECK(Fixture.Dispatcher.activeCount() == 0);
+  }
+  SUBCASE("a request that waits for a slot") {
+    for (int I = 0; I < 6; ++I)
+      Fixture.submit();
+    dispatch_id Waiting = Fixture.submit();
+    REQUIRE(Waiting != 0);
+    Fixture.Dispatcher.onConnectionEnded(Waiting);
+    CHECK(Fixture.Dispatcher.activeCount() == 6);
+    Fixture.Loop.runFor(milliseconds(100));
+    CHECK(Fixture.Arrivals.size() == 6);
+  }
+  SUBCASE(
+      "a request that is not sent yet, as the server accepts no connection") {
+    Fixture.SendsAtOnce = false;
+    dispatch_id Connecting = Fixture.submit();
+    REQUIRE(Fixture.Dispatcher.isServerRunning());
+    Fixture.Dispatcher.onConnectionEnded(Connecting);
+    CHECK(Fixture.Cancelled.size() == 1);
+    CHECK(!Fixture.Dispatcher.isServerRunning());
+  }
+  SUBCASE("a request that was cancelled") {
+    Fixture.Dispatcher.cancel(Fixture.submit());
+    CHECK(Fixture.Cancelled.size() == 1);
+    CHECK(Fixture.Dispatcher.activeCount() == 0);
+  }
+}
--- a/tests/fake_peers.cpp
+++ b/tests/fake_peers.cpp
@@ -27,7 +27,8 @@
   void respond(http_response Response) override {
     end({call_outcome::Completed, std::move(Response), ""});
   }
-  void onDisconnect(std::function<void()> /*Callback*/) override {}
+  void
+  onDisconnect(std::function<void(disconnect_cause)> /*Callback*/) override {}
 
 private:
   void end(const call_result &Result) {
--- a/tests/process/silent_peer_test.cpp
+++ b/tests/process/silent_peer_test.cpp
@@ -46,3 +46,18 @@
   CHECK(Unknown == "");
   CHECK(Waited > 0);
 }
+
+// Guards against runs that are cut off, so that their effect is not whole, when
+// the daemon that passed their requests on is killed.
+TEST_CASE("a daemon that is killed cuts off no run that may not be repeated") {
+  local_cluster Cluster(2, milliseconds(600));
+  Cluster.start();
+  steady_callers Callers(Cluster.callerEndpoint(0), 10, milliseconds(20),
+                         milliseconds(20));
+  std::this_thread::sleep_for(milliseconds(1500));
+  Cluster.daemon(0).signal(SIGKILL);
+  std::this_thread::sleep_for(milliseconds(300));
+  Callers.finish();
+  CHECK(Cluster.log(1).find("request goes on without its connection") !=
+        std::string::npos);
+}
