Logs tell what is known of a peer connection that is silent or lost

A lost connection was logged without the peer, and without what tells a full link from a process that does not run: bytes that the peer's host has not accepted, and the time since the PING. The line 'peer is silent' and the one of a closed connection now have role, address, streams, how many wait, unwritten and unaccepted bytes, and the times since the last byte and the last PING. They are read before the socket is closed. The process test with a suspended daemon looks for the line.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
 
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/error.hpp"
 
 #include <boost/asio/post.hpp>
@@ -46,6 +47,7 @@
 /// zeros.
 constexpr ping_data ShutdownPing{'s', 'h', 'u', 't', 'd', 'o', 'w', 'n'};
 constexpr ping_data ProbePing{'p', 'r', 'o', 'b', 'e'};
+/// Why calls and connections of a silent peer end.
 constexpr const char *NoResponse = "connection timed out: no response to PING";
 
 std::string toLower(std::string Text) {
@@ -178,6 +180,9 @@
   boost::system::error_code Ignored;
   Socket.set_option(boost::asio::ip::tcp::no_delay(true), Ignored);
   Socket.non_blocking(true, Ignored);
+  auto Remote = Socket.remote_endpoint(Ignored);
+  if (!Ignored)
+    RemoteEndpoint = toString({Remote.address().to_string(), Remote.port()});
   using not_sent_limit =
       boost::asio::detail::socket_option::integer<IPPROTO_TCP,
                                                   TCP_NOTSENT_LOWAT>;
@@ -192,6 +197,9 @@
   if (!Open)
     return;
   Open = false;
+  // While the socket can still tell what the peer's host has not accepted.
+  if (!Streams.empty())
+    logState("peer connection closed with open streams", Reason);
   boost::system::error_code Ignored;
   Socket.close(Ignored);
   LivenessTimer.cancel();
@@ -199,8 +207,6 @@
     reportUnanswered(std::move(Request), Reason);
   std::map<stream_id, stream> Ended;
   Ended.swap(Streams);
-  if (!Ended.empty())
-    logLoss(Reason, Ended.size());
   for (auto &[Id, Stream] : Ended) {
     if (Stream.Exchange)
       Stream.Exchange->disconnect(disconnect_cause::ConnectionEnded);
@@ -213,28 +219,26 @@
   }
 }
 
-void peer_connection::logSilence() const {
+void peer_connection::logState(const std::string &Message,
+                               const std::string &Reason) {
+  time_point Now = Clock.now();
   auto Waiting =
       std::count_if(Streams.begin(), Streams.end(), [this](const auto &Entry) {
         return isWaiting(Entry.second);
       });
-  writeLog(log_level::Warning, "peer is silent",
-           {{"step", "peers"},
-            {"role", Role == peer_role::Client ? "client" : "server"},
-            {"streams", Streams.size()},
-            {"waiting", Waiting}});
-}
-
-void peer_connection::logLoss(const std::string &Reason,
-                              size_t OpenStreams) const {
-  time_point Now = Clock.now();
-  writeLog(log_level::Warning, "peer connection closed with open streams",
-           {{"step", "peers"},
-            {"role", Role == peer_role::Client ? "client" : "server"},
-            {"reason", Reason},
-            {"streams", OpenStreams},
-            {"unwritten_bytes", QueuedBytes - HandedBytes},
-            {"since_read_ms", inMilliseconds(Now - Silence.lastReceived())}});
+  auto LastPing = Silence.lastPing();
+  writeLog(
+      log_level::Warning, Message,
+      {{"step", "peers"},
+       {"role", Role == peer_role::Client ? "client" : "server"},
+       {"peer", RemoteEndpoint},
+       {"reason", Reason},
+       {"streams", Streams.size()},
+       {"waiting", Waiting},
+       {"unwritten_bytes", QueuedBytes - HandedBytes},
+       {"unaccepted_bytes", HandedBytes - acceptedBytes()},
+       {"since_read_ms", inMilliseconds(Now - Silence.lastReceived())},
+       {"since_ping_ms", LastPing ? inMilliseconds(Now - *LastPing) : -1}});
 }
 
 server_activity peer_connection::activity() const {
@@ -501,7 +505,7 @@
     flush();
     break;
   case silence_action::Wait:
-    logSilence();
+    logState("peer is silent", NoResponse);
     if (OnSilent)
       OnSilent();
     endOnSilence();
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -207,10 +207,10 @@
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
-  /// Logs that the peer has fallen silent while streams wait.
-  void logSilence() const;
-  /// Logs that the connection was closed while streams were open.
-  void logLoss(const std::string &Reason, size_t OpenStreams) const;
+  /// Logs what is known of the open streams, of the bytes on their way and of
+  /// the last signs of life. Those of the streams that do not wait have ended
+  /// or end now.
+  void logState(const std::string &Message, const std::string &Reason);
   /// Server: describes the request of a stream that ends.
   unanswered_request describe(stream Ended) const;
   void reportUnanswered(unanswered_request Request, const std::string &Reason);
@@ -223,6 +223,8 @@
   static nghttp2_session_callbacks *makeCallbacks();
 
   socket Socket;
+  /// The address and port of the peer's end; empty if it is unknown.
+  std::string RemoteEndpoint;
   boost::asio::steady_timer LivenessTimer;
   boot_clock Clock;
   peer_role Role;
--- a/tests/process/silent_peer_test.cpp
+++ b/tests/process/silent_peer_test.cpp
@@ -45,6 +45,8 @@
   }
   CHECK(Unknown == "");
   CHECK(Waited > 0);
+  CHECK(Cluster.log(0).find("\"message\":\"peer is silent\"") !=
+        std::string::npos);
 }
 
 // Guards against runs that are cut off, so that their effect is not whole, when
