--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -3,6 +3,7 @@
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
 
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/core/error.hpp"
 
 #include <boost/asio/post.hpp>
@@ -47,6 +48,7 @@
 /// zeros.
 constexpr ping_data ShutdownPing{'s', 'h', 'u', 't', 'd', 'o', 'w', 'n'};
 constexpr ping_data ProbePing{'p', 'r', 'o', 'b', 'e'};
+/// Why calls and connections of a silent peer end.
 constexpr const char *NoResponse = "connection timed out: no response to PING";
 
 /// When the sender passed the message to the connection, in milliseconds of its
@@ -102,16 +104,17 @@
       Target->respond(Id, Response);
   }
 
-  void onDisconnect(std::function<void()> Callback) override {
+  void onDisconnect(std::function<void(disconnect_cause)> Callback) override {
     if (!Done)
       OnDisconnect = std::move(Callback);
   }
 
-  void disconnect() {
-    std::function<void()> Callback = Done ? nullptr : std::move(OnDisconnect);
+  void disconnect(disconnect_cause Cause) {
+    std::function<void(disconnect_cause)> Callback =
+        Done ? nullptr : std::move(OnDisconnect);
     Done = true;
     if (Callback)
-      Callback();
+      Callback(Cause);
   }
 
 private:
@@ -119,7 +122,7 @@
   peer_connection::stream_id Id;
   http_request Request;
   duration TransitDelay;
-  std::function<void()> OnDisconnect;
+  std::function<void(disconnect_cause)> OnDisconnect;
   bool Done = false;
 };
 
@@ -226,6 +229,9 @@
   if (!Open)
     return;
   Open = false;
+  // While the socket can still tell what the peer's host has not accepted.
+  if (!Streams.empty())
+    logState("peer connection closed with open streams", Reason);
   reportClose(Reason);
   boost::system::error_code Ignored;
   Socket.close(Ignored);
@@ -234,11 +240,9 @@
     reportUnanswered(std::move(Request), Reason);
   std::map<stream_id, stream> Ended;
   Ended.swap(Streams);
-  if (!Ended.empty())
-    logLoss(Reason, Ended.size());
   for (auto &[Id, Stream] : Ended) {
     if (Stream.Exchange)
-      Stream.Exchange->disconnect();
+      Stream.Exchange->disconnect(disconnect_cause::ConnectionEnded);
     finishCall(Stream,
                mayHaveArrived(Stream) ? call_outcome::ConnectionLost
                                       : call_outcome::NotSent,
@@ -248,16 +252,26 @@
   }
 }
 
-void peer_connection::logSilence() const {
+void peer_connection::logState(const std::string &Message,
+                               const std::string &Reason) {
+  time_point Now = Clock.now();
   auto Waiting =
       std::count_if(Streams.begin(), Streams.end(), [this](const auto &Entry) {
         return isWaiting(Entry.second);
       });
-  writeLog(log_level::Warning, "peer is silent",
-           {{"step", "peers"},
-            {"role", Role == peer_role::Client ? "client" : "server"},
-            {"streams", Streams.size()},
-            {"waiting", Waiting}});
+  auto LastPing = Silence.lastPing();
+  writeLog(
+      log_level::Warning, Message,
+      {{"step", "peers"},
+       {"role", Role == peer_role::Client ? "client" : "server"},
+       {"peer", dragonflyvane::toString(Peer)},
+       {"reason", Reason},
+       {"streams", Streams.size()},
+       {"waiting", Waiting},
+       {"unwritten_bytes", QueuedBytes - HandedBytes},
+       {"unaccepted_bytes", unacceptedBytes()},
+       {"since_read_ms", inMilliseconds(Now - Silence.lastReceived())},
+       {"since_ping_ms", LastPing ? inMilliseconds(Now - *LastPing) : -1}});
 }
 
 void peer_connection::reportClose(const std::string &Reason) {
@@ -268,18 +282,6 @@
   Options.Monitor->remove(*this);
 }
 
-void peer_connection::logLoss(const std::string &Reason,
-                              size_t OpenStreams) const {
-  time_point Now = Clock.now();
-  writeLog(log_level::Warning, "peer connection closed with open streams",
-           {{"step", "peers"},
-            {"role", Role == peer_role::Client ? "client" : "server"},
-            {"reason", Reason},
-            {"streams", OpenStreams},
-            {"unwritten_bytes", QueuedBytes - HandedBytes},
-            {"since_read_ms", inMilliseconds(Now - Silence.lastReceived())}});
-}
-
 server_activity peer_connection::activity() const {
   if (!Open)
     return {};
@@ -558,7 +560,7 @@
     flush();
     break;
   case silence_action::Wait:
-    logSilence();
+    logState("peer is silent", NoResponse);
     if (OnSilent)
       OnSilent();
     endOnSilence();
@@ -963,7 +965,7 @@
   stream Ended = std::move(Found->second);
   Streams.erase(Found);
   if (Ended.Exchange)
-    Ended.Exchange->disconnect();
+    Ended.Exchange->disconnect(disconnect_cause::Cancelled);
   // If this side resets the stream, what is in `WriteBuffer` still arrives.
   bool MayArrive = Ended.IsRejected ? Ended.Out.EndPosition.has_value()
                                     : mayHaveArrived(Ended);
