Daemons advertise an address to peers; test clusters with links of hosts

Peers were told where a daemon listens, so a host behind a proxy or address translation could not be reached, and no test could put a slow link between daemons. `--peer_advertise=IP:PORT` (DRAGONFLYVANE_PEER_ADVERTISE) is published with the host's row instead of the listen address.

Clusters of process tests may have a link of a given bandwidth in front of each host, which the connections of peers and of callers share, and a keyless service at two hosts only with a route whose requests may not be repeated.

--- a/src/dragonflyvane/node/admin/daemon_flags.cpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.cpp
@@ -16,6 +16,9 @@
           "whether the concurrency limit and the speed of backend servers are "
           "learned from their responses: auto, on or off; auto is on without "
           "workspaces");
+ABSL_FLAG(std::string, peer_advertise, "",
+          "IP:PORT at which other daemons reach this one; if empty, the "
+          "address on which it listens for them");
 
 namespace dragonflyvane {
 
@@ -48,7 +51,8 @@
   if (!Positional.empty())
     rejectFlag("", Positional.front(), "flags only");
   return {requiredFlag("config"), logLevelFlag(),
-          featureFlag("overload_control"), featureFlag("learned_capacity")};
+          featureFlag("overload_control"), featureFlag("learned_capacity"),
+          optionalEndpointFlag("peer_advertise")};
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/admin/daemon_flags.hpp
+++ b/src/dragonflyvane/node/admin/daemon_flags.hpp
@@ -3,8 +3,10 @@
 #define DRAGONFLYVANE_NODE_ADMIN_DAEMON_FLAGS_HPP
 
 #include "dragonflyvane/core/configuration/feature_switch.hpp"
+#include "dragonflyvane/core/endpoint.hpp"
 #include "dragonflyvane/net/log.hpp"
 
+#include <optional>
 #include <string>
 
 namespace dragonflyvane {
@@ -17,6 +19,8 @@
   log_level LogLevel = log_level::Info;
   feature_mode OverloadControl = feature_mode::Off;
   feature_mode LearnedCapacity = feature_mode::Automatic;
+  /// Where other daemons reach this one, if not where it listens.
+  std::optional<endpoint> PeerAdvertise;
 };
 
 /// Parses and checks the flags; exits with code 2 if one is invalid.
--- a/src/dragonflyvane/node/admin/flags.cpp
+++ b/src/dragonflyvane/node/admin/flags.cpp
@@ -135,6 +135,12 @@
   }
 }
 
+std::optional<endpoint> optionalEndpointFlag(const std::string &Name) {
+  if (flagValue(Name).empty())
+    return std::nullopt;
+  return endpointFlag(Name);
+}
+
 std::string addressFlag(const std::string &Name) {
   std::string Text = flagValue(Name);
   try {
--- a/src/dragonflyvane/node/admin/flags.hpp
+++ b/src/dragonflyvane/node/admin/flags.hpp
@@ -7,6 +7,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -38,6 +39,8 @@
                        const std::vector<std::string> &Choices);
 /// Returns an IP address and port, given as `IP:PORT`.
 endpoint endpointFlag(const std::string &Name);
+/// Returns an IP address and port, or nothing if the flag is empty.
+std::optional<endpoint> optionalEndpointFlag(const std::string &Name);
 /// Returns an IP address without a port.
 std::string addressFlag(const std::string &Name);
 /// Returns a duration, given as a whole number of milliseconds from `Min` to
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -236,7 +236,8 @@
 
 void ownership_manager::publishHostInfo() {
   host_info Info;
-  Info.PeerEndpoint = Deps.Settings.PeerEndpoint;
+  Info.PeerEndpoint =
+      Deps.Settings.AdvertisedPeerEndpoint.value_or(Deps.Settings.PeerEndpoint);
   Info.FailureDomain = Deps.Settings.FailureDomain;
   Info.CpuShare = Deps.Settings.CpuShare;
   Info.Service = Deps.Settings.LocalService;
--- a/src/dragonflyvane/node/settings.hpp
+++ b/src/dragonflyvane/node/settings.hpp
@@ -36,6 +36,8 @@
   endpoint CallerEndpoint;
   /// Listen address for requests of other daemons.
   endpoint PeerEndpoint;
+  /// Where other daemons reach this one, if not at its listen address.
+  std::optional<endpoint> AdvertisedPeerEndpoint;
   /// Listen address for operators and metric scrapers.
   endpoint AdminEndpoint;
   /// Listen address for heartbeats of the local backend server.
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -80,6 +80,7 @@
     });
     Settings.OverloadControl = Flags.OverloadControl;
     Settings.LearnedCapacity = Flags.LearnedCapacity;
+    Settings.AdvertisedPeerEndpoint = Flags.PeerAdvertise;
     setLogHost(Settings.Host);
     return retryStep("listen", PortTimeout, Signals,
                      [&] { return run(Settings, Signals); });
--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -28,6 +28,8 @@
 constexpr std::chrono::seconds StartTimeout{30};
 constexpr std::chrono::milliseconds PollPeriod{50};
 constexpr int SlowServerCount = 2;
+constexpr std::chrono::milliseconds HostLinkDelay{1};
+constexpr size_t BytesPerMegabit = 125'000;
 constexpr link_direction ServerLink{std::chrono::milliseconds(20), 0};
 
 bool isFree(const std::string &Address, uint16_t Port) {
@@ -94,18 +96,19 @@
 }
 
 local_cluster::local_cluster(int HostCount, std::chrono::milliseconds WorkTime,
-                             cluster_services Services)
+                             cluster_services Services, int LinkMbps)
     : HostCount(HostCount), WorkTime(WorkTime), Services(Services),
-      Prefix(choosePrefix()), Servers(HostCount), Daemons(HostCount),
-      LogSizes(HostCount) {
-  Configuration.HasCatalogue =
-      Services == cluster_services::BookingsAndCatalogue;
+      LinkMbps(LinkMbps), Prefix(choosePrefix()), Servers(HostCount),
+      Daemons(HostCount), LogSizes(HostCount) {
+  Configuration.HasCatalogue = Services != cluster_services::Bookings;
   Folder = std::filesystem::temp_directory_path() / "dragonflyvane-XXXXXX";
   if (!mkdtemp(Folder.data()))
     throw std::runtime_error("cannot make a temporary folder");
   startStore();
   if (Services == cluster_services::BookingsAndCatalogue)
     startServerLinks();
+  if (LinkMbps > 0)
+    startHostLinks();
   for (int Host = 0; Host < HostCount; ++Host) {
     startServer(Host);
     writeSettings(Host);
@@ -122,7 +125,12 @@
 }
 
 std::string local_cluster::serviceOf(int Host) const {
-  return Configuration.HasCatalogue && Host % 2 == 1 ? "catalogue" : "bookings";
+  bool HasCatalogue = false;
+  if (Services == cluster_services::BookingsAndCatalogue)
+    HasCatalogue = Host % 2 == 1;
+  if (Services == cluster_services::BookingsAndTwoCatalogues)
+    HasCatalogue = Host >= HostCount - 2;
+  return HasCatalogue ? "catalogue" : "bookings";
 }
 
 endpoint local_cluster::serverEndpoint(int Host) const {
@@ -137,6 +145,19 @@
         endpoint{addressOf(Host), ServerPort}, ServerLink, ServerLink));
 }
 
+void local_cluster::startHostLinks() {
+  link_direction Direction{HostLinkDelay, LinkMbps * BytesPerMegabit};
+  for (int Host = 0; Host < HostCount; ++Host) {
+    host_link HostLink;
+    HostLink.Link = std::make_unique<slow_link>(
+        endpoint{addressOf(Host), PeerPort}, Direction, Direction,
+        link_sharing::AllConnections);
+    HostLink.Peers = HostLink.Link->localEndpoint();
+    HostLink.Callers = HostLink.Link->addTarget(callerEndpoint(Host));
+    HostLinks.push_back(std::move(HostLink));
+  }
+}
+
 void local_cluster::startServer(int Host,
                                 const std::vector<std::string> &Further) {
   std::string Address = addressOf(Host);
@@ -230,6 +251,10 @@
   return {addressOf(Host), CallerPort};
 }
 
+endpoint local_cluster::remoteEndpoint(int Host) const {
+  return HostLinks.empty() ? callerEndpoint(Host) : HostLinks.at(Host).Callers;
+}
+
 endpoint local_cluster::readinessEndpoint(int Host) const {
   return {addressOf(Host), ReadinessPort};
 }
@@ -241,7 +266,8 @@
 void local_cluster::writeSettings(int Host) const {
   std::ofstream(settingsPath(Host)) << settingsFile(
       Host, addressOf(Host),
-      {serviceOf(Host), serverEndpoint(Host), HasRollouts}, storeEndpoint());
+      {serviceOf(Host), serverEndpoint(Host), HasRollouts, LinkMbps},
+      storeEndpoint());
 }
 
 void local_cluster::startStore() {
@@ -261,9 +287,12 @@
 
 void local_cluster::startDaemon(int Host, int Output) {
   LogSizes.at(Host) = log(Host).size();
+  std::vector<std::string> Arguments = {"--config=" + settingsPath(Host)};
+  if (!HostLinks.empty())
+    Arguments.push_back("--peer_advertise=" +
+                        toString(HostLinks.at(Host).Peers));
   Daemons.at(Host) = std::make_unique<child_process>(
-      "dragonflyvaned",
-      std::vector<std::string>{"--config=" + settingsPath(Host)},
+      "dragonflyvaned", Arguments,
       folderPath("daemon-" + std::to_string(Host) + ".log"), Output);
 }
 
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -28,6 +28,8 @@
   /// drain before they leave. Between the first server of each service and its
   /// daemon is a slow link.
   BookingsAndCatalogue,
+  /// `bookings` at the first hosts, and `catalogue` at the last two.
+  BookingsAndTwoCatalogues,
 };
 
 /// The work of a server on one attempt of a request.
@@ -43,14 +45,18 @@
 using runs_by_id = std::map<std::string, std::vector<server_run>>;
 
 /// Daemons that serve requests of `cluster.example`: `/parts/` and `/orders/`
-/// go to `bookings`, `/photos/` to `catalogue`; only `/orders/` may not be
-/// repeated. A wait that times out throws `std::runtime_error`.
+/// go to `bookings`, `/photos/` and `/albums/` to `catalogue`; only `/orders/`
+/// and `/albums/` may not be repeated. A wait that times out throws
+/// `std::runtime_error`.
 class local_cluster {
 public:
   /// Starts the store and the servers, each of which works for `WorkTime` on a
-  /// request, but no daemons.
+  /// request, but no daemons. With `LinkMbps`, each host has a network link of
+  /// that bandwidth in each direction, which the connections of peers to it
+  /// share with those of callers that use `remoteEndpoint`.
   local_cluster(int HostCount, std::chrono::milliseconds WorkTime,
-                cluster_services Services = cluster_services::Bookings);
+                cluster_services Services = cluster_services::Bookings,
+                int LinkMbps = 0);
   ~local_cluster();
   local_cluster(const local_cluster &) = delete;
   local_cluster &operator=(const local_cluster &) = delete;
@@ -93,6 +99,10 @@
   child_process &daemon(int Host) { return *Daemons.at(Host); }
   /// The address at which a host takes requests of callers.
   endpoint callerEndpoint(int Host) const;
+  /// The same for callers elsewhere, who reach the host by its link.
+  endpoint remoteEndpoint(int Host) const;
+  /// The link of a host.
+  const slow_link &hostLink(int Host) const { return *HostLinks.at(Host).Link; }
   endpoint readinessEndpoint(int Host) const;
   endpoint storeEndpoint() const;
   /// How often each request has begun at the servers, by its id.
@@ -109,6 +119,13 @@
   void awaitService(int Host) const;
 
 private:
+  /// A link in front of the ports of a host.
+  struct host_link {
+    std::unique_ptr<slow_link> Link;
+    endpoint Peers;
+    endpoint Callers;
+  };
+
   std::string addressOf(int Host) const;
   std::string folderPath(const std::string &Name) const;
   void configure() const;
@@ -116,10 +133,12 @@
   std::string serviceOf(int Host) const;
   endpoint serverEndpoint(int Host) const;
   void startServerLinks();
+  void startHostLinks();
 
   int HostCount;
   std::chrono::milliseconds WorkTime;
   cluster_services Services;
+  int LinkMbps;
   platform::standin::configuration_options Configuration;
   bool HasRollouts = false;
   bool KeepsFolder = false;
@@ -128,6 +147,8 @@
   std::unique_ptr<child_process> Store;
   /// In front of the servers of the first hosts.
   std::vector<std::unique_ptr<slow_link>> ServerLinks;
+  /// Empty without links.
+  std::vector<host_link> HostLinks;
   std::vector<std::unique_ptr<child_process>> Servers;
   std::vector<std::unique_ptr<child_process>> Daemons;
   /// The sizes of the log files when the daemons were started.
--- a/tests/process/start_test.cpp
+++ b/tests/process/start_test.cpp
@@ -1,11 +1,14 @@
 // Starts of real daemons in unfavourable circumstances.
 #include "process/local_cluster.hpp"
+#include "process/raw_http.hpp"
+#include "raw_connection.hpp"
 
 #include <doctest/doctest.h>
 
 #include <csignal>
 #include <fcntl.h>
 #include <fstream>
+#include <sstream>
 #include <thread>
 #include <unistd.h>
 #include <utility>
@@ -106,6 +109,43 @@
   checkStops(Cluster.daemon(0));
 }
 
+// Guards against hosts that peers cannot reach, since they are told where the
+// daemon listens although it is behind a proxy.
+TEST_CASE("peers connect to the address that a daemon advertises") {
+  local_cluster Cluster(2, milliseconds(5), cluster_services::Bookings, 10);
+  Cluster.start();
+  // About half of the keys belong to the other host.
+  raw_connection Caller(Cluster.callerEndpoint(0));
+  for (int I = 0; I < 20; ++I) {
+    Caller.send(makeRequestHead("test-" + std::to_string(I), "GET /parts/1",
+                                seconds(2)));
+    response_reader Response;
+    while (Response.status() == 0 && Caller.awaitInput(seconds(2)))
+      Response.take(Caller.readSome());
+    CHECK(Response.status() == 200);
+  }
+  CHECK(Cluster.hostLink(1).connectionCount() > 0);
+  for (int Host : {0, 1})
+    checkStops(Cluster.daemon(Host));
+}
+
+// Guards against a mistyped address that is published to all peers.
+TEST_CASE("a daemon rejects a malformed address to advertise") {
+  local_cluster Cluster(1, milliseconds(5));
+  std::string LogPath = Cluster.folder() + "/rejected.log";
+  for (const char *Value : {"127.0.0.1", "127.0.0.1:0", "host:7780"}) {
+    child_process Daemon(
+        "dragonflyvaned",
+        {"--config=/none", std::string("--peer_advertise=") + Value}, LogPath);
+    auto End = Daemon.wait(seconds(20));
+    REQUIRE(End);
+    CHECK(End->ExitCode == 2);
+  }
+  std::stringstream Log;
+  Log << std::ifstream(LogPath).rdbuf();
+  CHECK(Log.str().find("DRAGONFLYVANE_PEER_ADVERTISE") != std::string::npos);
+}
+
 TEST_CASE("a daemon without valid settings ends with an error, not at once") {
   local_cluster Cluster(1, milliseconds(5));
   std::ofstream(Cluster.settingsPath(0)) << "{";
