--- a/tests/process/soak_caller.cpp
+++ b/tests/process/soak_caller.cpp
@@ -47,7 +47,7 @@
 void soak_caller::run() {
   while (!IsFinished) {
     std::string Id = Place.Name + "-" + std::to_string(Calls.size());
-    Calls.push_back(call(drawRequest(Random, Id)));
+    Calls.push_back(call(Place.Draw(Random, Id)));
     pause();
   }
 }
--- a/tests/process/soak_caller.hpp
+++ b/tests/process/soak_caller.hpp
@@ -25,6 +25,8 @@
   endpoint Remote;
   /// Of the link between the caller and the daemon.
   duration RoundTrip{0};
+  /// What the caller sends.
+  request_source Draw = drawRequest;
 };
 
 /// Runs on a thread of its own.
--- a/tests/process/soak_request.cpp
+++ b/tests/process/soak_request.cpp
@@ -11,6 +11,9 @@
 
 constexpr size_t UploadBytes = 24'000;
 constexpr size_t ChunkBytes = 4'000;
+constexpr int SmallestUpload = 60'000;
+constexpr int LargestUpload = 360'000;
+constexpr const char *UploadWork = "w60/";
 constexpr int LargestAnswer = 540'000;
 
 /// Draws the part of a path that says how long the work takes.
@@ -124,6 +127,37 @@
 
 } // namespace
 
+soak_request drawUpload(std::mt19937 &Random, const std::string &RequestId) {
+  soak_request Request;
+  Request.Kind = "upload";
+  Request.RequestId = RequestId;
+  Request.Idempotent = false;
+  Request.AnswerBytes = 200;
+  std::string Path = draw(Random, 0, 3) == 0 ? "/orders/" : "/albums/";
+  std::string Body(draw(Random, SmallestUpload, LargestUpload), 'x');
+  Request.Bytes =
+      head(Random, "POST " + Path + UploadWork + sizePart(200) + "1",
+           RequestId) +
+      "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n" + Body;
+  Request.PieceBytes = Request.Bytes.size();
+  return Request;
+}
+
+soak_request drawShortCall(std::mt19937 &Random, const std::string &RequestId) {
+  soak_request Request;
+  Request.Kind = "short call";
+  Request.RequestId = RequestId;
+  Request.AnswerBytes = 200;
+  std::string Path = draw(Random, 0, 1) == 0 ? "/parts/" : "/photos/";
+  Request.Bytes =
+      head(Random, "GET " + Path + "w5/" + sizePart(200) + "1", RequestId) +
+      "\r\n";
+  Request.PieceBytes = Request.Bytes.size();
+  if (draw(Random, 0, 1) == 0)
+    Request.GivesUpAfter = milliseconds(200);
+  return Request;
+}
+
 soak_request drawRequest(std::mt19937 &Random, const std::string &RequestId) {
   soak_request Request = drawKind(Random, RequestId);
   if (draw(Random, 0, 39) == 0)
--- a/tests/process/soak_request.hpp
+++ b/tests/process/soak_request.hpp
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstddef>
+#include <functional>
 #include <optional>
 #include <random>
 #include <string>
@@ -36,6 +37,18 @@
 /// How long callers wait for a whole response.
 constexpr std::chrono::milliseconds CallerPatience{10'000};
 
+/// A function that draws the next request of a caller, with an id.
+using request_source =
+    std::function<soak_request(std::mt19937 &, const std::string &)>;
+
+/// Draws an upload of 60 to 360 KB, mostly to `catalogue`. It may not be
+/// repeated.
+soak_request drawUpload(std::mt19937 &Random, const std::string &RequestId);
+
+/// Draws a small request to either service. The callers of half of them leave
+/// after 200 ms.
+soak_request drawShortCall(std::mt19937 &Random, const std::string &RequestId);
+
 /// Draws a request: with a short answer, with a body that is sent at once or
 /// arrives slowly, in chunks, with a head in two parts, with a large answer, or
 /// one whose server makes a call.
