Soak with links of hosts and uploads that fill them

In every fifth seed each host of the soak has a link of 10 Mbit/s that peers share, and its direct callers send mostly uploads of 60 to 360 KB.

The daemon of the server had closed the connection as server, "no response to PING", 1,012 ms after it last received; the daemon at the other end had received bytes in the same millisecond in which it saw the close. So the answer of a PING waited on the link of the one that asked, behind uploads to it, and responses in progress were cut.

--- a/tests/process/fault_soak_test.cpp
+++ b/tests/process/fault_soak_test.cpp
@@ -1,5 +1,7 @@
 // A soak of planned stops, reloads, pauses, configurations and servers that
-// leave, beside callers with slow links, slow uploads and large answers.
+// leave, beside callers with slow links, slow uploads and large answers. In
+// every fifth seed the hosts have links of 10 Mbit/s, and callers send uploads
+// that fill them.
 // `DRAGONFLYVANE_FIRST_SOAK_SEED` and `DRAGONFLYVANE_SOAK_SEEDS` choose the
 // seeds, `DRAGONFLYVANE_SOAK_SECONDS` the length of the run of a seed.
 #include "process/local_cluster.hpp"
@@ -28,6 +30,9 @@
 
 constexpr int HostCount = 6;
 constexpr int CallersPerHost = 10;
+/// In seeds with links of hosts.
+constexpr int LinkMbps = 10;
+constexpr int CallersPerLinkedHost = 8;
 constexpr milliseconds TickTime{5};
 constexpr size_t SlowLinkRate = size_t{64} << 10;
 
@@ -42,7 +47,8 @@
   explicit fault_soak(int Seed)
       : Seed(Seed), Random(Seed),
         Cluster(HostCount, milliseconds(15),
-                cluster_services::BookingsAndCatalogue),
+                cluster_services::BookingsAndCatalogue,
+                hasHostLinks() ? LinkMbps : 0),
         StopOfHost(HostCount), Watches(HostCount) {}
 
   void run() {
@@ -60,6 +66,12 @@
   }
 
 private:
+  bool hasHostLinks() const { return Seed % 5 == 0; }
+
+  int callersPerHost() const {
+    return hasHostLinks() ? CallersPerLinkedHost : CallersPerHost;
+  }
+
   /// Half of the callers of a host are behind a slow link.
   void startCallers() {
     for (int Host = 0; Host < HostCount; ++Host) {
@@ -67,7 +79,7 @@
       Links.push_back(std::make_unique<slow_link>(
           Cluster.callerEndpoint(Host), link_direction{Delay, SlowLinkRate},
           link_direction{Delay, 0}));
-      for (int I = 0; I < CallersPerHost; ++I)
+      for (int I = 0; I < callersPerHost(); ++I)
         startCaller(Host, I, Delay);
     }
   }
@@ -86,6 +98,10 @@
     Place.Remote =
         IsSlow ? Links[Host]->localEndpoint() : Cluster.callerEndpoint(Host);
     Place.RoundTrip = IsSlow ? 2 * Delay : milliseconds(0);
+    // Behind a slow link of its caller, an upload takes longer than its
+    // timeout.
+    if (hasHostLinks() && !IsSlow)
+      Place.Draw = drawRequestOrUpload;
     Callers.push_back(std::make_unique<soak_caller>(
         Place, (Seed * HostCount + Host) * CallersPerHost + Number));
   }
--- a/tests/process/soak_request.cpp
+++ b/tests/process/soak_request.cpp
@@ -143,6 +143,13 @@
   return Request;
 }
 
+soak_request drawRequestOrUpload(std::mt19937 &Random,
+                                 const std::string &RequestId) {
+  if (draw(Random, 0, 2) == 0)
+    return drawRequest(Random, RequestId);
+  return drawUpload(Random, RequestId);
+}
+
 soak_request drawShortCall(std::mt19937 &Random, const std::string &RequestId) {
   soak_request Request;
   Request.Kind = "short call";
--- a/tests/process/soak_request.hpp
+++ b/tests/process/soak_request.hpp
@@ -45,6 +45,10 @@
 /// repeated.
 soak_request drawUpload(std::mt19937 &Random, const std::string &RequestId);
 
+/// Draws an upload or, less often, a request as `drawRequest` does.
+soak_request drawRequestOrUpload(std::mt19937 &Random,
+                                 const std::string &RequestId);
+
 /// Draws a small request to either service. The callers of half of them leave
 /// after 200 ms.
 soak_request drawShortCall(std::mt19937 &Random, const std::string &RequestId);
