Heads between daemons are limited; tests of bytes without an end

Seen: a peer whose request has an HTTP/2 head without an end took a daemon with a limit of 160 MB to 1284 MB. The platform ends such a process, and with it the requests of all its clients.

Cause: peer_connection kept each field that nghttp2 decoded, without a limit. With HPACK, a byte may stand for a field of 4 KB, so 16 KB on the wire make 60 MB.

Change: a head may take 128 KB, twice what the HTTP client takes from a backend server, and takes its part of the memory budget while it arrives, so many streams are bounded as well. What exceeds that is refused like a body that is too large. A stream is created when its head begins, not by any field, since fields may follow a reset.

local_cluster: the test may stand in for a backend server.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -30,6 +30,11 @@
 /// Flow-control windows in bytes.
 constexpr int32_t StreamWindow = 1 << 20;
 constexpr int32_t ConnectionWindow = 16 << 20;
+/// The largest head of a message, with `FieldOverhead` for each field. More
+/// than any head that a daemon takes from a caller or a backend server.
+constexpr size_t MaxHeadBytes = 128 << 10;
+/// What a field takes on the wire of HTTP/1.1 besides its name and value.
+constexpr size_t FieldOverhead = 4;
 /// Streams that the peer may have open at once.
 constexpr uint32_t MaxStreams = 4096;
 constexpr std::chrono::milliseconds LivenessCheckPeriod{200};
@@ -116,6 +121,12 @@
 nghttp2_session_callbacks *peer_connection::makeCallbacks() {
   nghttp2_session_callbacks *Callbacks = nullptr;
   nghttp2_session_callbacks_new(&Callbacks);
+  nghttp2_session_callbacks_set_on_begin_headers_callback(
+      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
+        if (Frame->headers.cat == NGHTTP2_HCAT_REQUEST)
+          self(User).openStream(Frame->hd.stream_id);
+        return 0;
+      });
   nghttp2_session_callbacks_set_on_header_callback(
       Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame,
                     const uint8_t *Name, size_t NameSize, const uint8_t *Value,
@@ -642,7 +653,14 @@
 
 void peer_connection::onHeader(stream_id Id, std::string Name,
                                std::string Value) {
-  stream &Stream = openStream(Id);
+  // A stream that was reset may have ended in the middle of a head.
+  auto Found = Streams.find(Id);
+  if (Found == Streams.end() || Found->second.IsRejected)
+    return;
+  stream &Stream = Found->second;
+  Stream.HeadBytes += Name.size() + Value.size() + FieldOverhead;
+  if (Stream.HeadBytes > MaxHeadBytes || !reserveReceived(Stream, 0))
+    return rejectReceived(Id, Stream);
   Stream.BytesRead += Name.size() + Value.size();
   Stream.LastReadAt = Liveness.lastReceived();
   if (Role == peer_role::Client) {
@@ -667,11 +685,18 @@
   stream &Stream = Found->second;
   Stream.BytesRead += Size;
   Stream.LastReadAt = Liveness.lastReceived();
-  size_t NewSize = Stream.Received.size() + Size;
-  if (NewSize <= MaxBodyBytes && Stream.ReceivedShare.resize(NewSize)) {
-    Stream.Received.append(reinterpret_cast<const char *>(Data), Size);
-    return;
-  }
+  if (Stream.Received.size() + Size > MaxBodyBytes ||
+      !reserveReceived(Stream, Size))
+    return rejectReceived(Id, Stream);
+  Stream.Received.append(reinterpret_cast<const char *>(Data), Size);
+}
+
+bool peer_connection::reserveReceived(stream &Stream, size_t FurtherBytes) {
+  return Stream.ReceivedShare.resize(Stream.HeadBytes + Stream.Received.size() +
+                                     FurtherBytes);
+}
+
+void peer_connection::rejectReceived(stream_id Id, stream &Stream) {
   // A request that is refused has certainly not been processed.
   reject(Id, Stream,
          Role == peer_role::Server ? NGHTTP2_REFUSED_STREAM
@@ -682,6 +707,8 @@
   Stream.IsRejected = true;
   // Frees the memory at once; the stream ends later.
   Stream.Received = std::string();
+  Stream.Request.Headers = {};
+  Stream.Response.Headers = {};
   Stream.ReceivedShare = {};
   nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Id, ErrorCode);
 }
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -111,8 +111,11 @@
   struct stream {
     http_request Request;
     http_response Response;
-    /// What has been received of the body, and the memory that it takes.
+    /// The size of the received head, with a part for each field.
+    size_t HeadBytes = 0;
+    /// What has been received of the body.
     std::string Received;
+    /// The memory that the received head and body take.
     memory_share ReceivedShare;
     /// Server: the bytes of the request's fields and body that were read, and
     /// when the last of them were.
@@ -178,6 +181,12 @@
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
   void onData(stream_id Id, const uint8_t *Data, size_t Size);
+  /// Takes memory for what has been received on a stream and for further bytes.
+  /// Returns false if there is not enough.
+  [[nodiscard]] static bool reserveReceived(stream &Stream,
+                                            size_t FurtherBytes);
+  /// Resets a stream on which too much was received.
+  void rejectReceived(stream_id Id, stream &Stream);
   void onMessageEnd(stream_id Id);
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
   /// Resets a stream before its message has arrived, and frees its memory.
--- /dev/null
+++ b/src/dragonflyvane/net/peer_head_limit_test.cpp
@@ -0,0 +1,56 @@
+// Heads of messages between daemons that exceed what a sound peer sends.
+#include "dragonflyvane/net/peer_transport.hpp"
+#include "http2_frames.hpp"
+#include "raw_connection.hpp"
+#include "scripted_server.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+
+namespace {
+
+constexpr size_t MaxBodyBytes = size_t{1} << 20;
+constexpr std::chrono::milliseconds CallTimeout{5000};
+/// In one frame, these references make a head of 60 MB.
+constexpr size_t References = 15'000;
+
+call_result callPeer(uint16_t Port, const http_request &Request) {
+  event_loop Loop;
+  peer_client Client(Loop, MaxBodyBytes);
+  call_result Result;
+  Client.send({"127.0.0.1", Port}, Request, CallTimeout,
+              [&](call_result Ended) {
+                Result = std::move(Ended);
+                Loop.stop();
+              });
+  Loop.run();
+  return Result;
+}
+
+} // namespace
+
+// Guards against a response whose small encoded head takes the memory of the
+// process: a reference of one byte stands for a field of 4 KB.
+TEST_CASE("a call to a peer ends when the head of its response is too large") {
+  std::string Fields = repeat(EncodedReference, References);
+  std::string Head;
+  SUBCASE("in one frame") {
+    Head = encodeFrame(frame_type::Headers, 0, 1,
+                       EncodedOk + encodedEntry() + Fields.substr(0, 12'000));
+  }
+  SUBCASE("in several frames") {
+    Head = encodeFrame(frame_type::Headers, 0, 1, EncodedOk + encodedEntry()) +
+           encodeFrame(frame_type::Continuation, 0, 1, Fields);
+  }
+  scripted_server Server([&](scripted_connection &Connection) {
+    Connection.send(encodeFrame(frame_type::Settings, 0, 0, ""));
+    Connection.readRequest();
+    Connection.send(Head);
+    Connection.readRest();
+  });
+  call_result Result = callPeer(Server.port(), {});
+  CHECK(Result.Outcome == call_outcome::ConnectionLost);
+  // Not by a timeout, until when the memory would be taken.
+  CHECK(Result.Error == "ENHANCE_YOUR_CALM");
+}
--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -25,6 +25,7 @@
 namespace {
 
 constexpr uint16_t StorePort = 7000;
+constexpr uint16_t AdminPort = 9464;
 constexpr std::chrono::seconds StartTimeout{30};
 constexpr std::chrono::milliseconds PollPeriod{50};
 constexpr int SlowServerCount = 2;
@@ -126,6 +127,9 @@
 }
 
 endpoint local_cluster::serverEndpoint(int Host) const {
+  auto Announced = AnnouncedAddresses.find(Host);
+  if (Announced != AnnouncedAddresses.end())
+    return Announced->second;
   if (Host < static_cast<int>(ServerLinks.size()))
     return ServerLinks[Host]->localEndpoint();
   return {addressOf(Host), ServerPort};
@@ -161,6 +165,19 @@
       folderPath("server-" + std::to_string(Host) + ".log"));
 }
 
+void local_cluster::setMemoryLimit(int Megabytes) {
+  MemoryMb = Megabytes;
+  for (int Host = 0; Host < HostCount; ++Host)
+    writeSettings(Host);
+}
+
+void local_cluster::announceServerAt(int Host, const endpoint &Address) {
+  AnnouncedAddresses[Host] = Address;
+  killServer(Host);
+  startServer(Host);
+  writeSettings(Host);
+}
+
 void local_cluster::enableRollouts() {
   HasRollouts = true;
   for (int Host = 0; Host < HostCount; ++Host)
@@ -234,6 +251,18 @@
   return {addressOf(Host), ReadinessPort};
 }
 
+endpoint local_cluster::peerEndpoint(int Host) const {
+  return {addressOf(Host), FirstPeerPort};
+}
+
+endpoint local_cluster::adminEndpoint(int Host) const {
+  return {addressOf(Host), AdminPort};
+}
+
+endpoint local_cluster::controlEndpoint(int Host) const {
+  return {addressOf(Host), ControlPort};
+}
+
 endpoint local_cluster::storeEndpoint() const {
   return {Prefix + "1", StorePort};
 }
@@ -241,7 +270,8 @@
 void local_cluster::writeSettings(int Host) const {
   std::ofstream(settingsPath(Host)) << settingsFile(
       Host, addressOf(Host),
-      {serviceOf(Host), serverEndpoint(Host), HasRollouts}, storeEndpoint());
+      {serviceOf(Host), serverEndpoint(Host), HasRollouts, MemoryMb},
+      storeEndpoint());
 }
 
 void local_cluster::startStore() {
--- a/tests/process/local_cluster.hpp
+++ b/tests/process/local_cluster.hpp
@@ -72,6 +72,12 @@
   void reconfigure(int FurtherRoutes, std::chrono::milliseconds RouteTimeout);
   /// Asks the server of a host to leave.
   void stopServer(int Host) { Servers.at(Host)->signal(SIGTERM); }
+  /// Sets the memory limit of daemons that start from now on.
+  void setMemoryLimit(int Megabytes);
+  /// Replaces the server of a host by one that announces another address, at
+  /// which the test responds to its requests. The daemon of the host must not
+  /// have started.
+  void announceServerAt(int Host, const endpoint &Address);
   /// Puts rollouts in force at daemons that start from now on.
   void enableRollouts();
   /// Replaces the server of a host at once by one of another version, of whose
@@ -94,6 +100,12 @@
   /// The address at which a host takes requests of callers.
   endpoint callerEndpoint(int Host) const;
   endpoint readinessEndpoint(int Host) const;
+  /// The address at which a host takes calls of other daemons.
+  endpoint peerEndpoint(int Host) const;
+  /// The address at which a host takes requests of operators.
+  endpoint adminEndpoint(int Host) const;
+  /// The address at which a host takes heartbeats.
+  endpoint controlEndpoint(int Host) const;
   endpoint storeEndpoint() const;
   /// How often each request has begun at the servers, by its id.
   std::map<std::string, int> runCounts() const;
@@ -122,6 +134,9 @@
   cluster_services Services;
   platform::standin::configuration_options Configuration;
   bool HasRollouts = false;
+  int MemoryMb = 260;
+  /// The addresses that servers announce by order of the test.
+  std::map<int, endpoint> AnnouncedAddresses;
   bool KeepsFolder = false;
   std::string Prefix;
   std::string Folder;
--- a/tests/process/steady_callers.cpp
+++ b/tests/process/steady_callers.cpp
@@ -24,8 +24,9 @@
 
 steady_callers::steady_callers(const endpoint &Daemon, int Count,
                                std::chrono::milliseconds Pause,
-                               std::chrono::milliseconds Spread)
-    : Daemon(Daemon), Pause(Pause) {
+                               std::chrono::milliseconds Spread,
+                               std::string Target)
+    : Daemon(Daemon), Pause(Pause), Target(std::move(Target)) {
   for (int I = 0; I < Count; ++I) {
     auto &Caller = *Callers.emplace_back(std::make_unique<caller>(Loop));
     Caller.Idempotent = I % 2 == 0;
@@ -49,7 +50,9 @@
   header_names Names = platform::headerNames();
   ++LastId;
   http_request Request;
-  Request.Target = Caller.Idempotent ? "/parts/1" : "/orders/1";
+  Request.Target = !Target.empty()     ? Target
+                   : Caller.Idempotent ? "/parts/1"
+                                       : "/orders/1";
   Request.Headers.add("Host", "cluster.example");
   ended_call Call;
   Call.RequestId = Daemon.Address + "-" + std::to_string(LastId);
--- a/tests/process/steady_callers.hpp
+++ b/tests/process/steady_callers.hpp
@@ -39,10 +39,10 @@
 public:
   /// Each of `Count` callers waits for `Pause` after a response. They begin one
   /// after the other within `Spread`. Every second caller sends requests that
-  /// may not be repeated.
+  /// may not be repeated, unless `Target` is the target of all requests.
   steady_callers(const endpoint &Daemon, int Count,
                  std::chrono::milliseconds Pause,
-                 std::chrono::milliseconds Spread);
+                 std::chrono::milliseconds Spread, std::string Target = "");
   ~steady_callers();
   steady_callers(const steady_callers &) = delete;
   steady_callers &operator=(const steady_callers &) = delete;
@@ -58,6 +58,7 @@
 
   endpoint Daemon;
   std::chrono::milliseconds Pause;
+  std::string Target;
   boot_clock Clock;
   event_loop Loop;
   std::vector<std::unique_ptr<caller>> Callers;
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -1,5 +1,6 @@
 #include "scripted_server.hpp"
 
+#include <arpa/inet.h>
 #include <netinet/in.h>
 #include <stdexcept>
 #include <sys/socket.h>
@@ -51,15 +52,19 @@
   setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
 }
 
-scripted_server::scripted_server(script Script)
-    : Script(std::move(Script)), Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
+scripted_server::scripted_server(script Script, const endpoint &Listen)
+    : Script(std::move(Script)),
+      Listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+  int One = 1;
+  ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
-  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Address.sin_port = htons(Listen.Port);
+  ::inet_pton(AF_INET, Listen.Address.c_str(), &Address.sin_addr);
   socklen_t Size = sizeof(Address);
   auto *Name = reinterpret_cast<sockaddr *>(&Address);
   if (::bind(Listener, Name, Size) != 0 || ::listen(Listener, 16) != 0)
-    throw std::runtime_error("cannot listen on a port of 127.0.0.1");
+    throw std::runtime_error("cannot listen on " + toString(Listen));
   ::getsockname(Listener, Name, &Size);
   Port = ntohs(Address.sin_port);
   Acceptor = std::thread([this] { accept(); });
@@ -75,7 +80,7 @@
 
 void scripted_server::accept() {
   int Socket = -1;
-  while ((Socket = ::accept(Listener, nullptr, nullptr)) >= 0) {
+  while ((Socket = ::accept4(Listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0) {
     int Number = Connections++;
     Scripts.emplace_back([this, Socket, Number] { serve(Socket, Number); });
   }
--- a/tests/scripted_server.hpp
+++ b/tests/scripted_server.hpp
@@ -3,6 +3,8 @@
 #ifndef DRAGONFLYVANE_TESTS_SCRIPTED_SERVER_HPP
 #define DRAGONFLYVANE_TESTS_SCRIPTED_SERVER_HPP
 
+#include "dragonflyvane/core/endpoint.hpp"
+
 #include <atomic>
 #include <cstdint>
 #include <functional>
@@ -37,13 +39,14 @@
   std::string Buffer;
 };
 
-/// Accepts connections on a port of 127.0.0.1 and runs a script for each, on a
-/// thread of its own.
+/// Accepts connections, by default on a free port of 127.0.0.1, and runs a
+/// script for each, on a thread of its own.
 class scripted_server {
 public:
   using script = std::function<void(scripted_connection &)>;
 
-  explicit scripted_server(script Script);
+  explicit scripted_server(script Script,
+                           const endpoint &Listen = {"127.0.0.1", 0});
   /// Waits until all scripts have returned; the clients must have closed their
   /// connections.
   ~scripted_server();
