Interim responses without an end end the call

Seen: a backend server sent interim responses one after the other without an end. The daemon read them until the route's timeout; a processor was busy with it for all that time (0.9 s of 1 s on loopback). No request of others failed in the process test.

Cause: an interim response was dropped with its size, and the limit of the head counts from zero for the next one.

Change: all interim responses before a response may together be as large as a head, 64 KB. A call with more ends as lost, like one with a head that is too large.

Test: 'a call with interim responses without an end is given up'.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -31,6 +31,7 @@
 constexpr int MaxMismatchedResponses = 2;
 /// Time for the response to a request after one that may be the response to it.
 constexpr std::chrono::milliseconds UnprovenTimeout{500};
+/// Bounds the head of a response, and all interim responses before it together.
 constexpr uint32_t MaxHeaderBytes = 64U << 10;
 /// The parser takes bytes of a body at once, but a chunk's size line and a
 /// trailer only as a whole.
@@ -89,6 +90,10 @@
     message_body OutBody;
     boost::beast::flat_buffer Buffer;
     std::optional<response_parser> Parser;
+    /// What the parser has taken of the response, and the size of the interim
+    /// responses before it.
+    size_t ParsedBytes = 0;
+    size_t InterimBytes = 0;
     /// What the body of the response takes.
     memory_share BodyShare;
   };
@@ -116,6 +121,7 @@
   void onResponse(const connection_pointer &C);
   /// Whether the response belongs to the call in progress.
   static response_match matchOf(connection &C, const http_response &Response);
+  void skipInterim(const connection_pointer &C);
   void skipResponse(const connection_pointer &C, response_match Match,
                     bool KeepAlive);
   void onClosed(const connection_pointer &C,
@@ -157,6 +163,7 @@
   C->OutBody = Request.Body;
   C->Sent = false;
   C->MismatchedResponses = 0;
+  C->InterimBytes = 0;
   C->Callback = std::move(Callback);
   duration InitialTimeout =
       IsNew ? std::min(Options.ConnectTimeout, Options.Timeout)
@@ -295,6 +302,7 @@
   C.Parser->header_limit(MaxHeaderBytes);
   C.Parser->body_limit(MaxBodyBytes);
   C.Parser->skip(C.IsHeadRequest);
+  C.ParsedBytes = 0;
   C.BodyShare = memory_share(Loop.bodyMemory());
 }
 
@@ -303,6 +311,7 @@
     boost::system::error_code Error;
     size_t Consumed = C->Parser->put(C->Buffer.data(), Error);
     C->Buffer.consume(Consumed);
+    C->ParsedBytes += Consumed;
     if (Error == http::error::need_more && C->Buffer.size() > MaxUnparsedBytes)
       return fail(C, call_outcome::ConnectionLost,
                   "a line of the response is too long");
@@ -328,7 +337,7 @@
   Result.Response.Body = {std::move(Message.body()), std::move(C->BodyShare)};
   bool KeepAlive = Message.keep_alive();
   if (Result.Response.Status < 200)
-    return resetParser(*C);
+    return skipInterim(C);
   C->KeepAliveTimeout = keepAliveTimeout(Result.Response.Headers);
   response_match Match = matchOf(*C, Result.Response);
   if (Match != response_match::Matches)
@@ -350,6 +359,13 @@
   return C.Options.Match(Response, IsFirst);
 }
 
+void http_client::implementation::skipInterim(const connection_pointer &C) {
+  C->InterimBytes += C->ParsedBytes;
+  if (C->InterimBytes > MaxHeaderBytes)
+    return fail(C, call_outcome::ConnectionLost, "too many interim responses");
+  resetParser(*C);
+}
+
 void http_client::implementation::skipResponse(const connection_pointer &C,
                                                response_match Match,
                                                bool KeepAlive) {
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -161,6 +161,20 @@
   }
 }
 
+// Guards against a process that is busy with interim responses until the call's
+// timeout, because a server sends them without an end.
+TEST_CASE("a call with interim responses without an end is given up") {
+  scripted_server Server([&](scripted_connection &Connection) {
+    Connection.readRequest();
+    while (Connection.send("HTTP/1.1 100 Continue\r\n\r\n"))
+      ;
+  });
+  event_loop Loop;
+  http_client Client(Loop);
+  CHECK(callAndWait(Loop, Client, Server.port()).Outcome ==
+        call_outcome::ConnectionLost);
+}
+
 // Guards against an interim response that counts as the final one.
 TEST_CASE("a connection that ends after an interim response is lost") {
   CHECK(callCutOff("HTTP/1.1 100 Continue\r\n\r\n", 0, false).Outcome ==
