Heads of many short fields pass between daemons

Seen (test): a response with 10,000 fields of two letters, 60 KB on the wire of HTTP/1.1, is taken from the backend server but never arrives at a peer. The call times out, and its stream stays open at the server.

Cause: nghttp2 sends no head that it estimates to exceed 64 KB, and counts 12 bytes for each field. The head was dropped without a word.

Change: the limit of the estimate is that of the largest head with fields as short as possible.

Test: 'a head of many short fields passes between daemons'.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -35,6 +35,10 @@
 constexpr size_t MaxHeadBytes = 128 << 10;
 /// What a field takes on the wire of HTTP/1.1 besides its name and value.
 constexpr size_t FieldOverhead = 4;
+/// nghttp2 sends no head that it estimates to be larger. It counts 12 bytes for
+/// each field besides its name and value, three times as many as
+/// `FieldOverhead`.
+constexpr size_t MaxEstimatedHeadBytes = 4 * MaxHeadBytes;
 /// Streams that the peer may have open at once.
 constexpr uint32_t MaxStreams = 4096;
 constexpr std::chrono::milliseconds LivenessCheckPeriod{200};
@@ -167,6 +171,8 @@
   // Turns off nghttp2's checks of messages: both ends are daemons, and the
   // HTTP/1.1 server has validated the requests of callers.
   nghttp2_option_set_no_http_messaging(Option, 1);
+  nghttp2_option_set_max_send_header_block_length(Option,
+                                                  MaxEstimatedHeadBytes);
   if (Role == peer_role::Client)
     nghttp2_session_client_new2(&Session, Callbacks, this, Option);
   else
--- a/src/dragonflyvane/net/peer_head_limit_test.cpp
+++ b/src/dragonflyvane/net/peer_head_limit_test.cpp
@@ -54,3 +54,26 @@
   // Not by a timeout, until when the memory would be taken.
   CHECK(Result.Error == "ENHANCE_YOUR_CALM");
 }
+
+// Guards against a response that is lost between daemons although the HTTP
+// client has taken its head from the backend server.
+TEST_CASE("a head of many short fields passes between daemons") {
+  header_list Fields;
+  for (int I = 0; I < 10'000; ++I)
+    Fields.add("a", "b");
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       Exchange->respond({200, Fields, "sound"});
+                     });
+  peer_client Client(Loop, MaxBodyBytes);
+  call_result Result;
+  Client.send(Listen, {}, CallTimeout, [&](call_result Ended) {
+    Result = std::move(Ended);
+    Loop.stop();
+  });
+  Loop.run();
+  CHECK(Result.Outcome == call_outcome::Completed);
+  CHECK(Result.Response.Headers.all().size() == 10'000);
+}
