--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -131,8 +131,11 @@
   struct stream {
     http_request Request;
     http_response Response;
-    /// What has been received of the body, and the memory that it takes.
+    /// The size of the received head, with a part for each field.
+    size_t HeadBytes = 0;
+    /// What has been received of the body.
     std::string Received;
+    /// The memory that the received head and body take.
     memory_share ReceivedShare;
     /// Set once body bytes were received that a pacer of the incoming link
     /// bounds.
@@ -231,6 +234,12 @@
   void returnCredit(stream_id Id, stream &Stream, size_t Size);
   std::unique_ptr<receive_credit> makeCredit(stream_id Id,
                                              const stream &Stream);
+  /// Takes memory for what has been received on a stream and for further bytes.
+  /// Returns false if there is not enough.
+  [[nodiscard]] static bool reserveReceived(stream &Stream,
+                                            size_t FurtherBytes);
+  /// Resets a stream on which too much was received.
+  void rejectReceived(stream_id Id, stream &Stream);
   void onMessageEnd(stream_id Id);
   void onPingAnswered(const uint8_t *Data);
   void onStreamClose(stream_id Id, uint32_t ErrorCode);
