Credit for large messages: stated sizes, signed credit, small first pieces

Connections state the size of each body in a field of their own. Credit is signed. Bodies over 4 KB wait for the peer's settings. Messages that end with one piece go before the others. Bytes that have no turn count with their size, and in the backlog.

--- a/src/dragonflyvane/core/admission/bulk_pacer.cpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer.cpp
@@ -12,6 +12,9 @@
 /// Bounds of the piece size in bytes.
 constexpr double MinPieceSize = 8 << 10;
 constexpr double MaxPieceSize = 1 << 20;
+/// The link takes this long for a message that needs no turn, so that a
+/// hundred of them at once delay a small message by less than half a second.
+constexpr std::chrono::milliseconds SmallMessageTime{4};
 /// Timers fire late. The pacer makes up for at most this much lost time by
 /// sending the following pieces earlier.
 constexpr std::chrono::milliseconds MaxCatchUp{20};
@@ -28,10 +31,16 @@
     : Loop(Loop), Clock(Clock), BulkRate(LinkRate * BulkShare),
       PieceSize(static_cast<size_t>(std::clamp(
           BulkRate * std::chrono::duration<double>(PieceTime).count(),
-          MinPieceSize, MaxPieceSize))) {}
+          MinPieceSize, MaxPieceSize))),
+      SmallSize(std::min(
+          PieceSize,
+          static_cast<size_t>(
+              BulkRate *
+              std::chrono::duration<double>(SmallMessageTime).count()))) {}
 
 duration bulk_pacer::backlog() const {
-  return durationOf(static_cast<double>(BacklogBytes), BulkRate);
+  duration UntilRelease = std::max(duration{0}, NextReleaseAt - Clock.now());
+  return UntilRelease + durationOf(static_cast<double>(BacklogBytes), BulkRate);
 }
 
 duration bulk_pacer::transferTime(size_t Bytes) const {
@@ -59,8 +68,7 @@
   Transfers.at(Id).OnTurn = std::move(OnTurn);
   // A timer instead of a direct call, since the sender that calls this function
   // is in the middle of a write.
-  if (Clock.now() >= NextReleaseAt)
-    ReleaseTimer = Loop.after(duration{0}, [this] { releaseNextPiece(); });
+  scheduleRelease();
 }
 
 void bulk_pacer::endTransfer(uint64_t Id) {
@@ -69,15 +77,26 @@
   Transfers.erase(Found);
 }
 
+std::map<uint64_t, bulk_pacer::transfer>::iterator bulk_pacer::nextTransfer() {
+  auto Oldest = Transfers.end();
+  for (auto I = Transfers.begin(); I != Transfers.end(); ++I) {
+    if (!I->second.isWaiting())
+      continue;
+    if (I->second.RemainingBytes <= PieceSize)
+      return I;
+    if (Oldest == Transfers.end())
+      Oldest = I;
+  }
+  return Oldest;
+}
+
 void bulk_pacer::releaseNextPiece() {
   if (Clock.now() < NextReleaseAt)
     return scheduleRelease();
-  auto First =
-      std::find_if(Transfers.begin(), Transfers.end(),
-                   [](const auto &T) { return T.second.OnTurn != nullptr; });
-  if (First == Transfers.end())
+  auto Next = nextTransfer();
+  if (Next == Transfers.end())
     return;
-  transfer &Transfer = First->second;
+  transfer &Transfer = Next->second;
   size_t Bytes = std::min(PieceSize, Transfer.RemainingBytes);
   Transfer.RemainingBytes -= Bytes;
   BacklogBytes -= Bytes;
@@ -96,9 +115,6 @@
                             [this] { releaseNextPiece(); });
 }
 
-void bulk_pacer::takeWithoutTurn(size_t Bytes) {
-  occupyLink(Bytes);
-  scheduleRelease();
-}
+void bulk_pacer::takeWithoutTurn(size_t Bytes) { occupyLink(Bytes); }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/bulk_pacer.hpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer.hpp
@@ -14,8 +14,9 @@
 
 namespace dragonflyvane {
 
-/// Decides when each piece of a bulk transfer is sent. The oldest transfer that
-/// waits for its turn goes first.
+/// Decides when each piece of a bulk transfer is sent. Of the transfers that
+/// wait for their turns, those that end with one piece go first, then the
+/// oldest one.
 class bulk_pacer {
 public:
   /// The fraction of a link's rate that bulk messages may use by default.
@@ -32,6 +33,9 @@
   bool isBulk(size_t Bytes) const { return Bytes > PieceSize; }
   /// Returns the size of a piece in bytes.
   size_t pieceSize() const { return PieceSize; }
+  /// Returns the size of a message in bytes that any number of hosts may send
+  /// to this host without a turn. At most `pieceSize()`.
+  size_t smallSize() const { return SmallSize; }
   /// Returns whether no transfer is in progress.
   bool isIdle() const { return Transfers.empty(); }
   /// Returns how long a message of this size would take behind all transfers in
@@ -40,7 +44,8 @@
   /// Returns the same for a request and its response, which cross the link one
   /// after the other. The transfers in progress count once.
   duration transferTime(size_t RequestBytes, size_t ResponseBytes) const;
-  /// Returns the time until all transfers in progress have ended.
+  /// Returns the time until all transfers in progress have ended, and all bytes
+  /// that were counted have passed.
   duration backlog() const;
   /// Counts bytes of a bulk message that move without a turn. The next turns
   /// come later.
@@ -49,6 +54,8 @@
 private:
   friend class bulk_transfer;
   struct transfer {
+    bool isWaiting() const { return OnTurn != nullptr; }
+
     size_t RemainingBytes = 0;
     /// The callback of a transfer that waits for its turn; empty otherwise.
     std::function<void()> OnTurn;
@@ -57,7 +64,9 @@
   uint64_t beginTransfer(size_t Bytes);
   void awaitTurn(uint64_t Id, std::function<void()> OnTurn);
   void endTransfer(uint64_t Id);
-  /// Lets the oldest waiting transfer send a piece and schedules the next call.
+  /// Returns the transfer that has the next turn, or the end if none waits.
+  std::map<uint64_t, transfer>::iterator nextTransfer();
+  /// Lets the next transfer send a piece and schedules the next call.
   void releaseNextPiece();
   /// Advances `NextReleaseAt` by the time that the link takes for the bytes.
   void occupyLink(size_t Bytes);
@@ -68,6 +77,7 @@
   /// The rate of all bulk transfers together, in bytes per second.
   double BulkRate;
   size_t PieceSize;
+  size_t SmallSize;
   /// The bytes of all transfers that are still to be sent.
   size_t BacklogBytes = 0;
   uint64_t LastId = 0;
--- a/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
+++ b/src/dragonflyvane/core/admission/bulk_pacer_test.cpp
@@ -126,6 +126,7 @@
   bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
   Loop.runFor(milliseconds(1000));
   Pacer.takeWithoutTurn(static_cast<size_t>(SlowLink * 0.3));
+  CHECK(Pacer.backlog() > milliseconds(350));
   download Waiting(Pacer, 20'000);
   Loop.runFor(milliseconds(350));
   CHECK(Waiting.RemainingBytes == 20'000);
--- a/src/dragonflyvane/core/admission/receive_credit.cpp
+++ b/src/dragonflyvane/core/admission/receive_credit.cpp
@@ -8,23 +8,23 @@
 receive_credit::receive_credit(bulk_pacer &Pacer, std::optional<size_t> Length,
                                credit_callback OnCredit)
     : Pacer(Pacer), OnCredit(std::move(OnCredit)),
-      Outstanding(Pacer.pieceSize()) {
+      Outstanding(static_cast<int64_t>(Pacer.smallSize())) {
   if (Length)
-    Ungranted = *Length - std::min(*Length, Outstanding);
-  if (!isGrantedWhole())
-    Pacer.takeWithoutTurn(Outstanding);
+    Ungranted = *Length - std::min(*Length, Pacer.smallSize());
 }
 
 void receive_credit::onReceived(size_t Bytes) {
-  Outstanding -= std::min(Bytes, Outstanding);
+  if (!HasCredit)
+    Pacer.takeWithoutTurn(Bytes);
+  Outstanding -= static_cast<int64_t>(Bytes);
   // The message goes on after its stated length.
-  if (isGrantedWhole() && Outstanding == 0)
+  if (isGrantedWhole() && Outstanding <= 0)
     Ungranted.reset();
   requestPiece();
 }
 
 void receive_credit::requestPiece() {
-  bool MayGrowCredit = Outstanding <= Pacer.pieceSize();
+  bool MayGrowCredit = Outstanding <= pieceSize();
   if (AwaitsTurn || isGrantedWhole() || !MayGrowCredit)
     return;
   AwaitsTurn = true;
@@ -35,16 +35,18 @@
 
 void receive_credit::grantPiece() {
   AwaitsTurn = false;
+  HasCredit = true;
   size_t Size = Pacer.pieceSize();
   if (Ungranted) {
     Size = std::min(Size, *Ungranted);
     *Ungranted -= Size;
   }
-  Outstanding += Size;
+  Outstanding += static_cast<int64_t>(Size);
   // Without a known length, each piece is a transfer of its own.
   if (!Ungranted || isGrantedWhole())
     Transfer = {};
   requestPiece();
+  // Last, since it may destroy this object.
   OnCredit(Size);
 }
 
--- a/src/dragonflyvane/core/admission/receive_credit.hpp
+++ b/src/dragonflyvane/core/admission/receive_credit.hpp
@@ -7,29 +7,32 @@
 #include "dragonflyvane/core/admission/bulk_pacer.hpp"
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <optional>
 
 namespace dragonflyvane {
 
-/// The bytes of one message that its sender may send. The first piece needs no
-/// permission. Each further piece takes a turn of the pacer of the incoming
-/// link; at most two pieces are on their way. Its destruction ends the message.
+/// The bytes of one message that its sender may send. The first ones, the
+/// pacer's `smallSize`, need no permission. Each further piece takes a turn of
+/// the pacer of the incoming link; at most two pieces are on their way. Its
+/// destruction ends the message.
 class receive_credit {
 public:
   /// Receives the number of bytes that the sender may send in addition.
   using credit_callback = std::function<void(size_t)>;
 
   /// `Length` is the size of the whole message in bytes, if it states one. A
-  /// longer message arrives all the same.
-  /// `OnCredit` is called later, from the scheduler of `Pacer`, which must
-  /// outlive this object.
+  /// longer message arrives all the same. `OnCredit` is called later, from the
+  /// scheduler of `Pacer`, which must outlive this object; it may destroy this
+  /// object.
   receive_credit(bulk_pacer &Pacer, std::optional<size_t> Length,
                  credit_callback OnCredit);
   receive_credit(const receive_credit &) = delete;
   receive_credit &operator=(const receive_credit &) = delete;
 
-  /// To be called when bytes of the message were received.
+  /// To be called when bytes of the message were received, but not the last
+  /// ones.
   void onReceived(size_t Bytes);
 
 private:
@@ -37,6 +40,7 @@
   void requestPiece();
   void grantPiece();
   bool isGrantedWhole() const { return Ungranted && *Ungranted == 0; }
+  int64_t pieceSize() const { return static_cast<int64_t>(Pacer.pieceSize()); }
 
   bulk_pacer &Pacer;
   credit_callback OnCredit;
@@ -44,9 +48,12 @@
   /// message is unknown.
   std::optional<size_t> Ungranted;
   /// The bytes that the sender may send and that have not been received.
-  size_t Outstanding;
+  /// Negative if the sender began before it knew of the limit.
+  int64_t Outstanding;
   bulk_transfer Transfer;
   bool AwaitsTurn = false;
+  /// Whether a piece was granted. Until then, bytes move without a turn.
+  bool HasCredit = false;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/admission/receive_credit_test.cpp
+++ b/src/dragonflyvane/core/admission/receive_credit_test.cpp
@@ -28,11 +28,11 @@
           Granted += Size;
           send(Size);
         }) {
-    send(Pacer.pieceSize());
+    send(Pacer.smallSize());
   }
 
   size_t bytesOnTheirWay() const { return OnTheirWay; }
-  /// The bytes that were granted in addition to the first piece.
+  /// The bytes that were granted in addition to the first ones.
   size_t granted() const { return Granted; }
   bool hasArrived() const { return Remaining == 0 && OnTheirWay == 0; }
 
@@ -79,8 +79,8 @@
     Granted += Upload->granted();
     OnTheirWay += Upload->bytesOnTheirWay();
   }
-  // All of them begin with a piece that needs no credit.
-  double Allowed = static_cast<double>(Granted + 12 * Pacer.pieceSize());
+  // All of them begin with bytes that need no credit.
+  double Allowed = static_cast<double>(Granted + 12 * Pacer.smallSize());
   auto Piece = static_cast<double>(Pacer.pieceSize());
   CHECK(Allowed < bulk_pacer::DefaultShare * SlowLink + 3 * Piece);
   CHECK(Allowed > bulk_pacer::DefaultShare * SlowLink - 3 * Piece);
@@ -122,7 +122,7 @@
   upload Small(Loop, Pacer, 1'000, 1'000, milliseconds(10));
   Loop.runFor(milliseconds(1000));
   CHECK(Upload.hasArrived());
-  CHECK(Upload.granted() + Pacer.pieceSize() == 300'000);
+  CHECK(Upload.granted() + Pacer.smallSize() == 300'000);
   CHECK(Small.granted() == 0);
   CHECK(Pacer.isIdle());
 }
@@ -139,3 +139,64 @@
   CHECK(Pacer.isIdle());
   Loop.runFor(milliseconds(100));
 }
+
+// Guards against a hang: a sender on a new connection begins with the default
+// window of HTTP/2, and then has used more than it was granted.
+TEST_CASE("an upload whose sender did not know the limit arrives whole") {
+  constexpr size_t DefaultWindow = 65'535;
+  constexpr size_t Length = 200'000;
+  for (std::optional<size_t> StatedLength :
+       {std::optional<size_t>(Length), std::optional<size_t>()}) {
+    manual_scheduler Loop;
+    bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+    size_t Received = 0;
+    // What the sender may send, after the limit became known to it.
+    int64_t Window = static_cast<int64_t>(Pacer.smallSize()) - DefaultWindow;
+    std::optional<receive_credit> Credit;
+    auto Receive = [&](size_t Bytes) {
+      Received += Bytes;
+      if (Received < Length)
+        Credit->onReceived(Bytes);
+    };
+    Credit.emplace(Pacer, StatedLength, [&](size_t Size) {
+      Window += static_cast<int64_t>(Size);
+      size_t Sent =
+          std::min<int64_t>(std::max<int64_t>(Window, 0), Length - Received);
+      Window -= static_cast<int64_t>(Sent);
+      if (Sent > 0)
+        Loop.postDelayed(milliseconds(10), [&, Sent] { Receive(Sent); });
+    });
+    Receive(DefaultWindow);
+    Loop.runFor(milliseconds(1000));
+    CHECK(Received == Length);
+  }
+}
+
+// Guards against many small messages that keep large ones from having a turn.
+TEST_CASE("small messages count with their size") {
+  for (std::optional<size_t> StatedLength :
+       {std::optional<size_t>(300), std::optional<size_t>()}) {
+    manual_scheduler Loop;
+    bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+    timer Messages = Loop.every(milliseconds(5), [&] {
+      receive_credit(Pacer, StatedLength, [](size_t) {}).onReceived(300);
+    });
+    upload Upload(Loop, Pacer, 92'000, 92'000, milliseconds(10));
+    Loop.runFor(milliseconds(300));
+    CHECK(Upload.hasArrived());
+  }
+}
+
+// Guards against reports and rows that wait behind all uploads.
+TEST_CASE("a message that needs one piece passes uploads") {
+  manual_scheduler Loop;
+  bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
+  std::vector<std::unique_ptr<upload>> Uploads;
+  for (int I = 0; I < 20; ++I)
+    Uploads.push_back(std::make_unique<upload>(Loop, Pacer, 1'000'000,
+                                               1'000'000, milliseconds(10)));
+  Loop.runFor(milliseconds(500));
+  upload Message(Loop, Pacer, 15'000, 15'000, milliseconds(10));
+  Loop.runFor(milliseconds(100));
+  CHECK(Message.hasArrived());
+}
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -63,6 +63,11 @@
 /// When the sender passed the message to the connection, in milliseconds of its
 /// clock. Only `peer_connection` sees this field.
 constexpr const char *SentAtField = "x-dragonflyvane-sent-at";
+/// The size of the message's body in bytes. Only `peer_connection` sees it.
+constexpr const char *BodyBytesField = "x-dragonflyvane-body-bytes";
+/// A body of at most this size is sent before the peer's settings have told how
+/// much the peer takes at once.
+constexpr size_t MaxBodyBeforeSettings = 4 << 10;
 
 std::string toLower(std::string Text) {
   std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
@@ -79,14 +84,14 @@
   return {reinterpret_cast<const char *>(Data), Size};
 }
 
-/// Returns the length of a body, if its message states it.
-std::optional<size_t> contentLength(const header_list &Headers) {
-  std::string Text = Headers.find("content-length").value_or("");
-  size_t Length = 0;
+/// Returns the number that a whole text is; none if it is not one.
+template <typename Number>
+std::optional<Number> toNumber(const std::string &Text) {
+  Number Value{};
   const char *End = Text.data() + Text.size();
-  auto Read = std::from_chars(Text.data(), End, Length);
-  bool IsValid = Read.ec == std::errc() && Read.ptr == End && !Text.empty();
-  return IsValid ? std::optional(Length) : std::nullopt;
+  auto Read = std::from_chars(Text.data(), End, Value);
+  bool IsNumber = Read.ec == std::errc() && Read.ptr == End;
+  return IsNumber ? std::optional(Value) : std::nullopt;
 }
 
 } // namespace
@@ -221,7 +226,7 @@
 int32_t peer_connection::initialWindow() const {
   if (!Options.Incoming)
     return StreamWindow;
-  return static_cast<int32_t>(Options.Incoming->pieceSize());
+  return static_cast<int32_t>(Options.Incoming->smallSize());
 }
 
 void peer_connection::start() {
@@ -654,11 +659,12 @@
                                   void *User) {
   auto &Body = *static_cast<outgoing_body *>(Source->ptr);
   const std::string &Bytes = Body.Body.text();
+  if (!self(User).HasPeerSettings && Bytes.size() > MaxBodyBeforeSettings)
+    return NGHTTP2_ERR_DEFERRED;
   size_t Size = std::min(Length, Bytes.size() - Body.Offset);
   if (Body.Transfer) {
     if (Body.SendableBytes == 0) {
-      if (self(User).HasPeerSettings)
-        self(User).awaitPiece(Id, Body);
+      self(User).awaitPiece(Id, Body);
       return NGHTTP2_ERR_DEFERRED;
     }
     Size = std::min(Size, Body.SendableBytes);
@@ -704,6 +710,13 @@
 
 } // namespace
 
+void peer_connection::addOwnFields(header_list &Fields,
+                                   const message_body &Body) const {
+  Fields.add(SentAtField, toSendTime(Clock.now()));
+  if (!Body.empty())
+    Fields.add(BodyBytesField, std::to_string(Body.size()));
+}
+
 peer_connection::stream_id peer_connection::call(const http_request &Request,
                                                  silence_policy Policy,
                                                  call_callback Callback) {
@@ -711,7 +724,7 @@
   Pseudo.add(":method", Request.Method);
   Pseudo.add(":scheme", "http");
   Pseudo.add(":path", Request.Target);
-  Pseudo.add(SentAtField, toSendTime(Clock.now()));
+  addOwnFields(Pseudo, Request.Body);
   header_list Fields = mergeLowercase(Pseudo, Request.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
@@ -769,7 +782,7 @@
   Stream.IsResponding = true;
   header_list Pseudo;
   Pseudo.add(":status", std::to_string(Response.Status));
-  Pseudo.add(SentAtField, toSendTime(Clock.now()));
+  addOwnFields(Pseudo, Response.Body);
   header_list Fields = mergeLowercase(Pseudo, Response.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   setBody(Stream.Out, Response.Body);
@@ -804,9 +817,9 @@
 void peer_connection::onSettings() {
   if (std::exchange(HasPeerSettings, true))
     return;
+  // Has no effect on streams that did not wait.
   for (auto &[Id, Stream] : Streams)
-    if (Stream.Out.Transfer)
-      awaitPiece(Id, Stream.Out);
+    nghttp2_session_resume_data(Session, Id);
 }
 
 void peer_connection::onPingAnswered(const uint8_t *Data) {
@@ -861,6 +874,10 @@
   Stream.LastReadAt = Silence.lastReceived();
   if (Name == SentAtField)
     return onSendTime(Stream, Value);
+  if (Name == BodyBytesField) {
+    Stream.StatedBytes = toNumber<size_t>(Value);
+    return;
+  }
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
@@ -877,14 +894,12 @@
 }
 
 void peer_connection::onSendTime(stream &Stream, const std::string &Value) {
-  int64_t SentAt = 0;
-  const char *End = Value.data() + Value.size();
-  auto Read = std::from_chars(Value.data(), End, SentAt);
-  bool IsValid = Read.ec == std::errc() && Read.ptr == End && SentAt >= 0;
+  auto SentAt = toNumber<int64_t>(Value);
+  bool IsValid = SentAt && *SentAt >= 0;
   if (!IsValid || Stream.HeaderArrivedAt)
     return;
   Stream.HeaderArrivedAt = Silence.lastReceived();
-  Stream.HeaderDelay = Transit.observe(std::chrono::milliseconds(SentAt),
+  Stream.HeaderDelay = Transit.observe(std::chrono::milliseconds(*SentAt),
                                        *Stream.HeaderArrivedAt);
 }
 
@@ -944,12 +959,12 @@
 
 std::unique_ptr<receive_credit>
 peer_connection::makeCredit(stream_id Id, const stream &Stream) {
-  const header_list &Headers = Role == peer_role::Client
-                                   ? Stream.Response.Headers
-                                   : Stream.Request.Headers;
+  // More than the largest body is never granted.
+  std::optional<size_t> Length = Stream.StatedBytes;
+  if (Length && *Length > MaxBodyBytes)
+    Length.reset();
   return std::make_unique<receive_credit>(
-      *Options.Incoming, contentLength(Headers),
-      [Weak = weak_from_this(), Id](size_t Bytes) {
+      *Options.Incoming, Length, [Weak = weak_from_this(), Id](size_t Bytes) {
         auto Self = Weak.lock();
         if (!Self || !Self->Open)
           return;
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -137,6 +137,8 @@
     std::string Received;
     /// The memory that the received head and body take.
     memory_share ReceivedShare;
+    /// The size of the body that the peer sends, if it states one.
+    std::optional<size_t> StatedBytes;
     /// Set once body bytes were received that a pacer of the incoming link
     /// bounds.
     std::unique_ptr<receive_credit> Credit;
@@ -223,6 +225,8 @@
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
+  /// Adds the fields that only connections read.
+  void addOwnFields(header_list &Fields, const message_body &Body) const;
   /// Notes when the peer sent the message of a stream.
   void onSendTime(stream &Stream, const std::string &Value);
   /// How late the message of a stream is, which has arrived completely now.
@@ -277,7 +281,8 @@
   bool Writing = false;
   /// Whether `nghttp2_session_mem_recv` is running; nothing may be sent then.
   bool Receiving = false;
-  /// Whether the peer's settings have arrived. Large bodies wait for them.
+  /// Whether the peer's settings have arrived. Bodies wait for them, unless
+  /// they are small.
   bool HasPeerSettings = false;
   std::string WriteBuffer;
   /// Bytes of `WriteBuffer` that were handed to the socket.
--- a/tests/process/local_cluster.cpp
+++ b/tests/process/local_cluster.cpp
@@ -277,7 +277,7 @@
 }
 
 endpoint local_cluster::peerEndpoint(int Host) const {
-  return {addressOf(Host), FirstPeerPort};
+  return {addressOf(Host), PeerPort};
 }
 
 endpoint local_cluster::adminEndpoint(int Host) const {
