Test of uploads of sixty hosts that begin at once

The review's probe: a small call 100 ms after 60 uploads of 60 KB took 717 ms on; the bound is 300 ms.

--- a/src/dragonflyvane/net/peer_link_test.cpp
+++ b/src/dragonflyvane/net/peer_link_test.cpp
@@ -73,7 +73,7 @@
 /// Hosts, and a host that serves their calls behind its link.
 class linked_hosts {
 public:
-  explicit linked_hosts(size_t ResponseSize)
+  explicit linked_hosts(size_t ResponseSize, size_t Count = HostCount)
       : ServerPacers(Loop, Clock),
         Server(Loop, Listen, MaxBodyBytes,
                [this, ResponseSize](const exchange_pointer &Exchange) {
@@ -86,7 +86,7 @@
                },
                {&ServerPacers.Outgoing, &ServerPacers.Incoming}),
         Link(Listen, HostLink, HostLink, link_sharing::AllConnections) {
-    for (size_t I = 0; I < HostCount; ++I)
+    for (size_t I = 0; I < Count; ++I)
       Hosts.push_back(std::make_unique<calling_host>(Loop, Clock));
   }
 
@@ -135,6 +135,22 @@
     Loop.run();
   }
 
+  /// Begins an upload at each host but the last one at once, and a small call
+  /// at that one a little later. Runs until all have ended.
+  void runBurst(size_t UploadBytes, milliseconds SmallCallTime) {
+    size_t Last = Hosts.size() - 1;
+    for (size_t Host = 0; Host < Last; ++Host)
+      Uploads.push_back(call(Host, UploadBytes, {}));
+    timer Begin = Loop.after(SmallCallTime, [&] {
+      SmallCalls.push_back(call(Last, SmallSize, {}));
+    });
+    timer Check = Loop.every(SmallCallPeriod, [&] {
+      if (haveEnded(Uploads) && haveEnded(SmallCalls))
+        Loop.stop();
+    });
+    Loop.run();
+  }
+
   std::vector<call_record> uploads() const { return recordsOf(Uploads); }
   std::vector<call_record> smallCalls() const { return recordsOf(SmallCalls); }
   int connectionCount() const { return Link.connectionCount(); }
@@ -247,3 +263,20 @@
         }) == 0);
   CHECK(SmallCalls.size() > 50);
 }
+
+// Guards against a queue that grows with the number of hosts although each of
+// them sends no more than what needs no permission.
+TEST_CASE("uploads of sixty hosts that begin at once hardly delay a small "
+          "call") {
+  constexpr size_t Count = 61;
+  linked_hosts Hosts(SmallSize, Count);
+  size_t UploadBytes = 0;
+  SUBCASE("large uploads") { UploadBytes = 60'000; }
+  SUBCASE("small uploads") { UploadBytes = 14'000; }
+  CAPTURE(UploadBytes);
+  Hosts.runBurst(UploadBytes, milliseconds(100));
+  std::vector<call_record> Uploads = Hosts.uploads();
+  CHECK(countOf(Uploads, isCompleted) == Uploads.size());
+  CHECK(Hosts.connectionCount() == Count);
+  CHECK(longestTime(Hosts.smallCalls()) < SmallCallBound);
+}
