The time that a request waits for its connection counts against its deadline

A connection that is opened behind a full link delays its first requests by up to 500 ms. Their send time was that of the first byte on the connection, so that the wait was not in their transit delay and they were treated as fresh. The client knows the wait exactly and states it after the send time; the receiver adds it, up to 10 s.

Test: the event loop cannot notice for 300 ms that the connection is open. Further values that are no times are ignored.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -13,6 +13,7 @@
 #include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <system_error>
@@ -41,13 +42,16 @@
 /// A peer that has not confirmed a shutdown notice after this time is not
 /// waited for.
 constexpr std::chrono::milliseconds ConfirmationTimeout{500};
+/// A longer wait for a connection is not credible.
+constexpr std::chrono::seconds MaxWait{10};
 /// The opaque data of the PING that follows a shutdown notice; others have
 /// zeros.
 constexpr std::array<uint8_t, 8> ShutdownPing{'s', 'h', 'u', 't',
                                               'd', 'o', 'w', 'n'};
 
 /// When the sender passed the message to the connection, in milliseconds of its
-/// clock. Only `peer_connection` sees this field.
+/// clock. If the message had to wait for the connection, a comma and that time
+/// in milliseconds follow. Only `peer_connection` sees this field.
 constexpr const char *SentAtField = "x-dragonflyvane-sent-at";
 
 std::string toLower(std::string Text) {
@@ -573,8 +577,22 @@
   return Pairs;
 }
 
-std::string toSendTime(time_point Now) {
-  return std::to_string(inMilliseconds(Now.time_since_epoch()));
+std::string toSendTime(time_point Now, duration Waited = {}) {
+  std::string Text = std::to_string(inMilliseconds(Now.time_since_epoch()));
+  if (inMilliseconds(Waited) > 0)
+    Text.append(",").append(std::to_string(inMilliseconds(Waited)));
+  return Text;
+}
+
+/// Reads a number that is not negative from the front of a text, and removes
+/// it. Returns nothing if there is none.
+std::optional<std::chrono::milliseconds> takeTime(std::string_view &Text) {
+  int64_t Value = 0;
+  auto Read = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Read.ec != std::errc() || Value < 0)
+    return std::nullopt;
+  Text.remove_prefix(static_cast<size_t>(Read.ptr - Text.data()));
+  return std::chrono::milliseconds(Value);
 }
 
 header_list mergeLowercase(const header_list &Pseudo,
@@ -588,12 +606,13 @@
 } // namespace
 
 peer_connection::stream_id peer_connection::call(const http_request &Request,
+                                                 duration Waited,
                                                  call_callback Callback) {
   header_list Pseudo;
   Pseudo.add(":method", Request.Method);
   Pseudo.add(":scheme", "http");
   Pseudo.add(":path", Request.Target);
-  Pseudo.add(SentAtField, toSendTime(Clock.now()));
+  Pseudo.add(SentAtField, toSendTime(Clock.now(), Waited));
   header_list Fields = mergeLowercase(Pseudo, Request.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
@@ -731,15 +750,19 @@
 }
 
 void peer_connection::onSendTime(stream &Stream, const std::string &Value) {
-  int64_t SentAt = 0;
-  const char *End = Value.data() + Value.size();
-  auto Read = std::from_chars(Value.data(), End, SentAt);
-  bool IsValid = Read.ec == std::errc() && Read.ptr == End && SentAt >= 0;
+  std::string_view Rest = Value;
+  auto SentAt = takeTime(Rest);
+  std::optional<std::chrono::milliseconds> Waited{0};
+  if (Rest.starts_with(',')) {
+    Rest.remove_prefix(1);
+    Waited = takeTime(Rest);
+  }
+  bool IsValid = SentAt && Waited && *Waited <= MaxWait && Rest.empty();
   if (!IsValid || Stream.HeaderArrivedAt)
     return;
   Stream.HeaderArrivedAt = Liveness.lastReceived();
-  Stream.HeaderDelay = Transit.observe(std::chrono::milliseconds(SentAt),
-                                       *Stream.HeaderArrivedAt);
+  Stream.HeaderDelay =
+      Transit.observe(*SentAt, *Stream.HeaderArrivedAt) + *Waited;
 }
 
 duration peer_connection::transitDelay(const stream &Stream) const {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -86,9 +86,11 @@
   /// When bytes were last received; at first, when the object was created.
   time_point lastReadTime() const { return Liveness.lastReceived(); }
 
-  /// Client: sends a request on a new stream. If the request cannot be
-  /// submitted, calls back with `NotSent` and then returns 0.
-  stream_id call(const http_request &Request, call_callback Callback);
+  /// Client: sends a request on a new stream, which has waited for the
+  /// connection. If the request cannot be submitted, calls back with `NotSent`
+  /// and then returns 0.
+  stream_id call(const http_request &Request, duration Waited,
+                 call_callback Callback);
   /// Client: cancels a call without calling back, by resetting its stream.
   /// Returns whether the peer may process the request: false if its end is not
   /// sent any more.
@@ -188,7 +190,8 @@
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
-  /// Notes when the peer sent the message of a stream.
+  /// Notes when the peer sent the message of a stream, and how long it had
+  /// waited there.
   void onSendTime(stream &Stream, const std::string &Value);
   /// How late the message of a stream is, which has arrived completely now.
   duration transitDelay(const stream &Stream) const;
--- a/src/dragonflyvane/net/peer_transit_test.cpp
+++ b/src/dragonflyvane/net/peer_transit_test.cpp
@@ -7,6 +7,7 @@
 
 #include <map>
 #include <string>
+#include <thread>
 #include <vector>
 
 using namespace dragonflyvane;
@@ -122,6 +123,20 @@
   CHECK(Peers.RequestDelays.at("/upload") >= milliseconds(400));
 }
 
+// Guards against a request that waits for its connection to be opened, as
+// behind a full link, and is then treated as fresh.
+TEST_CASE("the time that a request waited for its connection counts") {
+  measured_peers Peers({}, {});
+  Peers.call("/first");
+  // The connection is open at once, but the client cannot notice it.
+  Peers.Loop.post([] { std::this_thread::sleep_for(milliseconds(300)); });
+  Peers.Loop.run();
+  CHECK(Peers.RequestDelays.at("/first") >= milliseconds(250));
+  CHECK(Peers.RequestDelays.at("/first") <= milliseconds(1'500));
+  Peers.callAndWait("/second");
+  CHECK(Peers.RequestDelays.at("/second") <= milliseconds(100));
+}
+
 TEST_CASE("the send time of a message does not reach handlers and callers") {
   measured_peers Peers({}, {});
   Peers.callAndWait("/first");
@@ -136,7 +151,8 @@
   std::vector<duration> Delays;
   std::vector<size_t> FieldCounts;
   std::vector<std::string> Values = {
-      "", "soon", "-7", "12x", "1e9", " 5", "99999999999999999999"};
+      "",   "soon", "-7",    "12x", "1e9",    " 5", "99999999999999999999",
+      "7,", "7,-1", "7,1,1", ",5",  "7,20000"};
   peer_server Server(
       Loop, Listen, MaxBodyBytes, [&](const exchange_pointer &Exchange) {
         Delays.push_back(Exchange->transitDelay());
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -36,6 +36,7 @@
     Call.Peer = Peer;
     Call.Request = std::move(Request);
     Call.Callback = std::move(Callback);
+    Call.BegunAt = Clock.now();
     Call.TimeoutTimer = Loop.after(Timeout, [this, Id] { onTimeout(Id); });
     channel &Channel = Channels[Peer];
     if (Channel.Connection && Channel.Connection->acceptsCalls())
@@ -83,6 +84,7 @@
     endpoint Peer;
     http_request Request;
     callback Callback;
+    time_point BegunAt{};
     timer TimeoutTimer;
     std::weak_ptr<peer_connection> Connection;
     peer_connection::stream_id StreamId = 0;
@@ -147,10 +149,9 @@
     call &Call = Found->second;
     Call.Connection = Channel.Connection;
     Call.Submitted = true;
-    auto StreamId =
-        Channel.Connection->call(Call.Request, [this, Id](call_result Result) {
-          finish(Id, std::move(Result));
-        });
+    auto StreamId = Channel.Connection->call(
+        Call.Request, Clock.now() - Call.BegunAt,
+        [this, Id](call_result Result) { finish(Id, std::move(Result)); });
     Found = Calls.find(Id);
     if (Found != Calls.end())
       Found->second.StreamId = StreamId;
