--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -14,6 +14,7 @@
 #include <charconv>
 #include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <string_view>
 #include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <system_error>
@@ -51,6 +52,8 @@
 /// A peer that has not confirmed a shutdown notice after this time is not
 /// waited for.
 constexpr std::chrono::milliseconds ConfirmationTimeout{500};
+/// A longer wait for a connection is not credible.
+constexpr std::chrono::seconds MaxWait{10};
 /// The opaque data of a PING.
 using ping_data = std::array<uint8_t, 8>;
 /// That of the PING that follows a shutdown notice, and of a probe; others have
@@ -61,7 +64,8 @@
 constexpr const char *NoResponse = "connection timed out: no response to PING";
 
 /// When the sender passed the message to the connection, in milliseconds of its
-/// clock. Only `peer_connection` sees this field.
+/// clock. If the message had to wait for the connection, a comma and that time
+/// in milliseconds follow. Only `peer_connection` sees this field.
 constexpr const char *SentAtField = "x-dragonflyvane-sent-at";
 /// The size of the message's body in bytes. Only `peer_connection` sees it.
 constexpr const char *BodyBytesField = "x-dragonflyvane-body-bytes";
@@ -696,8 +700,22 @@
   return Pairs;
 }
 
-std::string toSendTime(time_point Now) {
-  return std::to_string(inMilliseconds(Now.time_since_epoch()));
+std::string toSendTime(time_point Now, duration Waited = {}) {
+  std::string Text = std::to_string(inMilliseconds(Now.time_since_epoch()));
+  if (inMilliseconds(Waited) > 0)
+    Text.append(",").append(std::to_string(inMilliseconds(Waited)));
+  return Text;
+}
+
+/// Reads a number that is not negative from the front of a text, and removes
+/// it. Returns nothing if there is none.
+std::optional<std::chrono::milliseconds> takeTime(std::string_view &Text) {
+  int64_t Value = 0;
+  auto Read = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  if (Read.ec != std::errc() || Value < 0)
+    return std::nullopt;
+  Text.remove_prefix(static_cast<size_t>(Read.ptr - Text.data()));
+  return std::chrono::milliseconds(Value);
 }
 
 header_list mergeLowercase(const header_list &Pseudo,
@@ -711,20 +729,22 @@
 } // namespace
 
 void peer_connection::addOwnFields(header_list &Fields,
-                                   const message_body &Body) const {
-  Fields.add(SentAtField, toSendTime(Clock.now()));
+                                   const message_body &Body,
+                                   duration Waited) const {
+  Fields.add(SentAtField, toSendTime(Clock.now(), Waited));
   if (!Body.empty())
     Fields.add(BodyBytesField, std::to_string(Body.size()));
 }
 
 peer_connection::stream_id peer_connection::call(const http_request &Request,
+                                                 duration Waited,
                                                  silence_policy Policy,
                                                  call_callback Callback) {
   header_list Pseudo;
   Pseudo.add(":method", Request.Method);
   Pseudo.add(":scheme", "http");
   Pseudo.add(":path", Request.Target);
-  addOwnFields(Pseudo, Request.Body);
+  addOwnFields(Pseudo, Request.Body, Waited);
   header_list Fields = mergeLowercase(Pseudo, Request.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
@@ -782,7 +802,7 @@
   Stream.IsResponding = true;
   header_list Pseudo;
   Pseudo.add(":status", std::to_string(Response.Status));
-  addOwnFields(Pseudo, Response.Body);
+  addOwnFields(Pseudo, Response.Body, duration{0});
   header_list Fields = mergeLowercase(Pseudo, Response.Headers);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   setBody(Stream.Out, Response.Body);
@@ -894,13 +914,19 @@
 }
 
 void peer_connection::onSendTime(stream &Stream, const std::string &Value) {
-  auto SentAt = toNumber<int64_t>(Value);
-  bool IsValid = SentAt && *SentAt >= 0;
+  std::string_view Rest = Value;
+  auto SentAt = takeTime(Rest);
+  std::optional<std::chrono::milliseconds> Waited{0};
+  if (Rest.starts_with(',')) {
+    Rest.remove_prefix(1);
+    Waited = takeTime(Rest);
+  }
+  bool IsValid = SentAt && Waited && *Waited <= MaxWait && Rest.empty();
   if (!IsValid || Stream.HeaderArrivedAt)
     return;
   Stream.HeaderArrivedAt = Silence.lastReceived();
-  Stream.HeaderDelay = Transit.observe(std::chrono::milliseconds(*SentAt),
-                                       *Stream.HeaderArrivedAt);
+  Stream.HeaderDelay =
+      Transit.observe(*SentAt, *Stream.HeaderArrivedAt) + *Waited;
 }
 
 duration peer_connection::transitDelay(const stream &Stream) const {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -99,10 +99,11 @@
   /// To be called when the peer's process has answered on another connection.
   void onPeerRuns() { Silence.onPeerRuns(Clock.now()); }
 
-  /// Client: sends a request on a new stream. If the request cannot be
-  /// submitted, calls back with `NotSent` and then returns 0.
-  stream_id call(const http_request &Request, silence_policy Policy,
-                 call_callback Callback);
+  /// Client: sends a request on a new stream, which has waited for the
+  /// connection. If the request cannot be submitted, calls back with `NotSent`
+  /// and then returns 0.
+  stream_id call(const http_request &Request, duration Waited,
+                 silence_policy Policy, call_callback Callback);
   /// Client: cancels a call without calling back, by resetting its stream.
   /// Returns whether the peer may process the request: false if its end is not
   /// sent any more.
@@ -225,9 +226,12 @@
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
-  /// Adds the fields that only connections read.
-  void addOwnFields(header_list &Fields, const message_body &Body) const;
-  /// Notes when the peer sent the message of a stream.
+  /// Adds the fields that only connections read. The message has waited for the
+  /// connection.
+  void addOwnFields(header_list &Fields, const message_body &Body,
+                    duration Waited) const;
+  /// Notes when the peer sent the message of a stream, and how long it had
+  /// waited there.
   void onSendTime(stream &Stream, const std::string &Value);
   /// How late the message of a stream is, which has arrived completely now.
   duration transitDelay(const stream &Stream) const;
--- a/src/dragonflyvane/net/peer_transport.cpp
+++ b/src/dragonflyvane/net/peer_transport.cpp
@@ -38,6 +38,7 @@
     Call.Request = std::move(Request);
     Call.Callback = std::move(Callback);
     Call.Policy = Policy;
+    Call.BegunAt = Clock.now();
     Call.TimeoutTimer = Loop.after(Timeout, [this, Id] { onTimeout(Id); });
     channel &Channel = Channels[Peer];
     if (Channel.Connection && Channel.Connection->acceptsCalls())
@@ -88,6 +89,7 @@
     http_request Request;
     callback Callback;
     silence_policy Policy = silence_policy::End;
+    time_point BegunAt{};
     timer TimeoutTimer;
     std::weak_ptr<peer_connection> Connection;
     peer_connection::stream_id StreamId = 0;
@@ -200,7 +202,7 @@
     Call.Connection = Channel.Connection;
     Call.Submitted = true;
     auto StreamId = Channel.Connection->call(
-        Call.Request, Call.Policy,
+        Call.Request, Clock.now() - Call.BegunAt, Call.Policy,
         [this, Id](call_result Result) { finish(Id, std::move(Result)); });
     Found = Calls.find(Id);
     if (Found != Calls.end())
