A peer that answers on another connection is not unreachable

What callers saw: when calls ended that had waited on a connection that was silent for good, the host counted as unreachable for 400 ms, and keyed requests to it were refused, though a newer connection to it worked.

Change: the result of a call says that the peer answers elsewhere; the router then doesn't count the host as unreachable. Calls that had ended before the peer fell silent aren't reset a second time.

Evidence: peer_silence_test; with the field never set the check failed.

--- a/src/dragonflyvane/core/silence_watch.hpp
+++ b/src/dragonflyvane/core/silence_watch.hpp
@@ -44,6 +44,8 @@
                        time_point Now);
   /// Whether the peer is silent now.
   bool isSilent() const { return SilentSince.has_value(); }
+  /// Whether the peer is silent here, but its process has answered elsewhere.
+  bool isAnsweredElsewhere() const { return PeerRunsSince.has_value(); }
   /// Whether the peer has ever been silent.
   bool wasSilent() const { return WasSilent; }
   /// When bytes were last received; at first, when the object was created.
--- a/src/dragonflyvane/net/call_result.hpp
+++ b/src/dragonflyvane/net/call_result.hpp
@@ -35,6 +35,9 @@
   http_response Response;
   /// The cause of a failure; empty if the outcome is `Completed`.
   std::string Error;
+  /// By `peer_client`: whether the peer answers on another connection, although
+  /// that of the call is silent.
+  bool PeerAnswers = false;
 };
 
 /// Identifies a call of one client, for `cancel`. Never 0.
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -535,7 +535,7 @@
     return;
   std::vector<stream_id> Ended;
   for (const auto &[Id, Stream] : Streams)
-    if (!isWaiting(Stream))
+    if (Stream.Callback && !isWaiting(Stream))
       Ended.push_back(Id);
   // A callback may end further streams, or the connection.
   for (stream_id Id : Ended)
@@ -856,7 +856,8 @@
   Stream.Callback = nullptr;
   // Called from within nghttp2, which no exception may cross.
   runGuarded("peer result", [&] {
-    Callback({Outcome, std::move(Stream.Response), Error});
+    Callback({Outcome, std::move(Stream.Response), Error,
+              Silence.isAnsweredElsewhere()});
   });
 }
 
--- a/src/dragonflyvane/net/peer_silence_test.cpp
+++ b/src/dragonflyvane/net/peer_silence_test.cpp
@@ -61,7 +61,8 @@
 struct ended_call {
   call_outcome Outcome;
   std::string Error;
-  duration Took;
+  duration Took{0};
+  bool PeerAnswers = false;
 };
 
 /// Makes calls to one endpoint, and runs the loop until all have ended.
@@ -76,7 +77,8 @@
     Client.send(
         Peer, makeRequest(BodyBytes), Timeout,
         [this, Number, Begin](const call_result &Result) {
-          Ended[Number] = {Result.Outcome, Result.Error, Clock.now() - Begin};
+          Ended[Number] = {Result.Outcome, Result.Error, Clock.now() - Begin,
+                           Result.PeerAnswers};
           if (--OpenCalls == 0)
             Loop.stop();
         },
@@ -205,6 +207,7 @@
   Loop.run();
   CHECK(Caller.call(0).Outcome == call_outcome::ConnectionLost);
   CHECK(Caller.call(0).Error == "peer refuses connections");
+  CHECK(!Caller.call(0).PeerAnswers);
   CHECK(Caller.call(0).Took < NoticeTime);
 }
 
@@ -228,6 +231,7 @@
   CHECK(Caller.call(0).Outcome == call_outcome::ConnectionLost);
   CHECK(Caller.call(0).Took > milliseconds(1200));
   CHECK(Caller.call(0).Took < milliseconds(2000));
+  CHECK(Caller.call(0).PeerAnswers);
   CHECK(Caller.call(1).Outcome == call_outcome::Completed);
   CHECK(Caller.call(1).Took < milliseconds(300));
 }
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -315,7 +315,7 @@
                      (IsNotRun && timeLeft() < MinTimeLeft);
   if (HasTimedOut)
     Failure.Code = "deadline";
-  else
+  else if (!Result.PeerAnswers)
     Router.HostSelector.onUnreachable(Host);
   Failure.Reached = !IsNotRun;
   onResult(Host, std::move(Failure));
