--- a/src/dragonflyvane/net/call_result.hpp
+++ b/src/dragonflyvane/net/call_result.hpp
@@ -39,6 +39,9 @@
   /// How much longer than usual the response of a peer was on its way; zero if
   /// it is not known.
   duration TransitDelay{0};
+  /// By `peer_client`: whether the peer answers on another connection, although
+  /// that of the call is silent.
+  bool PeerAnswers = false;
 };
 
 /// Identifies a call of one client, for `cancel`. Never 0.
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -616,7 +616,7 @@
     return;
   std::vector<stream_id> Ended;
   for (const auto &[Id, Stream] : Streams)
-    if (!isWaiting(Stream))
+    if (Stream.Callback && !isWaiting(Stream))
       Ended.push_back(Id);
   // A callback may end further streams, or the connection.
   for (stream_id Id : Ended)
@@ -1091,7 +1091,8 @@
   runGuarded("peer result", [&] {
     Callback({Outcome, std::move(Stream.Response), Error,
               Outcome == call_outcome::Completed ? transitDelay(Stream)
-                                                 : duration{0}});
+                                                 : duration{0},
+              Silence.isAnsweredElsewhere()});
   });
 }
 
