The line on late messages tells a queue from a large message

A message of hundreds of kilobytes is more than 200 ms late on a thin link without any queue. The line now has the size of the latest message, and the longest delay of a header in that second, which does not wait for the body.

The test of reports checks both fields.

--- a/src/dragonflyvane/net/link_monitor.cpp
+++ b/src/dragonflyvane/net/link_monitor.cpp
@@ -32,16 +32,17 @@
   Tick = Loop.every(PublishPeriod, [this] { publish(); });
 }
 
-void link_monitor::onMessage(message_kind Kind, duration TransitDelay,
+void link_monitor::onMessage(const arrived_message &Message,
                              const endpoint &Peer) {
-  TransitDelays[static_cast<size_t>(Kind)].push_back(TransitDelay);
-  if (TransitDelay <= LateTransit)
+  TransitDelays[static_cast<size_t>(Message.Kind)].push_back(
+      Message.TransitDelay);
+  Late.HeaderDelay = std::max(Late.HeaderDelay, Message.HeaderDelay);
+  if (Message.TransitDelay <= LateTransit)
     return;
   ++Late.Count;
-  if (TransitDelay <= Late.TransitDelay)
+  if (Message.TransitDelay <= Late.Worst.TransitDelay)
     return;
-  Late.TransitDelay = TransitDelay;
-  Late.Kind = Kind;
+  Late.Worst = Message;
   Late.Peer = Peer;
 }
 
@@ -116,8 +117,10 @@
     writeLog(log_level::Warning, "messages from a peer are late",
              {{"step", "peers"},
               {"peer", dragonflyvane::toString(Late.Peer)},
-              {"direction", toString(Late.Kind)},
-              {"transit_ms", inMilliseconds(Late.TransitDelay)},
+              {"direction", toString(Late.Worst.Kind)},
+              {"transit_ms", inMilliseconds(Late.Worst.TransitDelay)},
+              {"message_bytes", Late.Worst.Bytes},
+              {"header_ms", inMilliseconds(Late.HeaderDelay)},
               {"late_messages", Late.Count},
               {"peer_bytes", Report.PeerBytes},
               {"caller_bytes", Report.CallerBytes},
--- a/src/dragonflyvane/net/link_monitor.hpp
+++ b/src/dragonflyvane/net/link_monitor.hpp
@@ -21,12 +21,24 @@
 /// What a message between daemons is.
 enum class message_kind : uint8_t { Request, Response };
 
+/// A message of a peer that has arrived completely.
+struct arrived_message {
+  message_kind Kind = message_kind::Request;
+  /// The transit delay of the whole message, and of its header, which does not
+  /// wait for the body.
+  duration TransitDelay{0};
+  duration HeaderDelay{0};
+  size_t Bytes = 0;
+};
+
 /// Messages of peers that arrived late.
 struct late_messages {
-  /// The message with the longest transit delay.
+  /// The message with the longest transit delay, and its sender.
+  arrived_message Worst;
   endpoint Peer;
-  message_kind Kind = message_kind::Request;
-  duration TransitDelay{0};
+  /// The longest delay of a header: the queue on the link, without the time
+  /// that large messages take themselves.
+  duration HeaderDelay{0};
   /// Number of late messages.
   uint64_t Count = 0;
 };
@@ -85,8 +97,7 @@
   /// The same for bytes of callers on other hosts.
   void onCallerBytesReceived(size_t Bytes) { Counts.CallerReceived += Bytes; }
   /// To be called when a message of a peer has arrived completely.
-  void onMessage(message_kind Kind, duration TransitDelay,
-                 const endpoint &Peer);
+  void onMessage(const arrived_message &Message, const endpoint &Peer);
   /// To be called when a peer has answered a PING.
   void onPingAnswered(duration RoundTrip);
   /// Begins and ends the observation of an open connection.
--- a/src/dragonflyvane/net/link_monitor_test.cpp
+++ b/src/dragonflyvane/net/link_monitor_test.cpp
@@ -52,17 +52,23 @@
   Link.Monitor.onPeerBytesReceived(900'000);
   Link.Monitor.onPeerBytesReceived(300'000);
   Link.Monitor.onCallerBytesReceived(40'000);
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(150), Link.Near);
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(700), Link.Near);
-  Link.Monitor.onMessage(message_kind::Response, milliseconds(900), Link.Far);
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(800), Link.Near);
+  Link.Monitor.onMessage({message_kind::Request, milliseconds(150)}, Link.Near);
+  Link.Monitor.onMessage({message_kind::Request, milliseconds(700)}, Link.Near);
+  Link.Monitor.onMessage(
+      {message_kind::Response, milliseconds(900), milliseconds(10), 360'000},
+      Link.Far);
+  Link.Monitor.onMessage(
+      {message_kind::Request, milliseconds(800), milliseconds(790), 300},
+      Link.Near);
   CHECK(Link.Reports.empty());
   Link.Loop.runFor(seconds(1));
   REQUIRE(Link.Reports.size() == 1);
   const link_report &Report = Link.Reports[0];
   CHECK((Report.Late.Peer == Link.Far));
-  CHECK((Report.Late.Kind == message_kind::Response));
-  CHECK(Report.Late.TransitDelay == milliseconds(900));
+  CHECK((Report.Late.Worst.Kind == message_kind::Response));
+  CHECK(Report.Late.Worst.TransitDelay == milliseconds(900));
+  CHECK(Report.Late.Worst.Bytes == 360'000);
+  CHECK(Report.Late.HeaderDelay == milliseconds(790));
   CHECK(Report.Late.Count == 3);
   CHECK(Report.PeerBytes == 1'200'000);
   CHECK(Report.CallerBytes == 40'000);
@@ -75,10 +81,10 @@
 // late.
 TEST_CASE("there is no report of a second without late messages") {
   monitored_link Link;
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(700), Link.Near);
+  Link.Monitor.onMessage({message_kind::Request, milliseconds(700)}, Link.Near);
   Link.Loop.runFor(seconds(3));
   Link.Monitor.onPeerBytesReceived(5'000'000);
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(200), Link.Near);
+  Link.Monitor.onMessage({message_kind::Request, milliseconds(200)}, Link.Near);
   Link.Loop.runFor(seconds(2));
   CHECK(Link.Reports.size() == 1);
 }
@@ -88,9 +94,9 @@
   Link.Monitor.onPeerBytesReceived(1'000);
   Link.Monitor.onPeerBytesSent(20);
   Link.Monitor.onCallerBytesReceived(3);
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(400), Link.Near);
-  Link.Monitor.onMessage(message_kind::Request, milliseconds(700), Link.Near);
-  Link.Monitor.onMessage(message_kind::Response, milliseconds(1), Link.Near);
+  Link.Monitor.onMessage({message_kind::Request, milliseconds(400)}, Link.Near);
+  Link.Monitor.onMessage({message_kind::Request, milliseconds(700)}, Link.Near);
+  Link.Monitor.onMessage({message_kind::Response, milliseconds(1)}, Link.Near);
   Link.Loop.runFor(seconds(1));
   Link.Monitor.onPeerBytesReceived(1);
   Link.Loop.runFor(seconds(1));
@@ -187,8 +193,9 @@
   Loop.run();
   REQUIRE(Reports.size() == 1);
   CHECK(Reports[0].Late.Peer.Address == "127.0.0.1");
-  CHECK((Reports[0].Late.Kind == message_kind::Request));
-  CHECK(Reports[0].Late.TransitDelay > milliseconds(200));
+  CHECK((Reports[0].Late.Worst.Kind == message_kind::Request));
+  CHECK(Reports[0].Late.Worst.TransitDelay > milliseconds(200));
+  CHECK(Reports[0].Late.Worst.Bytes >= 60'000);
   CHECK(Reports[0].PeerBytes > 60'000);
 }
 
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -779,7 +779,8 @@
     return;
   message_kind Kind = Role == peer_role::Server ? message_kind::Request
                                                 : message_kind::Response;
-  Options.Monitor->onMessage(Kind, transitDelay(Stream), Peer);
+  Options.Monitor->onMessage(
+      {Kind, transitDelay(Stream), Stream.HeaderDelay, Stream.BytesRead}, Peer);
 }
 
 void peer_connection::onData(stream_id Id, const uint8_t *Data, size_t Size) {
