--- a/src/dragonflyvane/node/serving/host_selector.hpp
+++ b/src/dragonflyvane/node/serving/host_selector.hpp
@@ -39,9 +39,9 @@
   /// the service and this host; for large responses, also among all hosts of
   /// the local failure domain. `Sizes` has the size of the request and the
   /// expected size of the response. Hosts in `TriedHosts` and unreachable hosts
-  /// are returned only if there is no other. During a rollout, a random draw decides which version gets the
-  /// request. Returns nothing if no host outside the evacuated failure domains
-  /// has a ready server of the service.
+  /// are returned only if there is no other. During a rollout, a random draw
+  /// decides which version gets the request. Returns nothing if no host outside
+  /// the evacuated failure domains has a ready server of the service.
   std::optional<std::string> pick(const std::string &Service,
                                   const message_sizes &Sizes,
                                   const std::set<std::string> &TriedHosts);
