--- a/src/dragonflyvane/core/admission/receive_credit_test.cpp
+++ b/src/dragonflyvane/core/admission/receive_credit_test.cpp
@@ -69,6 +69,7 @@
   manual_scheduler Loop;
   bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
   std::vector<std::unique_ptr<upload>> Uploads;
+  Uploads.reserve(12);
   for (int I = 0; I < 12; ++I)
     Uploads.push_back(std::make_unique<upload>(Loop, Pacer, 1'000'000,
                                                1'000'000, milliseconds(10)));
@@ -192,6 +193,7 @@
   manual_scheduler Loop;
   bulk_pacer Pacer(Loop, Loop.clock(), SlowLink);
   std::vector<std::unique_ptr<upload>> Uploads;
+  Uploads.reserve(20);
   for (int I = 0; I < 20; ++I)
     Uploads.push_back(std::make_unique<upload>(Loop, Pacer, 1'000'000,
                                                1'000'000, milliseconds(10)));
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -1,6 +1,7 @@
 #include "dragonflyvane/net/peer_connection.hpp"
 
 #include "dragonflyvane/net/log.hpp"
+#include "dragonflyvane/net/peer_exchange.hpp"
 #include "dragonflyvane/net/run_guarded.hpp"
 
 #include "dragonflyvane/core/endpoint.hpp"
@@ -52,8 +53,6 @@
 /// A peer that has not confirmed a shutdown notice after this time is not
 /// waited for.
 constexpr std::chrono::milliseconds ConfirmationTimeout{500};
-/// A longer wait for a connection is not credible.
-constexpr std::chrono::seconds MaxWait{10};
 /// The opaque data of a PING.
 using ping_data = std::array<uint8_t, 8>;
 /// That of the PING that follows a shutdown notice, and of a probe; others have
@@ -63,23 +62,10 @@
 /// Why calls and connections of a silent peer end.
 constexpr const char *NoResponse = "connection timed out: no response to PING";
 
-/// When the sender passed the message to the connection, in milliseconds of its
-/// clock. If the message had to wait for the connection, a comma and that time
-/// in milliseconds follow. Only `peer_connection` sees this field.
-constexpr const char *SentAtField = "x-dragonflyvane-sent-at";
-/// The size of the message's body in bytes. Only `peer_connection` sees it.
-constexpr const char *BodyBytesField = "x-dragonflyvane-body-bytes";
 /// A body of at most this size is sent before the peer's settings have told how
 /// much the peer takes at once.
 constexpr size_t MaxBodyBeforeSettings = 4 << 10;
 
-std::string toLower(std::string Text) {
-  std::transform(Text.begin(), Text.end(), Text.begin(), [](unsigned char C) {
-    return static_cast<char>(std::tolower(C));
-  });
-  return Text;
-}
-
 peer_connection &self(void *User) {
   return *static_cast<peer_connection *>(User);
 }
@@ -88,62 +74,8 @@
   return {reinterpret_cast<const char *>(Data), Size};
 }
 
-/// Returns the number that a whole text is; none if it is not one.
-template <typename Number>
-std::optional<Number> toNumber(const std::string &Text) {
-  Number Value{};
-  const char *End = Text.data() + Text.size();
-  auto Read = std::from_chars(Text.data(), End, Value);
-  bool IsNumber = Read.ec == std::errc() && Read.ptr == End;
-  return IsNumber ? std::optional(Value) : std::nullopt;
-}
-
 } // namespace
 
-/// The exchange of one stream on the server side.
-class peer_exchange final : public http_exchange {
-public:
-  peer_exchange(std::weak_ptr<peer_connection> Connection,
-                peer_connection::stream_id Id, http_request Request,
-                duration TransitDelay)
-      : Connection(std::move(Connection)), Id(Id), Request(std::move(Request)),
-        TransitDelay(TransitDelay) {}
-
-  const http_request &request() const override { return Request; }
-
-  duration transitDelay() const override { return TransitDelay; }
-
-  void respond(http_response Response) override {
-    if (Done)
-      return;
-    Done = true;
-    OnDisconnect = nullptr;
-    if (auto Target = Connection.lock())
-      Target->respond(Id, Response);
-  }
-
-  void onDisconnect(std::function<void(disconnect_cause)> Callback) override {
-    if (!Done)
-      OnDisconnect = std::move(Callback);
-  }
-
-  void disconnect(disconnect_cause Cause) {
-    std::function<void(disconnect_cause)> Callback =
-        Done ? nullptr : std::move(OnDisconnect);
-    Done = true;
-    if (Callback)
-      Callback(Cause);
-  }
-
-private:
-  std::weak_ptr<peer_connection> Connection;
-  peer_connection::stream_id Id;
-  http_request Request;
-  duration TransitDelay;
-  std::function<void(disconnect_cause)> OnDisconnect;
-  bool Done = false;
-};
-
 peer_connection::peer_connection(socket Socket, peer_role Role,
                                  size_t MaxBodyBytes, memory_budget &BodyMemory,
                                  http_handler Handler,
@@ -681,71 +613,11 @@
   return static_cast<ssize_t>(Size);
 }
 
-namespace {
-
-/// A send time never repeats, and would only displace other fields from the
-/// table of the header compression.
-uint8_t indexingFlag(const header &Field) {
-  return Field.Name == SentAtField ? NGHTTP2_NV_FLAG_NO_INDEX
-                                   : NGHTTP2_NV_FLAG_NONE;
-}
-
-std::vector<nghttp2_nv> toNameValuePairs(header_list &Fields) {
-  std::vector<nghttp2_nv> Pairs;
-  for (const header &H : Fields.all())
-    Pairs.push_back(
-        {reinterpret_cast<uint8_t *>(const_cast<char *>(H.Name.data())),
-         reinterpret_cast<uint8_t *>(const_cast<char *>(H.Value.data())),
-         H.Name.size(), H.Value.size(), indexingFlag(H)});
-  return Pairs;
-}
-
-std::string toSendTime(time_point Now, duration Waited = {}) {
-  std::string Text = std::to_string(inMilliseconds(Now.time_since_epoch()));
-  if (inMilliseconds(Waited) > 0)
-    Text.append(",").append(std::to_string(inMilliseconds(Waited)));
-  return Text;
-}
-
-/// Reads a number that is not negative from the front of a text, and removes
-/// it. Returns nothing if there is none.
-std::optional<std::chrono::milliseconds> takeTime(std::string_view &Text) {
-  int64_t Value = 0;
-  auto Read = std::from_chars(Text.data(), Text.data() + Text.size(), Value);
-  if (Read.ec != std::errc() || Value < 0)
-    return std::nullopt;
-  Text.remove_prefix(static_cast<size_t>(Read.ptr - Text.data()));
-  return std::chrono::milliseconds(Value);
-}
-
-header_list mergeLowercase(const header_list &Pseudo,
-                           const header_list &Headers) {
-  header_list All = Pseudo;
-  for (const header &H : Headers.all())
-    All.add(toLower(H.Name), H.Value);
-  return All;
-}
-
-} // namespace
-
-void peer_connection::addOwnFields(header_list &Fields,
-                                   const message_body &Body,
-                                   duration Waited) const {
-  Fields.add(SentAtField, toSendTime(Clock.now(), Waited));
-  if (!Body.empty())
-    Fields.add(BodyBytesField, std::to_string(Body.size()));
-}
-
 peer_connection::stream_id peer_connection::call(const http_request &Request,
                                                  duration Waited,
                                                  silence_policy Policy,
                                                  call_callback Callback) {
-  header_list Pseudo;
-  Pseudo.add(":method", Request.Method);
-  Pseudo.add(":scheme", "http");
-  Pseudo.add(":path", Request.Target);
-  addOwnFields(Pseudo, Request.Body, Waited);
-  header_list Fields = mergeLowercase(Pseudo, Request.Headers);
+  header_list Fields = makeRequestFields(Request, Clock.now(), Waited);
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   stream_id Id = nghttp2_session_get_next_stream_id(Session);
   stream &Stream = openStream(Id);
@@ -800,10 +672,7 @@
   stream &Stream = Found->second;
   Stream.Exchange.reset();
   Stream.IsResponding = true;
-  header_list Pseudo;
-  Pseudo.add(":status", std::to_string(Response.Status));
-  addOwnFields(Pseudo, Response.Body, duration{0});
-  header_list Fields = mergeLowercase(Pseudo, Response.Headers);
+  header_list Fields = makeResponseFields(Response, Clock.now());
   std::vector<nghttp2_nv> Pairs = toNameValuePairs(Fields);
   setBody(Stream.Out, Response.Body);
   nghttp2_data_provider Provider{{.ptr = &Stream.Out}, &readBody};
@@ -892,12 +761,8 @@
     return rejectReceived(Id, Stream);
   Stream.BytesRead += Name.size() + Value.size();
   Stream.LastReadAt = Silence.lastReceived();
-  if (Name == SentAtField)
-    return onSendTime(Stream, Value);
-  if (Name == BodyBytesField) {
-    Stream.StatedBytes = toNumber<size_t>(Value);
-    return;
-  }
+  if (readFact(Name, Value, Stream.Facts))
+    return noteArrival(Stream);
   if (Role == peer_role::Client) {
     if (Name == ":status")
       std::from_chars(Value.data(), Value.data() + Value.size(),
@@ -913,20 +778,13 @@
   }
 }
 
-void peer_connection::onSendTime(stream &Stream, const std::string &Value) {
-  std::string_view Rest = Value;
-  auto SentAt = takeTime(Rest);
-  std::optional<std::chrono::milliseconds> Waited{0};
-  if (Rest.starts_with(',')) {
-    Rest.remove_prefix(1);
-    Waited = takeTime(Rest);
-  }
-  bool IsValid = SentAt && Waited && *Waited <= MaxWait && Rest.empty();
-  if (!IsValid || Stream.HeaderArrivedAt)
+void peer_connection::noteArrival(stream &Stream) {
+  if (!Stream.Facts.SendTime || Stream.HeaderArrivedAt)
     return;
+  const send_time &Time = *Stream.Facts.SendTime;
   Stream.HeaderArrivedAt = Silence.lastReceived();
   Stream.HeaderDelay =
-      Transit.observe(*SentAt, *Stream.HeaderArrivedAt) + *Waited;
+      Transit.observe(Time.SentAt, *Stream.HeaderArrivedAt) + Time.Waited;
 }
 
 duration peer_connection::transitDelay(const stream &Stream) const {
@@ -987,7 +845,7 @@
 std::unique_ptr<receive_credit>
 peer_connection::makeCredit(stream_id Id, const stream &Stream) {
   // More than the largest body is never granted.
-  std::optional<size_t> Length = Stream.StatedBytes;
+  std::optional<size_t> Length = Stream.Facts.BodyBytes;
   if (Length && *Length > MaxBodyBytes)
     Length.reset();
   return std::make_unique<receive_credit>(
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -12,6 +12,7 @@
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
+#include "dragonflyvane/net/peer_fields.hpp"
 #include "dragonflyvane/net/peer_options.hpp"
 #include "dragonflyvane/net/silence_policy.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
@@ -138,8 +139,8 @@
     std::string Received;
     /// The memory that the received head and body take.
     memory_share ReceivedShare;
-    /// The size of the body that the peer sends, if it states one.
-    std::optional<size_t> StatedBytes;
+    /// What the peer tells of the message.
+    message_facts Facts;
     /// Set once body bytes were received that a pacer of the incoming link
     /// bounds.
     std::unique_ptr<receive_credit> Credit;
@@ -226,13 +227,9 @@
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
   void onHeader(stream_id Id, std::string Name, std::string Value);
-  /// Adds the fields that only connections read. The message has waited for the
-  /// connection.
-  void addOwnFields(header_list &Fields, const message_body &Body,
-                    duration Waited) const;
-  /// Notes when the peer sent the message of a stream, and how long it had
-  /// waited there.
-  void onSendTime(stream &Stream, const std::string &Value);
+  /// Notes how late the head of a message is, if the peer told when it was
+  /// sent.
+  void noteArrival(stream &Stream);
   /// How late the message of a stream is, which has arrived completely now.
   duration transitDelay(const stream &Stream) const;
   /// Reports a message that has arrived completely to the monitor.
