--- a/tests/process/endless_response_test.cpp
+++ b/tests/process/endless_response_test.cpp
@@ -171,7 +171,8 @@
 /// Calls the faulty server through a daemon for bytes of each kind, and checks
 /// that each call ends cleanly.
 void callForEach(const endpoint &Daemon) {
-  for (const auto &[Kind, Bytes] : endlessBytes()) {
+  for (const auto &Entry : endlessBytes()) {
+    const std::string &Kind = Entry.first;
     CAPTURE(Kind);
     int Status = statusOf(Daemon, "GET", "/parts" + (EndlessPath + Kind), "",
                           RouteTimeout * 3);
