--- a/review/6/case.cpp
+++ b/review/6/case.cpp
@@ -65,11 +65,13 @@
                           Outcome.Response.Body == "whole body for " + Id + "\n";
           ++Sent;
           Served += IsServed;
-          std::lock_guard Lock(Mutex);
-          ++Statuses[Outcome.Status];
-          if (!IsServed && Statuses[Outcome.Status] <= 3)
-            record("%s: request %s with key %d at %s: %d", What, Id.c_str(), Key,
+          {
+            std::lock_guard Lock(Mutex);
+            ++Statuses[Outcome.Status];
+            if (!IsServed && Statuses[Outcome.Status] <= 3)
+              record("%s: request %s with key %d at %s: %d", What, Id.c_str(), Key,
                    Targets[At]->Machine.Name.c_str(), Outcome.Status);
+          }
           sleepMs(20);
         }
       });
