Take over any number of lost hosts, in transactions that the store accepts

Cause: the coordinator took over all expired hosts of a service in one transaction of 2 N + 3 entries. The store takes 100, and refused the same transaction each second. Nothing logged the refusal.

Ruled out: a takeover that is slow or that waits for the new hosts; with 48 hosts all keys are owned again within seconds (host_takeover_test, before the change as well).

Change: the limits of the store stand in transaction_size, with room for the era row; batches, takeover and store client use them. host_takeover divides a takeover into parts of up to 48 hosts. A part is one transaction on the map and the leases of its hosts; the next one follows at its commit. Why it works: each part fits by construction, moves only ranges of hosts that it fences, and leaves to the next part or coordinator a map that names the remaining owners. Hosts that renew meanwhile drop out. A host counts as taken over at the commit, not before. Rows of lost hosts are removed in batches, one at a time. Failures are logged with hosts, sizes and reason, and counted; a transaction over the limits is not sent.

The test of lease_tracker::onTakeover now passes the version of the commit, which the function takes; it checks the same.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -53,5 +53,6 @@
 #include "dragonflyvane/core/rollout/version_filter.hpp"
 #include "dragonflyvane/core/rollout/version_outcomes.hpp"
 #include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/core/transaction_size.hpp"
 
 #endif // DRAGONFLYVANE_CORE_HPP
--- a/src/dragonflyvane/core/cluster/transaction_batch.cpp
+++ b/src/dragonflyvane/core/cluster/transaction_batch.cpp
@@ -6,10 +6,6 @@
 
 namespace {
 
-/// The largest number of conditions and writes, taken together, in a
-/// transaction. The store accepts 100; the condition on the era row is added.
-constexpr size_t MaxEntries = 99;
-
 /// Returns the current rows that the conditions of a transaction refer to.
 std::vector<stored_row> conditionRows(const store_transaction &Transaction,
                                       const std::vector<stored_row> &Current) {
@@ -59,18 +55,22 @@
                       });
 }
 
-size_t
-transaction_batch::entryCountWith(const store_transaction &Transaction) const {
-  size_t Entries =
-      Conditions.size() + Writes.size() + Transaction.Writes.size();
+transaction_size
+transaction_batch::sizeWith(const store_transaction &Transaction) const {
+  transaction_size Total = Size;
   for (const row_condition &Condition : Transaction.Conditions)
-    Entries += !Conditions.contains(Condition.Id);
-  return Entries;
+    if (!Conditions.contains(Condition.Id))
+      Total += sizeOf(Condition);
+  for (const row_write &Write : Transaction.Writes)
+    Total += sizeOf(Write);
+  return Total;
 }
 
 bool transaction_batch::add(const store_transaction &Transaction) {
-  if (!isCompatible(Transaction) || entryCountWith(Transaction) > MaxEntries)
+  transaction_size NewSize = sizeWith(Transaction);
+  if (!isCompatible(Transaction) || !NewSize.fitsIn(maxTransactionSize()))
     return false;
+  Size = NewSize;
   Members.push_back(Transaction);
   for (const row_condition &Condition : Transaction.Conditions)
     Conditions[Condition.Id] = Condition.Version;
--- a/src/dragonflyvane/core/cluster/transaction_batch.hpp
+++ b/src/dragonflyvane/core/cluster/transaction_batch.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_CORE_CLUSTER_TRANSACTION_BATCH_HPP
 
 #include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/core/transaction_size.hpp"
 
 #include <map>
 #include <optional>
@@ -33,9 +34,11 @@
 
 private:
   bool isCompatible(const store_transaction &Transaction) const;
-  size_t entryCountWith(const store_transaction &Transaction) const;
+  transaction_size sizeWith(const store_transaction &Transaction) const;
 
   std::vector<store_transaction> Members;
+  /// The size of `joinedTransaction`.
+  transaction_size Size = sizeOf(store_transaction{});
   std::map<row_id, row_version> Conditions;
   std::map<row_id, std::optional<std::string>> Writes;
 };
--- a/src/dragonflyvane/core/cluster/transaction_batch_test.cpp
+++ b/src/dragonflyvane/core/cluster/transaction_batch_test.cpp
@@ -50,6 +50,19 @@
   CHECK_FALSE(Batch.add({{}, {{Config, "x"}}, {}}));
 }
 
+// Guards against a batch that the store refuses for its bytes.
+TEST_CASE("a batch holds no more bytes than the store accepts") {
+  transaction_batch Batch;
+  int Added = 0;
+  while (Batch.add(
+      {{},
+       {{hostRow("h" + std::to_string(Added)), std::string(MaxRowBytes, 'x')}},
+       {}}))
+    ++Added;
+  CHECK(Added == 11);
+  CHECK(sizeOf(Batch.joinedTransaction()).fitsIn(maxTransactionSize()));
+}
+
 TEST_CASE("a batch holds no more entries than the store accepts") {
   transaction_batch Batch;
   int Added = 0;
--- a/src/dragonflyvane/core/ownership/host_lease.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease.cpp
@@ -48,30 +48,48 @@
   Era = eraOf(Batch.Revision);
   StoreTime = Batch.StoreTime;
   std::map<std::string, tracked_lease> Current;
-  for (const stored_row &Row : Batch.Rows) {
-    auto Known = TrackedLeases.find(Row.Id.Key);
-    bool IsUnchanged =
-        Known != TrackedLeases.end() && Known->second.Version == Row.Version;
-    tracked_lease &Entry = Current[Row.Id.Key];
-    lease_value Lease = decodeLease(Row.Value);
-    Entry = IsUnchanged ? Known->second
-                        : tracked_lease{Row.Version, StoreTime,
-                                        Lease.LatestSendTime, false, 0};
-    Entry.WasTakenOver |= Lease.RunId.empty();
-    store_era KnownEra =
-        Known == TrackedLeases.end() ? 0 : Known->second.KeptIntoEra;
-    Entry.KeptIntoEra = std::max(KnownEra, Lease.KeptIntoEra);
-  }
+  for (const stored_row &Row : Batch.Rows)
+    Current[Row.Id.Key] = track(Row);
   TrackedLeases = std::move(Current);
 }
 
-bool lease_tracker::hasExpired(const tracked_lease &Lease) const {
+void lease_tracker::observeRow(const stored_row &Row) {
+  if (Row.Value)
+    TrackedLeases[Row.Id.Key] = track(Row);
+  else
+    TrackedLeases.erase(Row.Id.Key);
+}
+
+lease_tracker::tracked_lease lease_tracker::track(const stored_row &Row) const {
+  auto Known = TrackedLeases.find(Row.Id.Key);
+  bool IsKnown = Known != TrackedLeases.end();
+  // A read may have been sent before a takeover that is known already.
+  if (IsKnown && Known->second.Version >= Row.Version)
+    return Known->second;
+  lease_value Lease = decodeLease(Row.Value);
+  tracked_lease Entry;
+  Entry.Version = Row.Version;
+  Entry.Since = StoreTime;
+  Entry.LatestSendTime = Lease.LatestSendTime;
+  Entry.WasTakenOver = Lease.RunId.empty();
+  Entry.HasTakeoverMarker = Row.Value == TakeoverMarker;
+  Entry.KeptIntoEra =
+      std::max(IsKnown ? Known->second.KeptIntoEra : 0, Lease.KeptIntoEra);
+  return Entry;
+}
+
+bool lease_tracker::isUnchanged(const tracked_lease &Lease) const {
   auto Age = StoreTime - Lease.Since;
   if (Lease.LatestSendTime.count() > 0)
     Age = std::max(Age, StoreTime - Lease.LatestSendTime);
   return StoreTime >= GraceUntil && Age >= LeaseDuration + LeaseClockMargin;
 }
 
+bool lease_tracker::hasExpired(const tracked_lease &Lease) const {
+  bool IsFenced = Lease.HasTakeoverMarker && StoreTime >= GraceUntil;
+  return IsFenced || isUnchanged(Lease);
+}
+
 std::set<std::string> lease_tracker::expired() const {
   std::set<std::string> Expired;
   for (const auto &[Holder, Lease] : TrackedLeases)
@@ -80,6 +98,14 @@
   return Expired;
 }
 
+std::set<std::string> lease_tracker::unchanged() const {
+  std::set<std::string> Unchanged;
+  for (const auto &[Holder, Lease] : TrackedLeases)
+    if (isUnchanged(Lease))
+      Unchanged.insert(Holder);
+  return Unchanged;
+}
+
 bool lease_tracker::isEligible(const std::string &Holder) const {
   auto Found = TrackedLeases.find(Holder);
   if (Found == TrackedLeases.end())
@@ -93,8 +119,8 @@
   return Found != TrackedLeases.end() && Found->second.KeptIntoEra == Era;
 }
 
-void lease_tracker::onTakeover(const std::string &Holder) {
-  TrackedLeases[Holder].WasTakenOver = true;
+void lease_tracker::onTakeover(const std::string &Holder, row_version Version) {
+  observeRow({{row_kind::Lease, Holder}, Version, TakeoverMarker});
 }
 
 row_version lease_tracker::versionOf(const std::string &Holder) const {
--- a/src/dragonflyvane/core/ownership/host_lease.hpp
+++ b/src/dragonflyvane/core/ownership/host_lease.hpp
@@ -76,8 +76,14 @@
   /// available continuously before the coordinator's first call; later calls
   /// ignore it.
   void observe(const row_batch &Batch, bool IsStoreStable);
-  /// Returns the hosts whose leases have expired.
+  /// Processes a single lease row that a conflict has shown.
+  void observeRow(const stored_row &Row);
+  /// Returns the hosts whose ranges may be taken over: those whose leases have
+  /// expired, and those that have not renewed since a takeover.
   std::set<std::string> expired() const;
+  /// Returns the hosts whose lease rows have been unchanged for the duration of
+  /// a lease; a takeover is such a change.
+  std::set<std::string> unchanged() const;
   /// Returns whether keys may be assigned to the host: its lease has not
   /// expired and was renewed since the last takeover. A host without a known
   /// lease is eligible.
@@ -89,9 +95,9 @@
   /// Returns whether the holder has kept its lease from the era before into
   /// this one, so that nobody can have taken over its ranges.
   bool hasKeptLease(const std::string &Holder, store_era Era) const;
-  /// Records the start of a takeover. The holder is not eligible until it
-  /// renews its lease.
-  void onTakeover(const std::string &Holder);
+  /// Records a takeover that was committed under a version. The holder is not
+  /// eligible until it renews its lease.
+  void onTakeover(const std::string &Holder, row_version Version);
   /// Returns the version of the lease row, which is the precondition of a
   /// takeover; zero if there is no row.
   row_version versionOf(const std::string &Holder) const;
@@ -106,9 +112,15 @@
     /// As in `lease_value`.
     std::chrono::milliseconds LatestSendTime{0};
     bool WasTakenOver = false;
+    /// The row has the value of a takeover. An unreadable row has not: its
+    /// holder may still rely on the lease.
+    bool HasTakeoverMarker = false;
     /// The latest era of `lease_value::KeptIntoEra`, over all runs.
     store_era KeptIntoEra = 0;
   };
+  /// Returns the entry of a row, given the entry of its holder so far.
+  tracked_lease track(const stored_row &Row) const;
+  bool isUnchanged(const tracked_lease &Lease) const;
   bool hasExpired(const tracked_lease &Lease) const;
 
   std::map<std::string, tracked_lease> TrackedLeases;
--- a/src/dragonflyvane/core/ownership/host_lease_test.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease_test.cpp
@@ -42,7 +42,7 @@
 TEST_CASE("a host is not eligible from its takeover until it renews") {
   lease_tracker Tracker;
   Tracker.observe(leases(4, 10'000), true);
-  Tracker.onTakeover("host1");
+  Tracker.onTakeover("host1", 6);
   CHECK(!Tracker.isEligible("host1"));
   Tracker.observe(leases(6, 11'000, TakeoverMarker), true);
   CHECK(!Tracker.isEligible("host1"));
@@ -90,3 +90,41 @@
   Tracker.observe(leases(versionIn(1, 4), 25'300, Old), true);
   CHECK(Tracker.expired().contains("host1"));
 }
+
+// Guards against ranges that stay with a host for the duration of a lease after
+// its lease was overwritten, and against a host whose lease row another writer
+// has made unreadable, and which may still grant keys.
+TEST_CASE("a lease that a takeover has overwritten has expired, and an "
+          "unreadable one has not") {
+  lease_tracker Taken;
+  Taken.observe(leases(4, 10'000, TakeoverMarker), true);
+  CHECK(Taken.expired().contains("host1"));
+  CHECK(Taken.unchanged().empty());
+  for (int Ms = 11'000; Ms <= 16'000; Ms += 1000)
+    Taken.observe(leases(4, Ms, TakeoverMarker), true);
+  CHECK(Taken.unchanged().contains("host1"));
+  lease_tracker Unreadable;
+  Unreadable.observe(leases(4, 10'000, "odd"), true);
+  CHECK(Unreadable.expired().empty());
+}
+
+// Guards against a read that was sent before a takeover, and that would make a
+// lost host eligible again.
+TEST_CASE("an older row does not replace a known one") {
+  lease_tracker Tracker;
+  Tracker.observe(leases(4, 10'000), true);
+  Tracker.onTakeover("host1", 6);
+  Tracker.observe(leases(4, 10'100), true);
+  CHECK(Tracker.versionOf("host1") == 6);
+  CHECK(!Tracker.isEligible("host1"));
+}
+
+TEST_CASE("a row that a conflict shows replaces the known one") {
+  lease_tracker Tracker;
+  for (int Ms = 10'000; Ms <= 16'000; Ms += 1000)
+    Tracker.observe(leases(4, Ms), true);
+  REQUIRE(Tracker.expired().contains("host1"));
+  Tracker.observeRow(leases(5, 16'000).Rows.front());
+  CHECK(Tracker.expired().empty());
+  CHECK(Tracker.versionOf("host1") == 5);
+}
--- a/src/dragonflyvane/node/admin/admin.cpp
+++ b/src/dragonflyvane/node/admin/admin.cpp
@@ -58,6 +58,13 @@
   Metrics.set("unreadable_rows", {},
               static_cast<double>(Deps.Ownership.view().unreadableRows()));
   Metrics.set("steward", {}, Deps.Ownership.coordinator().isActive() ? 1 : 0);
+  const host_takeover::counters &Takeovers =
+      Deps.Ownership.coordinator().takeoverCounts();
+  Metrics.set("hosts_taken_over", {}, static_cast<double>(Takeovers.Hosts));
+  Metrics.set("takeover_transactions", {{"end", "committed"}},
+              static_cast<double>(Takeovers.Transactions));
+  Metrics.set("takeover_transactions", {{"end", "failed"}},
+              static_cast<double>(Takeovers.FailedTransactions));
   for (const auto &[Service, Map] : Deps.Ownership.view().maps())
     Metrics.set("map_version", {{"service", Service}},
                 static_cast<double>(Map.Version));
--- a/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
@@ -50,7 +50,9 @@
 } // namespace
 
 cluster_coordinator::cluster_coordinator(const dependencies &Dependencies)
-    : Deps(Dependencies), LastContactAt(Dependencies.Clock.now()) {
+    : Deps(Dependencies),
+      Takeover({Dependencies.Host, Dependencies.Sync, Leases}),
+      LastContactAt(Dependencies.Clock.now()) {
   TickTimer = Deps.Loop.every(TickPeriod, [this] { tick(); });
   LeaseReadTimer = Deps.Loop.every(LeaseReadPeriod, [this] { readLeases(); });
 }
@@ -153,7 +155,7 @@
     if (Result.Outcome != read_outcome::Succeeded || !isActive())
       return;
     Leases.observe(Result.Batch, Deps.Sync.isStoreStable());
-    takeOverExpiredHosts();
+    Takeover.onLeasesObserved();
   });
 }
 
@@ -198,6 +200,7 @@
     Pool.configure(Config->Workspaces, Deps.Clock.now());
   }
   WasActive = true;
+  Takeover.takeOverRanges();
   for (const auto &[Name, Service] : Config->Services)
     if (Service.Keyed)
       planService(Name);
@@ -217,9 +220,8 @@
   time_point Now = Deps.Clock.now();
   bool MayBalance = Now - LastBalance[Service] >= BalancePeriod;
   Deps.Sync.updateMap(
-      {Service,
-       [this, Placement, MayBalance, Service](ownership_map &Map,
-                                              uint64_t Token) {
+      {Service, [this, Placement, MayBalance, Service](ownership_map &Map,
+                                                       uint64_t Token) {
          const std::vector<candidate> &Candidates = Placement.Owners;
          plan_options Options;
          Options.Token = Token;
@@ -237,71 +239,7 @@
                      {"service", Service},
                      {"loads", describeLoads(Candidates, Loads)}});
          return HasMoves;
-       },
-       {}});
-}
-
-bool cluster_coordinator::ownsAnyRange(const std::string &Host) const {
-  for (const auto &[Service, Map] : Deps.Sync.view().maps())
-    for (const owned_range &Range : Map.Content.Ranges)
-      if (Range.Owner == Host)
-        return true;
-  return false;
-}
-
-void cluster_coordinator::takeOverExpiredHosts() {
-  std::set<std::string> Expired = Leases.expired();
-  Expired.erase(Deps.Host);
-  if (Expired.empty())
-    return;
-  for (const auto &[Service, Map] : Deps.Sync.view().maps())
-    takeOverRanges(Service, Expired);
-  removeExpiredHosts(Expired);
-}
-
-void cluster_coordinator::takeOverRanges(const std::string &Service,
-                                         const std::set<std::string> &Expired) {
-  store_transaction ExtraOperations;
-  std::set<std::string> Owners;
-  for (const owned_range &Range : Deps.Sync.view().map(Service)->Content.Ranges)
-    if (Expired.contains(Range.Owner))
-      Owners.insert(Range.Owner);
-  if (Owners.empty())
-    return;
-  for (const std::string &Owner : Owners) {
-    writeLog(log_level::Warning,
-             "taking over ranges of a host with an expired lease",
-             {{"step", "steward"},
-              {"peer", Owner},
-              {"service", Service},
-              {"lease_version", Leases.versionOf(Owner)}});
-    // Overwriting the lease row makes a late renewal of the expired host fail.
-    ExtraOperations.Conditions.push_back(
-        {leaseRow(Owner), Leases.versionOf(Owner)});
-    ExtraOperations.Writes.push_back({leaseRow(Owner), TakeoverMarker});
-    Leases.onTakeover(Owner);
-  }
-  Deps.Sync.updateMap({Service,
-                       [Owners](ownership_map &Map, uint64_t) {
-                         return unassignRanges(Map, Owners);
-                       },
-                       ExtraOperations});
-}
-
-void cluster_coordinator::removeExpiredHosts(
-    const std::set<std::string> &Expired) {
-  for (const std::string &Host : Expired) {
-    auto Row = Deps.Sync.view().hosts().find(Host);
-    if (Row == Deps.Sync.view().hosts().end() || ownsAnyRange(Host))
-      continue;
-    store_transaction Transaction;
-    Transaction.Conditions = {
-        {hostRow(Host), Deps.Sync.view().hostVersion(Host)},
-        {leaseRow(Host), Leases.versionOf(Host)}};
-    Transaction.Writes = {{hostRow(Host), std::nullopt},
-                          {leaseRow(Host), TakeoverMarker}};
-    Deps.Sync.transact(Transaction, [](const transaction_result &) {});
-  }
+       }});
 }
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/cluster/cluster_coordinator.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.hpp
@@ -10,9 +10,9 @@
 #include "dragonflyvane/core/rate/workspace_rates.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/node/cluster/cluster_sync.hpp"
+#include "dragonflyvane/node/cluster/host_takeover.hpp"
 
 #include <map>
-#include <set>
 #include <string>
 
 namespace dragonflyvane {
@@ -51,6 +51,11 @@
   double takeTokens(const std::string &Workspace, double Amount,
                     duration &PoolRetryAfter);
 
+  /// What the takeovers of expired hosts have done since the start.
+  const host_takeover::counters &takeoverCounts() const {
+    return Takeover.counts();
+  }
+
 private:
   void tick();
   void considerElection();
@@ -61,11 +66,6 @@
   std::vector<candidate> candidatesOf(const std::string &Service) const;
   bool isCandidateCountStable(const std::string &Service,
                               const std::vector<candidate> &Candidates);
-  void takeOverExpiredHosts();
-  void takeOverRanges(const std::string &Service,
-                      const std::set<std::string> &Expired);
-  void removeExpiredHosts(const std::set<std::string> &Expired);
-  bool ownsAnyRange(const std::string &Host) const;
 
   /// Number of candidates of a service, and the time of its last change.
   struct candidate_count {
@@ -75,6 +75,7 @@
 
   dependencies Deps;
   lease_tracker Leases;
+  host_takeover Takeover;
   bool IsLeaseReadInFlight = false;
   bool IsClaimInFlight = false;
   time_point LastContactAt;
--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -58,6 +58,13 @@
 /// Maximum further delay of hosts beyond that rank.
 constexpr std::chrono::milliseconds MapRestoreSpread{600};
 
+bool writesClusterRow(const store_transaction &Transaction) {
+  return std::any_of(Transaction.Writes.begin(), Transaction.Writes.end(),
+                     [](const row_write &Write) {
+                       return Write.Id.Kind == row_kind::Cluster;
+                     });
+}
+
 std::string randomRunId() {
   std::random_device Device;
   uint64_t Number = (uint64_t{Device()} << 32) | Device();
@@ -582,7 +589,7 @@
           for (const row_write &Write : Transaction.Writes)
             Written.push_back({Write.Id, Result.Revision, Write.Value});
           applyRows(Written);
-          if (Transaction.Writes.front().Id.Kind == row_kind::Cluster)
+          if (writesClusterRow(Transaction))
             onClusterVersion(Result.Revision);
         } else if (Result.Outcome == transaction_outcome::Conflict) {
           removeMissingRows(Transaction, Result);
@@ -619,19 +626,22 @@
     return;
   Map.Content.Era = Eras.current();
   UpdatesInFlight[Update.Service] = true;
-  store_transaction Transaction = Update.ExtraOperations;
+  store_transaction Transaction =
+      Update.ExtraOperations ? Update.ExtraOperations() : store_transaction{};
   Transaction.Conditions.push_back({mapRow(Update.Service), Map.Version});
   if (Update.RequiresLease)
     Transaction.Conditions.push_back({leaseRow(Deps.Host), LeaseVersion});
   Transaction.Writes.push_back(
       {mapRow(Update.Service), encodeMap(Map.Content)});
-  transact(Transaction,
-           [this, Update, Attempt](const transaction_result &Result) {
-             UpdatesInFlight[Update.Service] = false;
-             if (Result.Outcome == transaction_outcome::Conflict &&
-                 Attempt < MaxConflictRetries && isLeaseVersionCurrent(Result))
-               retryMapUpdate(Update, Attempt + 1);
-           });
+  transact(Transaction, [this, Update, Attempt,
+                         Transaction](const transaction_result &Result) {
+    UpdatesInFlight[Update.Service] = false;
+    if (Update.OnResult)
+      Update.OnResult(Transaction, Result);
+    if (Result.Outcome == transaction_outcome::Conflict &&
+        Attempt < MaxConflictRetries && isLeaseVersionCurrent(Result))
+      retryMapUpdate(Update, Attempt + 1);
+  });
 }
 
 /// The first conflict may be due to an old view, which the conflict has mended.
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -30,12 +30,17 @@
   /// owners, and returns whether there is anything to write. Called again after
   /// a conflict.
   std::function<bool(ownership_map &, uint64_t Token)> Edit;
-  /// Further conditions and writes of the same transaction.
-  store_transaction ExtraOperations;
   /// Adds the condition that the lease row is unchanged since its last renewal
   /// by this run of the daemon. Without it, a write that the store applies late
   /// could take effect after the run has ended.
   bool RequiresLease = false;
+  /// Returns further conditions and writes of the same transaction. Called
+  /// after `Edit`, if set.
+  std::function<store_transaction()> ExtraOperations = {};
+  /// Called with the transaction and each result, before a conflict is retried,
+  /// if set.
+  std::function<void(const store_transaction &, const transaction_result &)>
+      OnResult = {};
 };
 
 /// Reads and writes the rows for one host. Not thread-safe; used on the
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -266,7 +266,6 @@
                   [this](ownership_map &Map, uint64_t Token) {
                     return applyReleases(Map, Token);
                   },
-                  {},
                   true});
 }
 
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -451,6 +451,54 @@
   CHECK(Simulation.ownedFraction() == 1.0);
 }
 
+// Guards against keys that stay without an owner after the loss of more hosts
+// at once than one transaction can take over, the coordinator among them.
+TEST_CASE("the keys of most hosts of a cluster, lost at once, have owners "
+          "again") {
+  constexpr int HostCount = 54;
+  constexpr int Survivors = 4;
+  ownership_simulation Simulation(7, HostCount);
+  Simulation.fakeStore().setWriteTime(std::chrono::milliseconds(5));
+  Simulation.runFor(StartupTime);
+  REQUIRE(Simulation.ownedFraction() == 1.0);
+  for (int I = 0; I < HostCount - Survivors; ++I)
+    Simulation.isolate(I, true);
+  REQUIRE(Simulation.coordinator() < HostCount - Survivors);
+  Simulation.runFor(std::chrono::seconds(12));
+  CHECK(Simulation.ownedFraction() == 1.0);
+  CHECK(Simulation.report().DualOwners == 0);
+  // The lost hosts come back while they are taken over or just after.
+  for (int I = 0; I < HostCount - Survivors; I += 2)
+    Simulation.isolate(I, false);
+  Simulation.runFor(std::chrono::seconds(10));
+  CHECK(Simulation.ownedFraction() == 1.0);
+  CHECK(Simulation.report().DualOwners == 0);
+  CHECK(Simulation.report().NonIncreasingTokens == 0);
+  CHECK(Simulation.fakeStore().refusedForSize() == 0);
+}
+
+// Guards against two owners, and against keys without any, when hosts come back
+// at any moment of a takeover that has several parts.
+TEST_CASE("hosts that come back in the middle of a takeover cause no two "
+          "owners") {
+  constexpr int HostCount = 70;
+  for (int DelayMs : {5200, 5400, 5600, 5800, 6200, 6700}) {
+    CAPTURE(DelayMs);
+    ownership_simulation Simulation(DelayMs, HostCount);
+    Simulation.fakeStore().setWriteTime(std::chrono::milliseconds(20));
+    Simulation.runFor(StartupTime);
+    for (int I = 1; I < HostCount - 4; ++I)
+      Simulation.isolate(I, true);
+    Simulation.runFor(std::chrono::milliseconds(DelayMs));
+    for (int I = 1; I < HostCount - 4; I += 3)
+      Simulation.isolate(I, false);
+    Simulation.runFor(RecoveryTime);
+    CHECK(Simulation.ownedFractionWithin(OwnershipWindow) == 1.0);
+    CHECK(Simulation.report().DualOwners == 0);
+    CHECK(Simulation.report().NonIncreasingTokens == 0);
+  }
+}
+
 TEST_CASE("the restart of a daemon beside a running server moves no keys") {
   ownership_simulation Simulation(7, 6);
   Simulation.runFor(StartupTime);
--- a/src/programs/dragonflyvaned.cpp
+++ b/src/programs/dragonflyvaned.cpp
@@ -24,7 +24,7 @@
   Loop.bodyMemory().setLimit(Settings.MemoryLimit / BodyMemoryDivisor);
   metrics Metrics;
   http_client Client(Loop);
-  platform::store_client Store(Client, Settings.StoreEndpoint, Metrics);
+  platform::store_client Store(Loop, Client, Settings.StoreEndpoint, Metrics);
   platform::key_call_client KeyCalls(Loop);
   dragonflyvane::daemon Daemon(
       Loop, Settings, platform::makePlatformAccess(Store, KeyCalls, Settings),
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -105,6 +105,20 @@
       [](const row_write &Write) { return Write.Id.Kind == row_kind::Lease; });
 }
 
+std::optional<transaction_result>
+fake_store::refuseExcess(const store_transaction &Transaction) {
+  transaction_size Size = sizeOf(Transaction);
+  Largest.Entries = std::max(Largest.Entries, Size.Entries);
+  Largest.Bytes = std::max(Largest.Bytes, Size.Bytes);
+  transaction_result Refused;
+  Refused.Outcome = transaction_outcome::NotCommitted;
+  Refused.Error = describeExcess(Transaction, StoreTransactionLimit);
+  if (Refused.Error.empty())
+    return std::nullopt;
+  ++RefusedForSize;
+  return Refused;
+}
+
 transaction_result fake_store::apply(const store_transaction &Transaction) {
   transaction_result Result;
   Result.StoreTime = storeTime();
@@ -235,6 +249,11 @@
     return;
   bool IsLost = Store.chance(Store.LossProbability);
   duration Delay = Store.delay();
+  if (auto Refused = Store.refuseExcess(Transaction))
+    return Store.Loop.postDelayed(Delay, [Once, Refused, Alive = Alive] {
+      if (*Alive)
+        Once(*Refused);
+    });
   time_point Now = Store.Loop.now();
   duration Queued = std::max(Store.WritesDoneAt, Now) - Now;
   if (Queued > fake_store::MaxWriteQueue) {
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -3,6 +3,7 @@
 #define DRAGONFLYVANE_TESTS_FAKE_STORE_HPP
 
 #include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/core/transaction_size.hpp"
 #include "manual_scheduler.hpp"
 
 #include <map>
@@ -52,6 +53,10 @@
   void setWriteTime(duration Value) { WriteTime = Value; }
   /// The longest wait of a transaction behind others.
   static constexpr std::chrono::milliseconds MaxWriteQueue{1000};
+  /// Lets a transaction of another writer take its time in the queue.
+  void delayTransactions(duration Span) {
+    WritesDoneAt = std::max(WritesDoneAt, Loop.now()) + Span;
+  }
   /// Drops pending watches; their callbacks are never called.
   void dropWatches() { Watches.clear(); }
   /// Compacts the history: new watches from older revisions end with
@@ -65,12 +70,19 @@
   /// Returns the number of reads, watches and transactions of all clients.
   int calls() const { return Calls; }
   bool isDown() const { return Down; }
+  /// Returns the largest transaction that any client has sent.
+  const transaction_size &largestTransaction() const { return Largest; }
+  /// Returns the number of transactions that were refused for their size.
+  int refusedForSize() const { return RefusedForSize; }
 
 private:
   friend class fake_store_client;
 
   row_batch snapshot(row_kind Kind) const;
   transaction_result apply(const store_transaction &Transaction);
+  /// Returns the result of a transaction that exceeds the store's limits.
+  std::optional<transaction_result>
+  refuseExcess(const store_transaction &Transaction);
   void write(const row_id &Id, std::optional<std::string> Value);
   void notifyWatches();
   bool ignoresCondition(const row_id &Id) const;
@@ -115,6 +127,8 @@
   /// When the store has applied all transactions that it has received.
   time_point WritesDoneAt{};
   int Calls = 0;
+  transaction_size Largest;
+  int RefusedForSize = 0;
 };
 
 /// The store as a single daemon accesses it. No callback runs after the client
