Take over hosts that have no lease row

Cause: lease_tracker knew only hosts with a lease row. The host that stays writes the map again, which names the lost hosts, and nobody takes their ranges over. The same for a host that ends between its host row and its first lease.

Change: a host that is known by its row or as an owner, and has no lease row, is tracked as one whose row changed when this coordinator first missed it. Why it is safe: without a row, its lease was sent before a return, so before it was first missed, and ends within 5 s; the takeover has the condition that there is still no row.

lease_tracker::observe takes the known hosts; existing tests pass none.

--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -187,6 +187,20 @@
   return Found == Rollouts.end() ? nullptr : &Found->second;
 }
 
+std::set<std::string> cluster_view::knownHosts() const {
+  std::set<std::string> Names;
+  for (const auto &[Name, Row] : Hosts)
+    Names.insert(Name);
+  for (const auto &[Id, Version] : Unreadable)
+    if (startsWith(Id.Key, HostPrefix))
+      Names.insert(Id.Key.substr(HostPrefix.size()));
+  for (const auto &[Service, Map] : Maps)
+    for (const owned_range &Range : Map.Content.Ranges)
+      if (!Range.Owner.empty())
+        Names.insert(Range.Owner);
+  return Names;
+}
+
 row_version cluster_view::hostVersion(const std::string &Name) const {
   auto Readable = Hosts.find(Name);
   auto Latest = Unreadable.find(hostRow(Name));
--- a/src/dragonflyvane/core/cluster/cluster_view.hpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.hpp
@@ -8,6 +8,7 @@
 #include "dragonflyvane/core/store.hpp"
 
 #include <map>
+#include <set>
 #include <string>
 
 namespace dragonflyvane {
@@ -100,6 +101,8 @@
   const known_rollout *rollout(const std::string &Service) const;
   /// Returns a host, or null.
   const host_info *host(const std::string &Name) const;
+  /// Returns the hosts that have a row, even an unreadable one, or own keys.
+  std::set<std::string> knownHosts() const;
   /// Returns the version of a host's row, which need not be readable; 0 if
   /// there is none.
   row_version hostVersion(const std::string &Name) const;
--- a/src/dragonflyvane/core/cluster/map_recovery_test.cpp
+++ b/src/dragonflyvane/core/cluster/map_recovery_test.cpp
@@ -24,7 +24,7 @@
   Leases.observe({versionIn(Era, 71),
                   std::chrono::milliseconds(9),
                   {{leaseRow(Host), versionIn(Era, 71), encodeLease(Lease)}}},
-                 true);
+                 {}, true);
   return Leases;
 }
 
--- a/src/dragonflyvane/core/ownership/host_lease.cpp
+++ b/src/dragonflyvane/core/ownership/host_lease.cpp
@@ -35,7 +35,9 @@
   }
 }
 
-void lease_tracker::observe(const row_batch &Batch, bool IsStoreStable) {
+void lease_tracker::observe(const row_batch &Batch,
+                            const std::set<std::string> &KnownHosts,
+                            bool IsStoreStable) {
   bool IsFirst = StoreTime.count() == 0;
   bool StoreWasUnavailable =
       IsFirst ? !IsStoreStable
@@ -50,6 +52,9 @@
   std::map<std::string, tracked_lease> Current;
   for (const stored_row &Row : Batch.Rows)
     Current[Row.Id.Key] = track(Row);
+  for (const std::string &Host : KnownHosts)
+    if (!Current.contains(Host))
+      Current[Host] = trackMissing(Host);
   TrackedLeases = std::move(Current);
 }
 
@@ -57,7 +62,7 @@
   if (Row.Value)
     TrackedLeases[Row.Id.Key] = track(Row);
   else
-    TrackedLeases.erase(Row.Id.Key);
+    TrackedLeases[Row.Id.Key] = trackMissing(Row.Id.Key);
 }
 
 lease_tracker::tracked_lease lease_tracker::track(const stored_row &Row) const {
@@ -78,6 +83,16 @@
   return Entry;
 }
 
+lease_tracker::tracked_lease
+lease_tracker::trackMissing(const std::string &Holder) const {
+  auto Known = TrackedLeases.find(Holder);
+  if (Known != TrackedLeases.end() && Known->second.Version == 0)
+    return Known->second;
+  tracked_lease Entry;
+  Entry.Since = StoreTime;
+  return Entry;
+}
+
 bool lease_tracker::isUnchanged(const tracked_lease &Lease) const {
   auto Age = StoreTime - Lease.Since;
   if (Lease.LatestSendTime.count() > 0)
--- a/src/dragonflyvane/core/ownership/host_lease.hpp
+++ b/src/dragonflyvane/core/ownership/host_lease.hpp
@@ -69,13 +69,16 @@
 /// The leases of all hosts, as the coordinator observes them. A lease has
 /// expired when its row has not changed for `LeaseDuration` and
 /// `LeaseClockMargin` together, or when its last renewal was sent longer ago
-/// than that, by the store's clock.
+/// than that, by the store's clock. A known host without a row is treated as if
+/// its row had changed when the coordinator first missed it: it may hold a
+/// lease from before a return of the store, but none that was renewed since.
 class lease_tracker {
 public:
-  /// Processes all lease rows. `IsStoreStable` says whether the store was
-  /// available continuously before the coordinator's first call; later calls
-  /// ignore it.
-  void observe(const row_batch &Batch, bool IsStoreStable);
+  /// Processes all lease rows. `KnownHosts` are the hosts that may have a
+  /// lease. `IsStoreStable` says whether the store was available continuously
+  /// before the coordinator's first call; later calls ignore it.
+  void observe(const row_batch &Batch, const std::set<std::string> &KnownHosts,
+               bool IsStoreStable);
   /// Processes a single lease row that a conflict has shown.
   void observeRow(const stored_row &Row);
   /// Returns the hosts whose ranges may be taken over: those whose leases have
@@ -85,8 +88,8 @@
   /// a lease; a takeover is such a change.
   std::set<std::string> unchanged() const;
   /// Returns whether keys may be assigned to the host: its lease has not
-  /// expired and was renewed since the last takeover. A host without a known
-  /// lease is eligible.
+  /// expired and was renewed since the last takeover. A host that is not
+  /// tracked yet is eligible.
   bool isEligible(const std::string &Holder) const;
   /// Returns whether the leases were observed in this era of the store.
   bool wasObservedIn(store_era Latest) const {
@@ -120,6 +123,8 @@
   };
   /// Returns the entry of a row, given the entry of its holder so far.
   tracked_lease track(const stored_row &Row) const;
+  /// Returns the entry of a host without a row.
+  tracked_lease trackMissing(const std::string &Holder) const;
   bool isUnchanged(const tracked_lease &Lease) const;
   bool hasExpired(const tracked_lease &Lease) const;
 
--- a/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
@@ -154,7 +154,8 @@
     IsLeaseReadInFlight = false;
     if (Result.Outcome != read_outcome::Succeeded || !isActive())
       return;
-    Leases.observe(Result.Batch, Deps.Sync.isStoreStable());
+    Leases.observe(Result.Batch, Deps.Sync.view().knownHosts(),
+                   Deps.Sync.isStoreStable());
     Takeover.onLeasesObserved();
   });
 }
--- a/src/dragonflyvane/node/cluster/host_takeover_test.cpp
+++ b/src/dragonflyvane/node/cluster/host_takeover_test.cpp
@@ -266,6 +266,47 @@
   CHECK(F.rangesOfLostHosts(2) == 0);
 }
 
+// Guards against hosts that ended between their host row and their first lease,
+// or whose lease rows a return of the store has lost.
+TEST_CASE("hosts without a lease row are taken over and removed") {
+  fixture F(60);
+  for (int I = 0; I < 60; I += 2)
+    F.FakeStore.erase(leaseRow(lostName(I)));
+  F.Loop.runFor(seconds(8));
+  F.start("new");
+  F.Loop.runFor(MaxRecoveryTime);
+  CHECK(F.rangesOfLostHosts() == 0);
+  F.Loop.runFor(seconds(8));
+  CHECK(F.hostRows() == 1);
+}
+
+// Guards against a takeover without a condition on the lease of a host that has
+// none: the host may claim it at the same moment.
+TEST_CASE("a host without a lease row that claims its lease keeps its keys") {
+  int Kept = 0;
+  constexpr int Trials = 40;
+  for (int I = 0; I < Trials; ++I) {
+    CAPTURE(I);
+    fixture F(3);
+    F.FakeStore.erase(leaseRow(lostName(1)));
+    F.FakeStore.setLatency(milliseconds(300));
+    F.Loop.runFor(seconds(8));
+    F.start("new");
+    REQUIRE(F.runUntilBelow(3));
+    F.Loop.runFor(milliseconds(3000 + 100 * I));
+    bool IsOwner = F.map().find(30'000).Owner == lostName(1);
+    if (!IsOwner)
+      continue;
+    ++Kept;
+    F.returnHost(1);
+    F.Loop.runFor(seconds(3));
+    CHECK(F.map().find(30'000).Owner == lostName(1));
+    CHECK(F.map().find(30'000).Token == 5);
+  }
+  CHECK(Kept > 0);
+  CHECK(Kept < Trials);
+}
+
 // Guards against a takeover that fails without a trace, or that is not tried
 // again.
 TEST_CASE("a takeover that the store refuses is counted and tried again") {
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -97,9 +97,11 @@
 
 namespace {
 
-simulation_defects storeReturns() {
+simulation_defects
+storeReturns(std::chrono::seconds MaxCopyAge = std::chrono::seconds(12)) {
   simulation_defects Faults;
   Faults.StoreReturns = true;
+  Faults.MaxCopyAge = MaxCopyAge;
   return Faults;
 }
 
@@ -112,6 +114,14 @@
   checkRandomFaults(grant_way::Heartbeat, storeReturns());
 }
 
+// Guards against hosts without lease rows that are never taken over, or too
+// early: most copies are older than the first lease.
+TEST_CASE("returns of the store from copies older than its hosts, among random "
+          "faults, never cause two owners, and all keys get owners again") {
+  checkRandomFaults(grant_way::Heartbeat,
+                    storeReturns(std::chrono::seconds(60)));
+}
+
 TEST_CASE("returns of the store from older copies, among random faults of "
           "calls, never cause two owners") {
   checkRandomFaults(grant_way::Call, storeReturns());
@@ -236,6 +246,55 @@
   }
 }
 
+// Guards against keys that stay with lost hosts for good, because the copy from
+// which the store comes back is older than these hosts and has no lease rows of
+// them.
+TEST_CASE("hosts that are lost around a return of the store, and that the copy "
+          "does not know, are taken over") {
+  for (int AgeSeconds : {7, 9, 30}) {
+    for (bool IsLostFirst : {true, false}) {
+      CAPTURE(AgeSeconds);
+      CAPTURE(IsLostFirst);
+      ownership_simulation Simulation(7, 9);
+      Simulation.runFor(StartupTime);
+      for (int I = 1; IsLostFirst && I < 9; ++I)
+        Simulation.isolate(I, true);
+      Simulation.restoreStore(std::chrono::milliseconds(500),
+                              std::chrono::seconds(AgeSeconds));
+      for (int I = 1; I < 9; ++I)
+        Simulation.isolate(I, true);
+      Simulation.runFor(std::chrono::seconds(15));
+      CHECK(Simulation.ownedFraction() == 1.0);
+      CHECK(Simulation.report().DualOwners == 0);
+      CHECK(Simulation.report().NonIncreasingTokens == 0);
+    }
+  }
+}
+
+// Guards against a host that lives and loses its keys, because it reaches the
+// store later than others after a return to a copy that does not know it.
+TEST_CASE("a host that the copy does not know, and that renews within two "
+          "seconds of the return, keeps its keys") {
+  for (int LateMs : {0, 500, 1000, 1500, 2000}) {
+    CAPTURE(LateMs);
+    ownership_simulation Simulation(7, 5);
+    Simulation.runFor(StartupTime);
+    auto Token = Simulation.server(1).tokenOf(16384);
+    REQUIRE(Token);
+    Simulation.isolate(1, true);
+    Simulation.restoreStore(std::chrono::milliseconds(300),
+                            std::chrono::seconds(30));
+    Simulation.runFor(std::chrono::milliseconds(LateMs));
+    Simulation.isolate(1, false);
+    for (int I = 0; I < 100; ++I) {
+      Simulation.runFor(std::chrono::milliseconds(100));
+      CHECK(Simulation.server(1).tokenOf(16384) == Token);
+    }
+    CHECK(Simulation.ownedFraction() == 1.0);
+    CHECK(Simulation.report().DualOwners == 0);
+  }
+}
+
 // Guards against a host that takes its lease as ended, because rows of the new
 // era reach it with a conflict, before it knows of the return.
 TEST_CASE("a host that learns of a return by a conflict keeps its lease") {
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -381,7 +381,9 @@
 }
 
 void ownership_simulation::restoreStoreRandomly() {
-  std::chrono::milliseconds Age(Random() % 12000);
+  std::chrono::milliseconds MaxAge(Defects.MaxCopyAge);
+  std::chrono::milliseconds Age(Random() %
+                                static_cast<uint64_t>(MaxAge.count()));
   std::chrono::milliseconds DownTime(Random() % 2500);
   restoreStore(DownTime, Age);
 }
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -32,6 +32,8 @@
   bool NoVersionExchange = false;
   /// The store also comes back from older copies.
   bool StoreReturns = false;
+  /// The age of the oldest of these copies.
+  std::chrono::seconds MaxCopyAge{12};
 };
 
 /// Counts of violated rules and of checks.
