Give quarantined requests a way back: trials at one server at a time

From then on two pages that all others read were refused for five minutes, also with all servers idle.

Cause: a quarantined request is refused before it is sent, and only a response releases it. What ran beside the crashing request was convicted while no server was up, so nothing could release it.

Change: the coordinator opens a trial of a request 5, 30 and 120 s after its latest crash, at one host that has refused it, with no more trials than other ready servers. A response that shows a run releases the request everywhere, a crash delays the next trial. Why it works: sound requests are answered in their first trial, one that crashes ends at most three further servers. A server that stops as announced is no evidence; the key is part of the fingerprint; Retry-After names the next trial. A 'not run' response no longer releases a request that crashes.

fingerprintOf takes the key point, crash_guard the host's name; existing tests pass none and "host" and check the same.

--- a/src/dragonflyvane/core/cluster/cluster_view.cpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.cpp
@@ -214,4 +214,19 @@
   return Found == Hosts.end() ? nullptr : &Found->second.Content;
 }
 
+size_t otherReadyServers(const cluster_view &View, const std::string &Host) {
+  const host_info *Info = View.host(Host);
+  if (!Info)
+    return 0;
+  size_t Others = 0;
+  size_t Ready = 0;
+  for (const auto &[Name, Row] : View.hosts()) {
+    if (Name == Host || Row.Content.Service != Info->Service)
+      continue;
+    ++Others;
+    Ready += Row.Content.Availability == server_availability::Ready;
+  }
+  return Others == 0 ? 1 : Ready;
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/core/cluster/cluster_view.hpp
+++ b/src/dragonflyvane/core/cluster/cluster_view.hpp
@@ -128,6 +128,10 @@
   std::map<row_id, row_version> Unreadable;
 };
 
+/// Returns the number of other hosts with a ready server of the same service as
+/// the host's; 1 if no other host has a server of that service.
+size_t otherReadyServers(const cluster_view &View, const std::string &Host);
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_CORE_CLUSTER_CLUSTER_VIEW_HPP
--- a/src/dragonflyvane/node/cluster/peer_messages.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.cpp
@@ -47,22 +47,44 @@
   for (const crash &Crash : Crashes)
     List.push_back({Crash.Request, Crash.Incarnation.Instance,
                     Crash.Incarnation.StartedAtMs, Crash.SuspectCount,
-                    Crash.Age.count()});
+                    Crash.Age.count(), Crash.WasTrial});
   return List;
 }
 
 std::vector<crash> toCrashes(const json &List) {
   std::vector<crash> Crashes;
-  for (const json &Entry : List)
+  for (const json &Entry : List) {
+    // Peers of earlier versions do not know of trials.
+    bool WasTrial = Entry.size() > 5 && Entry.at(5).get<bool>();
     Crashes.push_back(
         {toInteger<request_fingerprint>(Entry.at(0), "request"),
          {Entry.at(1).get<std::string>(),
           toInteger<int64_t>(Entry.at(2), "started at", 0)},
          toInteger<uint32_t>(Entry.at(3), "suspects"),
-         std::chrono::seconds(toInteger<int32_t>(Entry.at(4), "age", 0))});
+         std::chrono::seconds(toInteger<int32_t>(Entry.at(4), "age", 0)),
+         WasTrial});
+  }
   return Crashes;
 }
 
+json toJson(const std::map<request_fingerprint, request_trial> &Trials) {
+  json List = json::array();
+  for (const auto &[Request, Trial] : Trials)
+    List.push_back({Request, Trial.Host, Trial.Number, Trial.Delay.count()});
+  return List;
+}
+
+std::map<request_fingerprint, request_trial> toTrials(const json &List) {
+  std::map<request_fingerprint, request_trial> Trials;
+  for (const json &Entry : List)
+    Trials[toInteger<request_fingerprint>(Entry.at(0), "request")] = {
+        Entry.at(1).get<std::string>(),
+        toInteger<uint64_t>(Entry.at(2), "number"),
+        std::chrono::milliseconds(
+            toInteger<int64_t>(Entry.at(3), "delay", 0, MaxDelayMs))};
+  return Trials;
+}
+
 json toJson(const std::vector<version_outcomes> &Outcomes) {
   json List = json::array();
   for (const version_outcomes &Entry : Outcomes)
@@ -133,6 +155,8 @@
                {"newest", Message.NewestVersion},
                {"crashes", toJson(Message.Crashes)},
                {"answered", Message.RequestsWithResponse}};
+  if (!Message.RefusedRequests.empty())
+    Body["refused"] = Message.RefusedRequests;
   if (Message.Load.RateLimit)
     Body["limit"] = *Message.Load.RateLimit;
   if (Message.Load.ConcurrencyLimit)
@@ -178,6 +202,8 @@
     Message.Crashes = toCrashes(requireList(*Body, "crashes"));
     Message.RequestsWithResponse =
         toFingerprints(requireList(*Body, "answered"));
+    if (Body->contains("refused"))
+      Message.RefusedRequests = toFingerprints(requireList(*Body, "refused"));
     Message.UsualTimes = routeTimesIn(*Body);
     if (!Message.UsualTimes.empty())
       Message.Service = requireText(*Body, "service");
@@ -192,6 +218,8 @@
                {"newest", Response.NewestVersion},
                {"suspects", Response.Suspects},
                {"quarantined", Response.Quarantined}};
+  if (!Response.Trials.empty())
+    Body["trials"] = toJson(Response.Trials);
   if (!Response.ServiceTimes.empty())
     Body[RouteTimesField] = toJson(Response.ServiceTimes);
   return jsonResponse(200, Body.dump());
@@ -205,11 +233,15 @@
   try {
     auto Suspects = toFingerprints(requireList(*Body, "suspects"));
     auto Quarantined = toFingerprints(requireList(*Body, "quarantined"));
-    return report_response{Body->at("steward").get<bool>(),
-                           requireInteger<row_version>(*Body, "newest"),
-                           {Suspects.begin(), Suspects.end()},
-                           {Quarantined.begin(), Quarantined.end()},
-                           routeTimesIn(*Body)};
+    report_response Decoded;
+    Decoded.IsCoordinator = Body->at("steward").get<bool>();
+    Decoded.NewestVersion = requireInteger<row_version>(*Body, "newest");
+    Decoded.Suspects = {Suspects.begin(), Suspects.end()};
+    Decoded.Quarantined = {Quarantined.begin(), Quarantined.end()};
+    if (Body->contains("trials"))
+      Decoded.Trials = toTrials(requireList(*Body, "trials"));
+    Decoded.ServiceTimes = routeTimesIn(*Body);
+    return Decoded;
   } catch (const std::exception &) {
     return std::nullopt;
   }
--- a/src/dragonflyvane/node/cluster/peer_messages.hpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.hpp
@@ -10,6 +10,7 @@
 #include "dragonflyvane/core/ownership/load_rebalancer.hpp"
 #include "dragonflyvane/core/store.hpp"
 
+#include <map>
 #include <optional>
 #include <set>
 #include <string>
@@ -27,6 +28,8 @@
   std::vector<crash> Crashes;
   /// Suspect requests that did not crash the local backend server.
   std::vector<request_fingerprint> RequestsWithResponse;
+  /// Quarantined requests that the host has refused since its last report.
+  std::vector<request_fingerprint> RefusedRequests;
   /// The service of the local backend server; empty if `UsualTimes` is.
   std::string Service;
   /// The usual times at the local backend server; at most `MaxReportedRoutes`.
@@ -43,6 +46,9 @@
   std::set<request_fingerprint> Suspects;
   /// Requests that must not run.
   std::set<request_fingerprint> Quarantined;
+  /// The trial of each quarantined request; empty from peers that do not know
+  /// of trials.
+  std::map<request_fingerprint, request_trial> Trials;
   /// The usual times at the servers of the service of the reporting host; empty
   /// if not known, and from peers that do not know of them.
   route_times ServiceTimes;
--- a/src/dragonflyvane/node/cluster/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -115,3 +115,23 @@
   REQUIRE(Without);
   CHECK(Without->Load.Outcomes.empty());
 }
+
+TEST_CASE("refused requests, crashes of trials and trials are unchanged by "
+          "encoding and decoding") {
+  report_message Report;
+  Report.Host = "a";
+  Report.RefusedRequests = {3, 4};
+  Report.Crashes = {{3, {"i-1", 5}, 2, std::chrono::seconds(7), true}};
+  auto Decoded = decodeReport(encodeReport(Report));
+  REQUIRE(Decoded);
+  CHECK(Decoded->RefusedRequests == Report.RefusedRequests);
+  CHECK(Decoded->Crashes.front().WasTrial);
+  report_response Response;
+  Response.Quarantined = {3};
+  Response.Trials[3] = {"b", 9, std::chrono::milliseconds(1500)};
+  auto DecodedResponse = decodeReportResponse(encodeResponse(Response));
+  REQUIRE(DecodedResponse);
+  CHECK(DecodedResponse->Trials.at(3).Host == "b");
+  CHECK(DecodedResponse->Trials.at(3).Number == 9);
+  CHECK(DecodedResponse->Trials.at(3).Delay == std::chrono::milliseconds(1500));
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -75,7 +75,7 @@
                    this->Platform.SendKeyCall,
                    [this] { Dispatcher.dispatchWaiting(); },
                    this->Platform.EncodeRolloutStatus}),
-        Guard(Clock),
+        Guard(Clock, Settings.Host),
         Dispatcher(
             {Loop, Clock,
              [&Client](const endpoint &Server, const http_request &Request,
@@ -106,7 +106,7 @@
               }),
         Router({this->Settings, Loop, Clock, OperatorState, Ownership.view(),
                 Dispatcher, Ownership.server(), Peers, Rates,
-                this->Platform.Names, Metrics, Pacer, Shutdown}),
+                this->Platform.Names, Metrics, Pacer, Shutdown, Guard}),
         Admin({this->Settings, Clock, OperatorState, Ownership, Dispatcher,
                Guard, Metrics}),
         PeerServer(
@@ -237,7 +237,7 @@
     if (auto Report = decodeReport(Exchange->request())) {
       Ownership.onReport(Report->Host, Report->Load);
       Ownership.onClusterVersion(Report->NewestVersion);
-      Guard.onReport(*Report);
+      Guard.onReport(*Report, otherServers(Report->Host));
       return Exchange->respond(encodeResponse(makeReportResponse(*Report)));
     }
     if (auto TokenRequest = decodeTokenRequest(Exchange->request())) {
@@ -253,6 +253,10 @@
       serveForwarded(Exchange);
   }
 
+  size_t otherServers(const std::string &Host) const {
+    return otherReadyServers(Ownership.view(), Host);
+  }
+
   report_response makeReportResponse(const report_message &Report) {
     report_response Response;
     Response.IsCoordinator = Ownership.coordinator().isActive();
@@ -306,7 +310,7 @@
     auto Peer = coordinatorEndpoint();
     if (!Peer) {
       Ownership.onReport(Report.Host, Report.Load);
-      Guard.onReport(Report);
+      Guard.onReport(Report, otherServers(Report.Host));
       return applyReportResponse(makeReportResponse(Report));
     }
     Peers.send(*Peer, encodeReport(Report), ReportTimeout,
--- a/src/dragonflyvane/node/serving/active_request.cpp
+++ b/src/dragonflyvane/node/serving/active_request.cpp
@@ -26,8 +26,6 @@
 /// Approximate time until a key is served again after its owner became
 /// unreachable or started to hand the key over.
 constexpr std::chrono::milliseconds OwnerRetryAfter{500};
-/// Requests stay in quarantine for minutes.
-constexpr std::chrono::milliseconds QuarantineRetryAfter{60'000};
 /// Period at which a request that waits for a host looks for one again.
 constexpr std::chrono::milliseconds HostLookupInterval{60};
 
@@ -207,7 +205,21 @@
     Metadata.Point.reset();
 }
 
+std::optional<std::string>
+request_router::active_request::chooseTrialHost() const {
+  const crash_guard &Guard = Router.Deps.CrashGuard;
+  if (!Guard.hasSuspects())
+    return std::nullopt;
+  auto Host = Guard.trialHost(
+      fingerprintOf(Request, Metadata.Workspace, Metadata.Point));
+  bool IsUsable =
+      Host && Router.Deps.View.host(*Host) && !TriedHosts.contains(*Host);
+  return IsUsable ? Host : std::nullopt;
+}
+
 std::optional<std::string> request_router::active_request::chooseHost() {
+  if (auto Host = IsKeyed ? std::nullopt : chooseTrialHost())
+    return Host;
   if (!IsKeyed)
     return Router.HostSelector.pick(
         Metadata.Service,
@@ -351,8 +363,8 @@
     if (IsKeyed && MapIsStale)
       return waitForHost(Result.Code);
   }
-  if (Result.Code == "quarantined")
-    return refuseUnserved(Result.Code, QuarantineRetryAfter);
+  if (Result.Code == QuarantinedCode)
+    return refuseNoEarlier(Result.Code, Result.RetryAfter);
   if (mayRetry(Result))
     return scheduleRetry();
   if (Result.Outcome == forward_outcome::Answered)
@@ -456,7 +468,14 @@
 
 void request_router::active_request::refuseUntilRoom(
     const std::string &Code, std::chrono::milliseconds RetryAfter) {
-  if (MayHaveRun || !Router.OverloadControl.isOn())
+  if (!Router.OverloadControl.isOn())
+    return refuseUnserved(Code, RetryAfter);
+  refuseNoEarlier(Code, RetryAfter);
+}
+
+void request_router::active_request::refuseNoEarlier(
+    const std::string &Code, std::chrono::milliseconds RetryAfter) {
+  if (MayHaveRun)
     return refuseUnserved(Code, RetryAfter);
   double Factor =
       std::uniform_real_distribution<double>(1, MaxReturnJitter)(Router.Random);
--- a/src/dragonflyvane/node/serving/active_request.hpp
+++ b/src/dragonflyvane/node/serving/active_request.hpp
@@ -45,6 +45,9 @@
   /// Returns the owner of the key, or a selected host if the service has no
   /// keys. Returns nothing if no such host is known.
   std::optional<std::string> chooseHost();
+  /// Returns the host that has an open trial of this request, if it has not
+  /// refused it yet.
+  std::optional<std::string> chooseTrialHost() const;
   /// Chooses a host and sends the request, waits for a host, or refuses the
   /// request.
   void dispatch();
@@ -77,11 +80,14 @@
   /// is left for another attempt, and 502 otherwise.
   void refuseUnserved(const std::string &Code,
                       std::chrono::milliseconds RetryAfter);
-  /// Refuses with status 503 before a backend server has begun the request.
-  /// The caller is told to return after the given time or somewhat later, since
-  /// a request that returns earlier would be refused again.
+  /// Refuses a request for which the server has no room; with overload control
+  /// no earlier than the given time, since it would be refused again.
   void refuseUntilRoom(const std::string &Code,
                        std::chrono::milliseconds RetryAfter);
+  /// As `refuseUnserved`, but tells the caller to return after the given time
+  /// or somewhat later, never earlier.
+  void refuseNoEarlier(const std::string &Code,
+                       std::chrono::milliseconds RetryAfter);
   /// `Mean` times a random factor from 0.5 to 1.5, so that refused callers do
   /// not all return at the same time.
   duration withJitter(duration Mean);
--- a/src/dragonflyvane/node/serving/crash_guard.hpp
+++ b/src/dragonflyvane/node/serving/crash_guard.hpp
@@ -8,7 +8,11 @@
 #include "dragonflyvane/node/cluster/peer_messages.hpp"
 #include "dragonflyvane/node/serving/local_server.hpp"
 
+#include <map>
+#include <optional>
 #include <set>
+#include <string>
+#include <vector>
 
 namespace dragonflyvane {
 
@@ -17,24 +21,36 @@
 /// of the event loop.
 class crash_guard {
 public:
-  explicit crash_guard(const clock_source &Clock) : Clock(Clock) {}
+  /// `Host` is the name of this host.
+  crash_guard(const clock_source &Clock, std::string Host)
+      : Clock(Clock), Host(std::move(Host)) {}
 
   // Called by the dispatcher.
 
-  /// Whether the request must be refused.
-  bool isQuarantined(const http_request &Request,
-                     const std::string &Workspace) const;
+  /// Returns nothing if the request may run, and otherwise the time after which
+  /// it may. Lets a quarantined request run once for each trial at this host.
+  std::optional<std::chrono::milliseconds>
+  refusalDelay(request_fingerprint Request);
   /// Records a connection that was lost while an incarnation of the server ran
   /// the request.
-  void onConnectionLost(const http_request &Request,
-                        const std::string &Workspace,
+  void onConnectionLost(request_fingerprint Request,
                         const server_incarnation &Incarnation);
-  /// Called when the server has responded to the request. A suspect request is
-  /// recorded as cleared; other requests are ignored.
-  void onResponse(const http_request &Request, const std::string &Workspace);
+  /// Called when the server has run the request and responded. A suspect
+  /// request is recorded as cleared; other requests are ignored.
+  void onResponse(request_fingerprint Request);
+  /// Whether any request is suspected or quarantined. If not, no request needs
+  /// a fingerprint before its connection is lost.
+  bool hasSuspects() const { return !Suspects.empty() || !Quarantined.empty(); }
+
+  // Called by the request router.
+
+  /// Returns the host that has an open trial of the request, if there is one.
+  std::optional<std::string> trialHost(request_fingerprint Request) const;
+
   /// Records a crash of the last known incarnation if it is down or a new
-  /// incarnation has replaced it, and it lost connections shortly before.
-  /// Returns whether it is down or was replaced.
+  /// incarnation has replaced it, and it lost connections shortly before
+  /// without having announced that it leaves. Returns whether it is down or was
+  /// replaced.
   bool checkForCrash(const local_server &Server);
 
   // Called with messages between hosts.
@@ -42,8 +58,9 @@
   /// Adds the crashes and cleared requests of this host to its report.
   void addCrashReport(report_message &Message);
   /// Processes the report of a host. The result is used only on the
-  /// coordinator.
-  void onReport(const report_message &Message);
+  /// coordinator. `OtherServers` is the number of ready servers of the host's
+  /// service on other hosts.
+  void onReport(const report_message &Message, size_t OtherServers);
   /// Adds the suspect and quarantined requests to the response of the
   /// coordinator.
   void addQuarantine(report_response &Response) const;
@@ -64,12 +81,22 @@
 
 private:
   const clock_source &Clock;
+  std::string Host;
   crash_recorder Recorder;
   crash_correlator Correlator;
   /// The incarnation at the last check for a crash.
   server_incarnation KnownIncarnation;
+  /// Whether that incarnation had announced that it leaves.
+  bool HasAnnouncedLeaving = false;
   std::set<request_fingerprint> Suspects;
   std::set<request_fingerprint> Quarantined;
+  std::map<request_fingerprint, request_trial> Trials;
+  /// When `Trials` was received.
+  time_point TrialsReceivedAt{};
+  /// The numbers of the latest trials that have begun at this host.
+  std::map<request_fingerprint, uint64_t> BegunTrials;
+  /// Quarantined requests that were refused since the last report.
+  std::set<request_fingerprint> Refused;
 };
 
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/serving/dispatcher.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher.cpp
@@ -84,8 +84,6 @@
     return Code;
   if (!Metadata.Point && Departure.refuses(Deps.Clock.now()))
     return "server-leaving-or-down";
-  if (Deps.CrashGuard.isQuarantined(Entry.Request, Metadata.Workspace))
-    return "quarantined";
   // The router of this host decides about the requests that it has received.
   bool IsAdmitted =
       Metadata.IsLocal ||
@@ -152,6 +150,8 @@
     refuse(Id, Code);
     return 0;
   }
+  if (refuseQuarantined(Id))
+    return 0;
   Entry.Deadline = Deps.Shutdown.deadlineOf(Entry.Deadline);
   if (mustWaitForGrant(Entry.Metadata)) {
     AwaitingGrant.push_back(Id);
@@ -188,6 +188,20 @@
   return Entries.contains(Id) ? Id : 0;
 }
 
+request_fingerprint dispatcher::fingerprintOf(const entry &Entry) {
+  return dragonflyvane::fingerprintOf(Entry.Request, Entry.Metadata.Workspace,
+                                      Entry.Metadata.Point);
+}
+
+bool dispatcher::refuseQuarantined(dispatch_id Id) {
+  if (!Deps.CrashGuard.hasSuspects())
+    return false;
+  auto Delay = Deps.CrashGuard.refusalDelay(fingerprintOf(Entries.at(Id)));
+  if (Delay)
+    refuse(Id, QuarantinedCode, *Delay);
+  return Delay.has_value();
+}
+
 double dispatcher::processableRate() const {
   double Seconds =
       std::chrono::duration<double>(Costs.meanProcessingTime()).count();
@@ -434,10 +448,9 @@
     Costs.observe(Entry.Metadata.Route, Elapsed, Result.Response.Body.size());
   observeCapacity(Entry, Result, Elapsed);
   if (Result.Outcome == call_outcome::ConnectionLost)
-    Deps.CrashGuard.onConnectionLost(Entry.Request, Entry.Metadata.Workspace,
-                                     Entry.Incarnation);
-  if (Result.Outcome == call_outcome::Completed)
-    Deps.CrashGuard.onResponse(Entry.Request, Entry.Metadata.Workspace);
+    Deps.CrashGuard.onConnectionLost(fingerprintOf(Entry), Entry.Incarnation);
+  if (wasRun(Result) && Deps.CrashGuard.hasSuspects())
+    Deps.CrashGuard.onResponse(fingerprintOf(Entry));
   if (IsInRollout)
     countOutcome(Entry, Result, Elapsed);
   bool WasRefused = Result.Outcome == call_outcome::ConnectionRefused;
@@ -480,18 +493,21 @@
   Departure.update(MustLeave, Sequence, Deps.Clock.now());
 }
 
+bool dispatcher::wasRun(const call_result &Result) const {
+  return Result.Outcome == call_outcome::Completed &&
+         !Result.Response.Headers.find(Deps.Names.NotRun) &&
+         Result.Response.Status != MisdirectedRequest;
+}
+
 void dispatcher::countOutcome(const entry &Entry, const call_result &Result,
                               duration Elapsed) {
   bool IsCurrent = Entry.Incarnation == Deps.Server.incarnation();
   bool HasTimedOut = Result.Outcome == call_outcome::TimedOut;
   if (!IsCurrent || (Result.Outcome != call_outcome::Completed && !HasTimedOut))
     return;
-  const http_response &Response = Result.Response;
-  bool WasRun = HasTimedOut || (!Response.Headers.find(Deps.Names.NotRun) &&
-                                Response.Status != MisdirectedRequest);
-  if (!WasRun)
+  if (!HasTimedOut && !wasRun(Result))
     return;
-  bool HasFailed = !HasTimedOut && Response.Status >= FirstServerError;
+  bool HasFailed = !HasTimedOut && Result.Response.Status >= FirstServerError;
   Outcomes.count(Deps.Server.version(), Entry.Metadata.Route, HasFailed,
                  Elapsed);
   Deps.Metrics.count("version_responses_total",
--- a/src/dragonflyvane/node/serving/dispatcher.hpp
+++ b/src/dragonflyvane/node/serving/dispatcher.hpp
@@ -166,6 +166,12 @@
   /// Refuses a request for a hot key point that asks for more than its share of
   /// the server. Returns whether it did.
   bool refuseHotPoint(dispatch_id Id);
+  static request_fingerprint fingerprintOf(const entry &Entry);
+  /// Refuses a quarantined request, unless it is a trial. Returns whether it
+  /// did.
+  bool refuseQuarantined(dispatch_id Id);
+  /// Whether the server has run the request, as its response shows.
+  bool wasRun(const call_result &Result) const;
   /// The requests per second that the server can process.
   double processableRate() const;
   /// Number of requests that the server may run at the same time.
--- a/src/dragonflyvane/node/serving/dispatcher_hot_points_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_hot_points_test.cpp
@@ -104,7 +104,7 @@
   }();
   ownership_map Map;
   local_server Server{Settings, Loop.clock()};
-  crash_guard Guard{Loop.clock()};
+  crash_guard Guard{Loop.clock(), "host"};
   operator_state OperatorState{{},
                                [](const stored_row &) { return std::nullopt; }};
   metrics Metrics;
--- a/src/dragonflyvane/node/serving/dispatcher_responses_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_responses_test.cpp
@@ -59,7 +59,7 @@
     return Desk;
   }();
   local_server Server{Settings, Clock};
-  crash_guard Guard{Clock};
+  crash_guard Guard{Clock, "host"};
   operator_state OperatorState{{},
                                [](const stored_row &) { return std::nullopt; }};
   metrics Metrics;
@@ -192,3 +192,35 @@
     std::this_thread::sleep_for(PollPeriod);
   CHECK(Open == 1);
 }
+
+namespace {
+
+/// Returns the quarantined requests that the host reports as harmless.
+size_t clearedRequests(crash_guard &Guard) {
+  report_message Report;
+  Guard.addCrashReport(Report);
+  return Report.RequestsWithResponse.size();
+}
+
+} // namespace
+
+// Guards against a request that crashes servers and is released by a server
+// that was full and has not run it.
+TEST_CASE("only a response of a run releases a quarantined request") {
+  dispatcher_connection_fixture Fixture(repeatRejection(true));
+  http_request Request;
+  Request.Method = "GET";
+  Request.Target = "/order/1";
+  request_fingerprint Fingerprint = fingerprintOf(Request, "", {});
+  report_response Response;
+  Response.Suspects = Response.Quarantined = {Fingerprint};
+  Response.Trials[Fingerprint] = {"host", 1, {}};
+  Fixture.Guard.onReportResponse(Response);
+  CHECK(Fixture.submit("r-1").Outcome == forward_outcome::NotRun);
+  CHECK(clearedRequests(Fixture.Guard) == 0);
+  CHECK(Fixture.Guard.refusalDelay(Fingerprint));
+  Response.Trials[Fingerprint].Number = 2;
+  Fixture.Guard.onReportResponse(Response);
+  CHECK(Fixture.submit("r-2").Outcome == forward_outcome::Answered);
+  CHECK(clearedRequests(Fixture.Guard) == 1);
+}
--- a/src/dragonflyvane/node/serving/dispatcher_test.cpp
+++ b/src/dragonflyvane/node/serving/dispatcher_test.cpp
@@ -124,7 +124,7 @@
     return Desk;
   }();
   local_server Server{Settings, Loop.clock()};
-  crash_guard Guard{Loop.clock()};
+  crash_guard Guard{Loop.clock(), "host"};
   operator_state OperatorState{{},
                                [](const stored_row &) { return std::nullopt; }};
   metrics Metrics;
--- a/src/dragonflyvane/node/serving/forwarding.hpp
+++ b/src/dragonflyvane/node/serving/forwarding.hpp
@@ -15,6 +15,9 @@
 
 namespace dragonflyvane {
 
+/// The code of a refusal because the request has crashed backend servers.
+inline constexpr const char *QuarantinedCode = "quarantined";
+
 /// What a dispatcher needs to run a forwarded request, besides the request.
 struct forward_metadata {
   std::string Service;
--- a/src/dragonflyvane/node/serving/late_arrival_test.cpp
+++ b/src/dragonflyvane/node/serving/late_arrival_test.cpp
@@ -85,7 +85,7 @@
     return Desk;
   }();
   local_server Server{Settings, Clock};
-  crash_guard Guard{Clock};
+  crash_guard Guard{Clock, "host"};
   operator_state OperatorState{{},
                                [](const stored_row &) { return std::nullopt; }};
   metrics Metrics;
--- a/src/dragonflyvane/node/serving/request_router.hpp
+++ b/src/dragonflyvane/node/serving/request_router.hpp
@@ -47,6 +47,7 @@
     /// Paces large messages on the link of this host.
     const bulk_pacer &Link;
     const graceful_shutdown &Shutdown;
+    const crash_guard &CrashGuard;
   };
 
   explicit request_router(dependencies Deps);
