Take the configuration from a peer at a start beside a return of the store

Cause: only a daemon that sees the era change waits for operators. One that starts confirms the copy as soon as it has read it.

Change: the era row holds the time at which the era was noted. A daemon that starts within 2 s of it, or before anyone has noted the era, confirms nothing until a peer that knows the newest configuration has sent it, the row is written after the note, or the 2 s are over. Why it works: what was confirmed before the return is in force at every peer that ran then, and comes with the time of its confirmation, so it is never served for longer than there. A start hours later finds an old note and does not wait.

--- a/include/dragonflyvane/core.hpp
+++ b/include/dragonflyvane/core.hpp
@@ -16,6 +16,7 @@
 #include "dragonflyvane/core/backend_server.hpp"
 #include "dragonflyvane/core/clock.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/cluster/era_row.hpp"
 #include "dragonflyvane/core/cluster/era_tracker.hpp"
 #include "dragonflyvane/core/cluster/host_info.hpp"
 #include "dragonflyvane/core/cluster/map_recovery.hpp"
--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -27,7 +27,10 @@
   bool Changed = false;
   if (OperatorRow->Configuration) {
     ConfigRow = Row.Id;
-    Changed = applyConfiguration(OperatorRow->Configuration);
+    StoredConfigVersion = OperatorRow->Configuration->Version;
+    Changed = applyConfiguration(OperatorRow->Configuration, *Row.Value);
+    if (NotedVersion > 0 && Row.Version > NotedVersion)
+      AwaitsNewest = false;
   }
   if (!OperatorRow->EvacuatedFailureDomain.empty())
     DomainOfRow[Row.Id] = OperatorRow->EvacuatedFailureDomain;
@@ -40,14 +43,45 @@
 }
 
 bool operator_state::applyConfiguration(
-    const std::shared_ptr<const configuration> &Latest) {
-  StoredConfigVersion = Latest->Version;
+    const std::shared_ptr<const configuration> &Latest,
+    const std::string &Value) {
   if (Config && Latest->Version < Config->Version)
     return false;
   Config = Latest;
+  ConfigValue = Value;
   return true;
 }
 
+// A start beside a return of the store.
+
+void operator_state::beginStart(row_version Noted) {
+  AwaitsNewest = true;
+  NotedVersion = Noted;
+}
+
+void operator_state::endStart() {
+  AwaitsNewest = false;
+  IsAdopted = false;
+}
+
+bool operator_state::adopt(const known_configuration &Known, time_point Now) {
+  std::optional<operator_row> Decoded = Decode(Known.Row);
+  if (!AwaitsNewest || !Decoded || !Decoded->Configuration || !Known.Row.Value)
+    return false;
+  AwaitsNewest = false;
+  IsAdopted = true;
+  ConfirmedAt = std::max(ConfirmedAt, Now - Known.ConfirmationAge);
+  return applyConfiguration(Decoded->Configuration, *Known.Row.Value);
+}
+
+std::optional<known_configuration>
+operator_state::knownConfiguration(time_point Now) const {
+  if (!Config || !ConfigRow || AwaitsNewest)
+    return std::nullopt;
+  auto Age = std::chrono::ceil<std::chrono::milliseconds>(confirmationAge(Now));
+  return known_configuration{{*ConfigRow, 0, ConfigValue}, Age};
+}
+
 bool operator_state::updateOrders() {
   if (IsSettling)
     return false;
@@ -88,7 +122,9 @@
 }
 
 void operator_state::confirm(time_point SentAt) {
-  if (IsSettling && Config && StoredConfigVersion < Config->Version)
+  bool MayBeBehind = IsSettling || IsAdopted;
+  if (AwaitsNewest ||
+      (MayBeBehind && Config && StoredConfigVersion < Config->Version))
     return;
   ConfirmedAt = std::max(ConfirmedAt, SentAt);
 }
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -36,6 +36,16 @@
 using operator_row_decoder =
     std::function<std::optional<operator_row>(const stored_row &)>;
 
+/// The configuration that a daemon has in force, for daemons that start beside
+/// a return of the store.
+struct known_configuration {
+  /// The row that holds the configuration; its version is not that of the
+  /// store.
+  stored_row Row;
+  /// As in `operator_state::confirmationAge`.
+  std::chrono::milliseconds ConfirmationAge{0};
+};
+
 /// The operator rows that are in force at this daemon. The value of a row is
 /// replaced only by a newer version; a deletion applies whatever its version. A
 /// configuration is also never replaced by an earlier one, which the store
@@ -65,6 +75,22 @@
   /// Returns whether the state changed.
   bool setSettling(bool Value);
 
+  /// Called when the daemon starts beside a return of the store. The store may
+  /// have an earlier configuration than the newest one. It is not confirmed
+  /// before `endStart`, a configuration row of a version above `Noted` (if that
+  /// is not 0), or `adopt`.
+  void beginStart(row_version Noted);
+  /// Called when operators have had the time to write their rows again.
+  void endStart();
+  /// Whether the newest configuration may still be unknown.
+  bool awaitsNewest() const { return AwaitsNewest; }
+  /// Takes up the configuration of a daemon that knows the newest one. Returns
+  /// whether the configuration in force changed.
+  bool adopt(const known_configuration &Known, time_point Now);
+  /// Returns the configuration in force for other daemons; nothing if this
+  /// daemon may not know the newest one.
+  std::optional<known_configuration> knownConfiguration(time_point Now) const;
+
   /// Returns a condition for each row, which holds only while the known version
   /// of the row is current.
   std::vector<row_condition> conditions() const;
@@ -92,7 +118,8 @@
   /// Returns the ids of all rows that may exist in the store.
   std::set<row_id> knownRows() const;
   /// Returns whether the configuration in force changed.
-  bool applyConfiguration(const std::shared_ptr<const configuration> &Latest);
+  bool applyConfiguration(const std::shared_ptr<const configuration> &Latest,
+                          const std::string &Value);
 
   std::map<row_id, row_version> Versions;
   /// The failure domain of each row that evacuates one.
@@ -100,6 +127,14 @@
   /// The rollout order of each row that holds one.
   std::map<row_id, rollout_order> RolloutOfRow;
   bool IsSettling = false;
+  bool AwaitsNewest = false;
+  /// The version of the era row since which `AwaitsNewest`.
+  row_version NotedVersion = 0;
+  /// The configuration in force came from a peer, and the store may have an
+  /// earlier one.
+  bool IsAdopted = false;
+  /// The value of the row of the configuration in force.
+  std::string ConfigValue;
   std::shared_ptr<const configuration> Config;
   /// The row that holds the configuration, once known.
   std::optional<row_id> ConfigRow;
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -139,3 +139,64 @@
   CHECK(State.setSettling(false));
   CHECK(!State.isEvacuated("east"));
 }
+
+namespace {
+
+constexpr time_point Now{std::chrono::seconds(100)};
+
+bool isConfirmed(const operator_state &State) {
+  return State.confirmationAge(Now) < std::chrono::seconds(4);
+}
+
+/// A state that has read a copy with configuration 5 at its start.
+operator_state startedBesideReturn(row_version Noted) {
+  operator_state State({Config, East}, &decode);
+  State.beginStart(Noted);
+  State.apply({Config, 5, "x"});
+  State.confirm(Now);
+  return State;
+}
+
+} // namespace
+
+// Guards against a copy that is taken for the newest configuration.
+TEST_CASE("a start beside a return confirms nothing by the copy") {
+  operator_state State = startedBesideReturn(40);
+  CHECK(!isConfirmed(State));
+  CHECK(!State.knownConfiguration(Now));
+  State.endStart();
+  State.confirm(Now);
+  CHECK(isConfirmed(State));
+  CHECK(State.knownConfiguration(Now));
+}
+
+TEST_CASE("a row that is written after the return ends the wait") {
+  operator_state State = startedBesideReturn(40);
+  State.apply({Config, 41, "x"});
+  State.confirm(Now);
+  CHECK(isConfirmed(State));
+  operator_state Unknown = startedBesideReturn(0);
+  Unknown.apply({Config, 41, "x"});
+  Unknown.confirm(Now);
+  CHECK(!isConfirmed(Unknown));
+}
+
+// Guards against a confirmation that is older than the peer's, and against a
+// return to the copy after the peer's configuration.
+TEST_CASE("the configuration of a peer is in force until operators write a "
+          "later one") {
+  operator_state State = startedBesideReturn(40);
+  known_configuration Known{{Config, 9, "x"}, std::chrono::seconds(3)};
+  CHECK(State.adopt(Known, Now));
+  CHECK(State.config()->Version == 9);
+  CHECK(State.confirmationAge(Now) == std::chrono::seconds(3));
+  State.apply({Config, 6, "x"});
+  State.confirm(Now);
+  CHECK(State.config()->Version == 9);
+  CHECK(State.confirmationAge(Now) == std::chrono::seconds(3));
+  State.apply({Config, 45, "x"});
+  State.confirm(Now);
+  CHECK(State.config()->Version == 45);
+  CHECK(State.confirmationAge(Now) == std::chrono::seconds(0));
+  CHECK(!State.adopt(Known, Now));
+}
--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/cluster/cluster_sync.hpp"
 
+#include "dragonflyvane/core/cluster/era_row.hpp"
 #include "dragonflyvane/core/cluster/map_recovery.hpp"
 #include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/core/error.hpp"
@@ -130,6 +131,29 @@
     acceptEra(versionIn(*Result.Era, 0));
 }
 
+void cluster_sync::endSettling() {
+  // Nothing has confirmed the configuration yet.
+  bool MustRead =
+      Deps.OperatorState.awaitsNewest() && OperatorSubscription.IsLoaded;
+  Deps.OperatorState.endStart();
+  if (MustRead)
+    readAll(OperatorSubscription);
+  if (Deps.OperatorState.setSettling(false))
+    Deps.OnChange();
+}
+
+void cluster_sync::checkForReturn(const row_batch &Batch) {
+  return_age Age = returnAge(Batch, SettlingTime);
+  if (Age.SettlingLeft.count() == 0)
+    return;
+  writeLog(log_level::Warning, "started beside a return of the store",
+           {{"step", "store"},
+            {"era", eraOf(Batch.Revision)},
+            {"settling_ms", Age.SettlingLeft.count()}});
+  Deps.OperatorState.beginStart(Age.NotedVersion);
+  SettlingTimer = Deps.Loop.after(Age.SettlingLeft, [this] { endSettling(); });
+}
+
 void cluster_sync::onReturn(row_version Version) {
   Eras.beginEra(Version, grantDeadlineOf(Deps.Service), Deps.Clock.now());
   writeLog(log_level::Warning, "reconciling with a store of a new era",
@@ -139,10 +163,7 @@
   if (!Eras.hasKeptLease())
     dropClaim();
   Deps.OperatorState.setSettling(true);
-  SettlingTimer = Deps.Loop.after(SettlingTime, [this] {
-    if (Deps.OperatorState.setSettling(false))
-      Deps.OnChange();
-  });
+  SettlingTimer = Deps.Loop.after(SettlingTime, [this] { endSettling(); });
   for (subscription *Subscription :
        {&OperatorSubscription, &ClusterSubscription})
     if (Subscription->IsLoaded)
@@ -247,6 +268,8 @@
     if (Deps.OperatorState.config())
       Deps.OperatorState.confirm(SentAt);
   } else {
+    if (Stage == start_stage::ReadingCluster)
+      checkForReturn(Result.Batch);
     View.removeMissing(Result.Batch);
     recordWatchedVersions(Result.Batch);
     for (const stored_row &Row : Result.Batch.Rows)
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -148,6 +148,10 @@
   bool acceptEra(row_version Version);
   /// Processes the era of a result, before its rows change the view.
   void observeEra(const transaction_result &Result);
+  /// Lets the operator state wait for the newest configuration if the store has
+  /// come back lately; called with the first cluster rows.
+  void checkForReturn(const row_batch &Batch);
+  void endSettling();
   /// Starts to reconcile with a store that has come back from an older copy.
   void onReturn(row_version Version);
   /// Treats the lease as lost, so that a renewal claims it anew.
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -403,6 +403,58 @@
   }
 }
 
+// Guards against a withdrawn key that works again at a daemon that starts
+// beside a return of the store and takes the copy for the newest (incident
+// CONFIG).
+TEST_CASE("a daemon that starts beside a return of the store serves by no "
+          "earlier configuration") {
+  for (int DelayMs : {-300, 0, 100, 400, 1000}) {
+    CAPTURE(DelayMs);
+    ownership_simulation Simulation(7, 5);
+    Simulation.runFor(StartupTime);
+    Simulation.changeConfiguration();
+    Simulation.runFor(std::chrono::seconds(7));
+    for (int I = 0; I < 5; ++I)
+      REQUIRE(Simulation.servedConfig(I) == 2);
+    Simulation.killDaemon(1);
+    if (DelayMs < 0)
+      Simulation.startDaemon(1);
+    Simulation.restoreStore(std::chrono::milliseconds(300),
+                            std::chrono::seconds(9));
+    Simulation.runFor(std::chrono::milliseconds(std::max(DelayMs, 0)));
+    if (DelayMs >= 0)
+      Simulation.startDaemon(1);
+    for (int Step = 0; Step < 30; ++Step) {
+      CAPTURE(Step);
+      for (int I = 0; I < 5; ++I)
+        CHECK(Simulation.servedConfig(I) != 1);
+      Simulation.runFor(std::chrono::milliseconds(20));
+    }
+    // Peers know the newest, so nobody has to wait for the operators; a daemon
+    // that starts while the store is away waits for its reads to end.
+    if (DelayMs < 0)
+      Simulation.runFor(std::chrono::seconds(2));
+    CHECK(Simulation.servedConfig(1) == 2);
+  }
+}
+
+// Guards against a daemon that does not come up, or late, since no peer knows
+// the newest configuration, or long after the return.
+TEST_CASE("a daemon that starts alone after a return comes up") {
+  ownership_simulation Simulation(7, 1);
+  Simulation.runFor(StartupTime);
+  Simulation.killDaemon(0);
+  Simulation.restoreStore(std::chrono::milliseconds(300),
+                          std::chrono::seconds(1));
+  Simulation.startDaemon(0);
+  Simulation.runFor(std::chrono::milliseconds(4000));
+  CHECK(Simulation.servedConfig(0) == 1);
+  Simulation.runFor(std::chrono::seconds(20));
+  Simulation.startDaemon(0);
+  Simulation.runFor(std::chrono::milliseconds(1500));
+  CHECK(Simulation.servedConfig(0) == 1);
+}
+
 TEST_CASE("the checks detect each defect") {
   constexpr uint64_t MaxSeed = 300;
   simulation_defects IgnoredMapConditions;
--- a/src/dragonflyvane/node/cluster/peer_messages.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.cpp
@@ -285,4 +285,39 @@
   }
 }
 
+http_request encodeConfigurationRequest() {
+  return makeMessage("configuration", json::object());
+}
+
+bool isConfigurationRequest(const http_request &Request) {
+  return bodyOf(Request, "configuration").has_value();
+}
+
+http_response
+encodeResponse(const std::optional<known_configuration> &Configuration) {
+  if (!Configuration)
+    return {404, {}, ""};
+  json Body = {{"row", Configuration->Row.Id.Key},
+               {"value", Configuration->Row.Value.value_or("")},
+               {"age_ms", Configuration->ConfirmationAge.count()}};
+  return jsonResponse(200, Body.dump());
+}
+
+std::optional<known_configuration>
+decodeConfigurationResponse(const http_response &Response) {
+  auto Body = objectIn(Response.Body);
+  if (Response.Status != 200 || !Body)
+    return std::nullopt;
+  try {
+    known_configuration Known;
+    Known.Row.Id = {row_kind::Operator, requireText(*Body, "row")};
+    Known.Row.Value = requireText(*Body, "value");
+    Known.ConfirmationAge = std::chrono::milliseconds(
+        requireInteger<int64_t>(*Body, "age_ms", 0, MaxDelayMs));
+    return Known;
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/cluster/peer_messages.hpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.hpp
@@ -6,6 +6,7 @@
 #include "dragonflyvane/core/admission/crash_attribution.hpp"
 #include "dragonflyvane/core/admission/recent_route_times.hpp"
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/configuration/operator_state.hpp"
 #include "dragonflyvane/core/http_message.hpp"
 #include "dragonflyvane/core/ownership/load_rebalancer.hpp"
 #include "dragonflyvane/core/store.hpp"
@@ -90,6 +91,17 @@
 std::optional<token_response>
 decodeTokenResponse(const http_response &Response);
 
+/// Encodes a request for the configuration in force.
+http_request encodeConfigurationRequest();
+/// Whether the request is one for the configuration in force.
+bool isConfigurationRequest(const http_request &Request);
+/// Encodes the response to such a request; 404 without a configuration.
+http_response
+encodeResponse(const std::optional<known_configuration> &Configuration);
+/// The reverse of `encodeResponse` for a configuration.
+std::optional<known_configuration>
+decodeConfigurationResponse(const http_response &Response);
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_NODE_CLUSTER_PEER_MESSAGES_HPP
--- a/src/dragonflyvane/node/cluster/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -135,3 +135,17 @@
   CHECK(DecodedResponse->Trials.at(3).Number == 9);
   CHECK(DecodedResponse->Trials.at(3).Delay == std::chrono::milliseconds(1500));
 }
+
+TEST_CASE("a configuration for a peer is unchanged by encoding and decoding") {
+  CHECK(isConfigurationRequest(encodeConfigurationRequest()));
+  CHECK(!isConfigurationRequest(encodeReport({})));
+  known_configuration Known{{{row_kind::Operator, "config"}, 0, "{\"a\":1}"},
+                            std::chrono::milliseconds(1300)};
+  auto Decoded = decodeConfigurationResponse(encodeResponse(Known));
+  REQUIRE(Decoded);
+  CHECK(Decoded->Row.Id == Known.Row.Id);
+  CHECK(Decoded->Row.Value == Known.Row.Value);
+  CHECK(Decoded->ConfirmationAge == Known.ConfirmationAge);
+  std::optional<known_configuration> None;
+  CHECK(!decodeConfigurationResponse(encodeResponse(None)));
+}
--- a/src/dragonflyvane/node/cluster/restorable_store.cpp
+++ b/src/dragonflyvane/node/cluster/restorable_store.cpp
@@ -1,9 +1,9 @@
 #include "dragonflyvane/node/cluster/restorable_store.hpp"
 
+#include "dragonflyvane/core/cluster/era_row.hpp"
 #include "dragonflyvane/net/log.hpp"
 
 #include <algorithm>
-#include <charconv>
 #include <utility>
 
 namespace dragonflyvane {
@@ -16,7 +16,7 @@
 /// A version that no row has, for conditions that must not hold.
 constexpr row_version NoRowsVersion = versionIn(1, 0) - 1;
 
-const row_id EraRow{row_kind::Cluster, "era"};
+const row_id EraRow = eraRow();
 
 /// The version by the store for a condition; one that never holds for a
 /// condition of an earlier era.
@@ -72,17 +72,14 @@
     Result.Error = "response from before the store came back";
     return;
   }
+  LatestStoreTime = Result.Batch.StoreTime;
   convert(Result.Batch.Rows, Result.Batch.Era);
   Result.Batch.Revision = versionIn(Result.Batch.Era, Result.Batch.Revision);
 }
 
 void restorable_store::observeEraRow(const stored_row &Row) {
   EraRowVersion = Row.Value ? Row.Version : 0;
-  NotedEra = 0;
-  if (!Row.Value)
-    return;
-  const std::string &Text = *Row.Value;
-  std::from_chars(Text.data(), Text.data() + Text.size(), NotedEra);
+  NotedEra = decodeEra(Row.Value).Era;
 }
 
 // Reads and watches.
@@ -137,19 +134,21 @@
   // Before the first response the era is not known, and the first one is
   // assumed.
   store_era Noted = Era.value_or(0);
+  std::string Value = encodeEra({Noted, LatestStoreTime});
   if (Noted > 0)
-    Transaction.Writes.push_back({EraRow, std::to_string(Noted)});
-  Direct.transact(Transaction, [this, Noted](const transaction_result &Result) {
-    IsNoting = false;
-    if (Result.Era)
-      observe(*Result.Era);
-    if (Result.Outcome == transaction_outcome::Committed && Noted > 0)
-      observeEraRow({EraRow, Result.Revision, std::to_string(Noted)});
-    for (const stored_row &Row : Result.Current)
-      if (Row.Id == EraRow)
-        observeEraRow(Row);
-    onEraNoted(Result);
-  });
+    Transaction.Writes.push_back({EraRow, Value});
+  Direct.transact(
+      Transaction, [this, Noted, Value](const transaction_result &Result) {
+        IsNoting = false;
+        if (Result.Era)
+          observe(*Result.Era);
+        if (Result.Outcome == transaction_outcome::Committed && Noted > 0)
+          observeEraRow({EraRow, Result.Revision, Value});
+        for (const stored_row &Row : Result.Current)
+          if (Row.Id == EraRow)
+            observeEraRow(Row);
+        onEraNoted(Result);
+      });
 }
 
 void restorable_store::onEraNoted(const transaction_result &Result) {
--- a/src/dragonflyvane/node/cluster/restorable_store.hpp
+++ b/src/dragonflyvane/node/cluster/restorable_store.hpp
@@ -63,6 +63,8 @@
   std::function<void()> OnReturn;
   /// The latest era in which the store has responded.
   std::optional<store_era> Era;
+  /// The store's clock at its latest response.
+  std::chrono::milliseconds LatestStoreTime{0};
   /// The era in the era row, and the row's version by the store. There is no
   /// row in the first era.
   store_era NotedEra = 0;
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/net/peer_transport.hpp"
 #include "dragonflyvane/node/admin/admin.hpp"
 #include "dragonflyvane/node/cluster/coalescing_store.hpp"
+#include "dragonflyvane/node/cluster/newest_configuration.hpp"
 #include "dragonflyvane/node/cluster/ownership_manager.hpp"
 #include "dragonflyvane/node/cluster/peer_messages.hpp"
 #include "dragonflyvane/node/cluster/relayed_store.hpp"
@@ -75,6 +76,14 @@
                    this->Platform.SendKeyCall,
                    [this] { Dispatcher.dispatchWaiting(); },
                    this->Platform.EncodeRolloutStatus}),
+        Newest({Settings.Host, Loop, Clock, Ownership.view(), OperatorState,
+                [this](const endpoint &Peer, http_request Request,
+                       std::chrono::milliseconds Timeout,
+                       peer_client::callback Callback) {
+                  Peers.send(Peer, std::move(Request), Timeout,
+                             std::move(Callback));
+                },
+                [this] { onClusterChange(); }}),
         Guard(Clock, Settings.Host),
         Dispatcher(
             {Loop, Clock,
@@ -195,6 +204,7 @@
       Rates.configure(Config->Workspaces,
                       std::max<size_t>(1, Ownership.view().hosts().size()));
     applyRollout();
+    Newest.update();
     Router.onClusterChange();
     Dispatcher.dispatchWaiting();
   }
@@ -249,6 +259,9 @@
           std::chrono::duration_cast<std::chrono::milliseconds>(PoolRetryAfter);
       return Exchange->respond(encodeResponse(Response));
     }
+    if (isConfigurationRequest(Exchange->request()))
+      return Exchange->respond(
+          encodeResponse(OperatorState.knownConfiguration(Clock.now())));
     if (!Store.serve(Exchange))
       serveForwarded(Exchange);
   }
@@ -389,6 +402,7 @@
   coalescing_store CoalescingStore;
   relayed_store Store;
   ownership_manager Ownership;
+  newest_configuration Newest;
   crash_guard Guard;
   dispatcher Dispatcher;
   /// Used while this host is the coordinator.
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -1,5 +1,7 @@
 #include "ownership_simulation.hpp"
 
+#include "dragonflyvane/node/cluster/peer_messages.hpp"
+
 #include <algorithm>
 
 namespace dragonflyvane {
@@ -116,15 +118,26 @@
   Host.Ownership =
       std::make_unique<ownership_manager>(ownership_manager::dependencies{
           Host.Settings, Loop, Loop.clock(), *Host.Store, *Host.OperatorState,
-          [] {}, [&Host] { return Host.Store->isRelay(); },
+          [&Host] {
+            if (Host.Newest)
+              Host.Newest->update();
+          },
+          [&Host] { return Host.Store->isRelay(); },
           [this, I](const endpoint &, const key_call &Call,
                     fake_server::result_callback Callback) {
             sendKeyCall(I, Call, std::move(Callback));
           },
           [] {}});
+  Host.Newest =
+      std::make_unique<newest_configuration>(newest_configuration::dependencies{
+          Host.Name, Loop, Loop.clock(), Host.Ownership->view(),
+          *Host.OperatorState, storeDependencies(Host).Send, [] {}});
   Peers.add(Host.Settings.PeerEndpoint,
-            [&Host](const exchange_pointer &Exchange) {
-              Host.Store->serve(Exchange);
+            [this, &Host](const exchange_pointer &Exchange) {
+              if (!isConfigurationRequest(Exchange->request()))
+                return void(Host.Store->serve(Exchange));
+              Exchange->respond(encodeResponse(
+                  Host.OperatorState->knownConfiguration(Loop.now())));
             });
   Peers.setFrozen(Host.Settings.PeerEndpoint, Host.Frozen);
   Peers.setDisconnected(Host.Settings.PeerEndpoint, Host.Isolated);
@@ -195,6 +208,7 @@
   Peers.remove(Hosts[I].Settings.PeerEndpoint);
   Hosts[I].OpenCalls.clear();
   Hosts[I].ConnectedEpoch = 0;
+  Hosts[I].Newest.reset();
   Hosts[I].Ownership.reset();
   Hosts[I].Store.reset();
   Hosts[I].CoalescingStore.reset();
@@ -222,6 +236,14 @@
   return -1;
 }
 
+uint64_t ownership_simulation::servedConfig(int I) const {
+  const auto &State = Hosts[I].OperatorState;
+  bool IsServing =
+      State && State->config() &&
+      State->confirmationAge(Loop.now()) < Hosts[I].Settings.MaxConfirmationAge;
+  return IsServing ? State->config()->Version : 0;
+}
+
 int ownership_simulation::leaseCount() const {
   return static_cast<int>(
       std::count_if(Hosts.begin(), Hosts.end(), [](const host &Host) {
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -4,6 +4,7 @@
 #define DRAGONFLYVANE_TESTS_OWNERSHIP_SIMULATION_HPP
 
 #include "dragonflyvane/node/cluster/coalescing_store.hpp"
+#include "dragonflyvane/node/cluster/newest_configuration.hpp"
 #include "dragonflyvane/node/cluster/ownership_manager.hpp"
 #include "dragonflyvane/node/cluster/relayed_store.hpp"
 #include "dragonflyvane/node/cluster/restorable_store.hpp"
@@ -102,6 +103,9 @@
 
   /// Returns the running daemon's ownership of keys on a host.
   ownership_manager &ownership(int Host) { return *Hosts[Host].Ownership; }
+  /// Returns the version of the configuration by which a daemon serves
+  /// requests; 0 if it has none that is confirmed.
+  uint64_t servedConfig(int Host) const;
   /// Returns the backend server of a host.
   fake_server &server(int Host) { return *Hosts[Host].Server; }
   /// Ends the daemons of all hosts at once and starts them again; backend
@@ -156,6 +160,7 @@
     std::unique_ptr<relayed_store> Store;
     std::unique_ptr<operator_state> OperatorState;
     std::unique_ptr<ownership_manager> Ownership;
+    std::unique_ptr<newest_configuration> Newest;
     /// The newest configuration that this run of the daemon had in force.
     uint64_t ConfigVersion = 0;
     /// Callbacks of the daemon's open calls to its backend server.
