--- a/src/dragonflyvane/core/ownership/assignment.cpp
+++ b/src/dragonflyvane/core/ownership/assignment.cpp
@@ -16,6 +16,10 @@
 /// A map with this number of ranges is not split further, since the size of its
 /// row is limited.
 constexpr size_t MaxRanges = 300;
+/// Nor is one with this number of ranges for each candidate, since the size of
+/// the response to a heartbeat, which grants all ranges of a server, is
+/// limited.
+constexpr size_t MaxRangesPerCandidate = 60;
 
 /// No smaller part than this fraction of a fair share is split off a range.
 constexpr double MinSplitFraction = 1.0 / 16;
@@ -39,6 +43,13 @@
   return Points;
 }
 
+/// Whether ranges of the map may be split further.
+bool maySplit(const ownership_map &Map,
+              const std::vector<candidate> &Candidates) {
+  return Map.Ranges.size() <
+         std::min(MaxRanges, MaxRangesPerCandidate * Candidates.size());
+}
+
 double totalCapacity(const std::vector<candidate> &Candidates) {
   double Sum = 0;
   for (const candidate &C : Candidates)
@@ -83,6 +94,21 @@
   return Points / AllPoints;
 }
 
+/// Merges adjacent ranges without owner, handover and planned next owner. Their
+/// next owner gets a new token whatever their tokens are. Without this, the
+/// ranges of many lost hosts stay apart, and the few owners that remain have
+/// more of them than a heartbeat response can grant.
+void mergeUnownedRanges(ownership_map &Map) {
+  uint64_t HighestToken = 0;
+  for (const owned_range &Range : Map.Ranges)
+    HighestToken = std::max(HighestToken, Range.Token);
+  for (owned_range &Range : Map.Ranges)
+    if (Range.Owner.empty() && Range.Handover.empty() &&
+        Range.NextOwner.empty())
+      Range.Token = HighestToken;
+  Map.mergeAdjacent();
+}
+
 size_t countMovingRanges(const ownership_map &Map) {
   return std::count_if(
       Map.Ranges.begin(), Map.Ranges.end(),
@@ -156,6 +182,7 @@
   if (Candidates.empty())
     return false;
   bool Changed = false;
+  mergeUnownedRanges(Map);
   points_by_host Points = plannedPoints(Map);
   for (size_t I = 0; I < Map.Ranges.size(); ++I) {
     if (!Map.Ranges[I].Owner.empty())
@@ -166,7 +193,7 @@
     if (!IsPlanned) {
       To = findMostUnderAssigned(Candidates, Points, Deficit);
       key_point MaxPoints = pointsToAssign(Deficit, Candidates);
-      if (Map.Ranges[I].size() > MaxPoints && Map.Ranges.size() < MaxRanges)
+      if (Map.Ranges[I].size() > MaxPoints && maySplit(Map, Candidates))
         Map.splitBefore(Map.Ranges[I].First + MaxPoints);
     }
     owned_range &Range = Map.Ranges[I];
@@ -214,7 +241,7 @@
     double Deficit = 0;
     const candidate *To = findMostUnderAssigned(Candidates, Points, Deficit);
     key_point MaxPoints = pointsToAssign(Deficit, Candidates);
-    if (Range.size() > MaxPoints && Map.Ranges.size() < MaxRanges)
+    if (Range.size() > MaxPoints && maySplit(Map, Candidates))
       Map.splitBefore(Range.First + MaxPoints);
     Map.Ranges[I].NextOwner = To->Host;
     Points[To->Host] += Map.Ranges[I].size();
@@ -226,7 +253,7 @@
 bool planRebalance(ownership_map &Map, const std::vector<candidate> &Candidates,
                    const std::map<std::string, load_report> &Loads,
                    const plan_options &Options) {
-  if (Candidates.size() < 2 || Map.Ranges.size() >= MaxRanges)
+  if (Candidates.size() < 2 || !maySplit(Map, Candidates))
     return false;
   load_rebalancer Rebalancer(Candidates, Loads);
   if (!Rebalancer.hasLoadData())
--- a/src/dragonflyvane/core/ownership/assignment_test.cpp
+++ b/src/dragonflyvane/core/ownership/assignment_test.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/// The number of ranges that the response to a heartbeat can grant.
+constexpr int MaxRangesPerResponse = 87;
+
 std::vector<candidate> candidates(int Count) {
   std::vector<candidate> Result;
   Result.reserve(Count);
@@ -147,6 +150,61 @@
   CHECK(!renewIncarnations(Map, Replaced, {11, 0.2}));
 }
 
+// Guards against splits that make a grant too large, where few servers divide
+// the keys.
+TEST_CASE("a map of few servers is not split without end") {
+  constexpr size_t RangeLimit = 120;
+  ownership_map Map = firstMap(1);
+  while (Map.Ranges.size() < RangeLimit) {
+    Map.splitBefore(static_cast<key_point>(100 * Map.Ranges.size()));
+    Map.Ranges[Map.Ranges.size() - 1].Token = 100 + Map.Ranges.size();
+  }
+  ownership_map Smaller = Map;
+  Smaller.Ranges[1].Token = Smaller.Ranges[0].Token;
+  Smaller.mergeAdjacent();
+  REQUIRE(Smaller.Ranges.size() == RangeLimit - 1);
+  CHECK(!planRebalance(Map, candidates(2), {}, {1000, 0.2}));
+  CHECK(planRebalance(Smaller, candidates(2), {}, {1000, 0.2}));
+}
+
+// Guards against owners with more ranges than the response to a heartbeat can
+// hold (87), after the loss of all but a few hosts of a large service.
+TEST_CASE("the keys of many lost hosts go to the others in few ranges") {
+  for (int Remaining : {1, 2, 3, 5}) {
+    CAPTURE(Remaining);
+    constexpr int Hosts = 228;
+    ownership_map Map = firstMap(Hosts);
+    // Each range has another token, as after single moves.
+    for (size_t I = 0; I < Map.Ranges.size(); ++I)
+      Map.Ranges[I].Token = 100 + I;
+    std::vector<candidate> All = candidates(Hosts);
+    std::vector<candidate> Left;
+    std::set<std::string> Lost;
+    for (int I = 0; I < Hosts; ++I) {
+      bool IsLeft = I % (Hosts / Remaining) == 0 &&
+                    Left.size() < static_cast<size_t>(Remaining);
+      if (IsLeft)
+        Left.push_back(All[I]);
+      else
+        Lost.insert(All[I].Host);
+    }
+    unassignRanges(Map, Lost);
+    assignUnownedRanges(Map, Left, {1000, 0.2});
+    std::map<std::string, int> RangeCounts;
+    for (const owned_range &Range : Map.Ranges)
+      ++RangeCounts[Range.Owner];
+    for (const candidate &C : Left) {
+      CHECK(RangeCounts[C.Host] <= MaxRangesPerResponse);
+      CHECK(pointsOf(Map, C.Host) ==
+            doctest::Approx(65536.0 / Remaining).epsilon(0.05));
+    }
+    for (const owned_range &Range : Map.Ranges) {
+      bool IsKept = Range.Token < 1000;
+      CHECK((IsKept || Range.Token == 1000));
+    }
+  }
+}
+
 // A released range whose next owner was not ready counted twice for that owner.
 // Then no host was below its share, and the rest was split into single points.
 TEST_CASE("unowned ranges are not split into tiny parts") {
