--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -226,7 +226,7 @@
        {"reason", Reason},
        {"streams", Streams.size()},
        {"waiting", Waiting},
-       {"unwritten_bytes", QueuedBytes - HandedBytes},
+       {"unwritten_bytes", WriteBuffer.remaining().size()},
        {"unaccepted_bytes", unacceptedBytes()},
        {"since_read_ms", inMilliseconds(Now - Silence.lastReceived())},
        {"since_ping_ms", LastPing ? inMilliseconds(Now - *LastPing) : -1}});
@@ -395,9 +395,8 @@
 }
 
 bool peer_connection::fillWriteBuffer() {
-  WriteBuffer.clear();
-  WriteOffset = 0;
-  while (WriteBuffer.size() < WriteBatchSize) {
+  WriteBuffer.beginBatch();
+  while (WriteBuffer.batchSize() < WriteBatchSize) {
     const uint8_t *Data = nullptr;
     ssize_t Size = nghttp2_session_mem_send(Session, &Data);
     // A callback may have closed the connection.
@@ -409,8 +408,7 @@
     }
     if (Size == 0)
       break;
-    WriteBuffer.append(reinterpret_cast<const char *>(Data), Size);
-    QueuedBytes += static_cast<uint64_t>(Size);
+    WriteBuffer.append(Data, static_cast<size_t>(Size));
     notePositions();
   }
   return true;
@@ -420,19 +418,19 @@
   for (stream_id Id : std::exchange(EndingStreams, {})) {
     auto Found = Streams.find(Id);
     if (Found != Streams.end())
-      Found->second.Out.EndPosition = QueuedBytes;
+      Found->second.Out.EndPosition = WriteBuffer.queuedBytes();
   }
   if (std::exchange(PingEnding, false))
-    Silence.onPingQueued(QueuedBytes);
+    Silence.onPingQueued(WriteBuffer.queuedBytes());
 }
 
 void peer_connection::writeAvailable() {
-  // Written without an asynchronous operation, so that `HandedBytes` is exact
+  // Written without an asynchronous operation, so that `handedBytes` is exact
   // whenever a call ends.
-  while (WriteOffset < WriteBuffer.size()) {
+  while (!WriteBuffer.remaining().empty()) {
     boost::system::error_code Error;
-    size_t Size = Socket.write_some(
-        boost::asio::buffer(WriteBuffer) + WriteOffset, Error);
+    size_t Size =
+        Socket.write_some(boost::asio::buffer(WriteBuffer.remaining()), Error);
     if (Error == boost::asio::error::would_block)
       return awaitWritable();
     if (Error)
@@ -440,14 +438,13 @@
       return boost::asio::post(
           Socket.get_executor(),
           [Self = shared_from_this()] { Self->close("write failed"); });
-    WriteOffset += Size;
-    HandedBytes += Size;
+    WriteBuffer.onHanded(Size);
     if (Options.Monitor)
       Options.Monitor->onPeerBytesSent(Size);
   }
   BeingWritten.clear();
   // Lets other connections have their turn before the next batch.
-  if (WriteBuffer.size() >= WriteBatchSize)
+  if (WriteBuffer.batchSize() >= WriteBatchSize)
     return awaitWritable();
   Writing = false;
   endIfDone();
@@ -460,7 +457,7 @@
                         return;
                       if (Error)
                         return Self->close("write failed");
-                      if (Self->WriteOffset < Self->WriteBuffer.size())
+                      if (!Self->WriteBuffer.remaining().empty())
                         return Self->writeAvailable();
                       Self->Writing = false;
                       Self->flush();
@@ -471,11 +468,12 @@
   int Held = 0;
   if (ioctl(Socket.native_handle(), SIOCOUTQ, &Held) != 0 || Held < 0)
     return 0;
-  return HandedBytes - std::min(HandedBytes, static_cast<uint64_t>(Held));
+  uint64_t Handed = WriteBuffer.handedBytes();
+  return Handed - std::min(Handed, static_cast<uint64_t>(Held));
 }
 
 uint64_t peer_connection::unacceptedBytes() {
-  return HandedBytes - acceptedBytes();
+  return WriteBuffer.handedBytes() - acceptedBytes();
 }
 
 std::optional<time_point> peer_connection::oldestPing() const {
@@ -485,7 +483,8 @@
 }
 
 bool peer_connection::mayHaveArrived(const stream &Stream) const {
-  return Stream.Out.EndPosition && *Stream.Out.EndPosition <= HandedBytes;
+  return Stream.Out.EndPosition &&
+         *Stream.Out.EndPosition <= WriteBuffer.handedBytes();
 }
 
 void peer_connection::checkLiveness() {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -14,9 +14,11 @@
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/peer_fields.hpp"
 #include "dragonflyvane/net/peer_options.hpp"
+#include "dragonflyvane/net/peer_stream.hpp"
 #include "dragonflyvane/net/silence_policy.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
 #include "dragonflyvane/net/unanswered_request.hpp"
+#include "dragonflyvane/net/write_buffer.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -44,8 +46,7 @@
   using socket = boost::asio::ip::tcp::socket;
   /// The HTTP/2 stream identifier.
   using stream_id = int32_t;
-  /// Receives the result of a call; may be called from within `call`.
-  using call_callback = std::function<void(call_result)>;
+  using call_callback = peer_stream::call_callback;
 
   /// `Handler` serves requests on the server side; a client has none. A stream
   /// is reset when the body received on it exceeds `MaxBodyBytes`, or when
@@ -116,53 +117,7 @@
   std::optional<time_point> oldestPing() const override;
 
 private:
-  /// The body that a stream sends.
-  struct outgoing_body {
-    message_body Body;
-    size_t Offset = 0;
-    /// Set for a body that is sent in pieces.
-    bulk_transfer Transfer;
-    /// Bytes of the current piece that are not sent yet.
-    size_t SendableBytes = 0;
-    /// The number of the message's last byte among all bytes that the
-    /// connection sends, once it is queued.
-    std::optional<uint64_t> EndPosition;
-  };
-  /// The request and response of a stream. The client fills `Response` from the
-  /// received frames, the server `Request`.
-  struct stream {
-    http_request Request;
-    http_response Response;
-    /// The size of the received head, with a part for each field.
-    size_t HeadBytes = 0;
-    /// What has been received of the body.
-    std::string Received;
-    /// The memory that the received head and body take.
-    memory_share ReceivedShare;
-    /// What the peer tells of the message.
-    message_facts Facts;
-    /// Set once body bytes were received that a pacer of the incoming link
-    /// bounds.
-    std::unique_ptr<receive_credit> Credit;
-    /// Server: the bytes of the request's fields and body that were read, and
-    /// when the last of them were.
-    size_t BytesRead = 0;
-    time_point LastReadAt{};
-    /// When the send time of the message arrived, and how late it was then;
-    /// none if the peer sends no time.
-    std::optional<time_point> HeaderArrivedAt;
-    duration HeaderDelay{0};
-    /// Whether the message from the peer has arrived completely.
-    bool HasArrived = false;
-    /// Whether the response was passed to the session.
-    bool IsResponding = false;
-    /// Whether this side resets the stream.
-    bool IsRejected = false;
-    outgoing_body Out;
-    silence_policy Policy = silence_policy::End;
-    call_callback Callback;
-    std::shared_ptr<class peer_exchange> Exchange;
-  };
+  using stream = peer_stream;
 
   /// How far the peer knows that it must open no more streams.
   enum class shutdown_notice { None, Submitted, Confirmed };
@@ -285,13 +240,7 @@
   /// Whether the peer's settings have arrived. Bodies wait for them, unless
   /// they are small.
   bool HasPeerSettings = false;
-  std::string WriteBuffer;
-  /// Bytes of `WriteBuffer` that were handed to the socket.
-  size_t WriteOffset = 0;
-  /// Bytes that were put into `WriteBuffer`, and handed to the socket, since
-  /// the connection was opened.
-  uint64_t QueuedBytes = 0;
-  uint64_t HandedBytes = 0;
+  write_buffer WriteBuffer;
   /// The streams whose messages, and whether a PING, end with the bytes that
   /// the session returns next.
   std::vector<stream_id> EndingStreams;
