Names and comments of the takeover and of a start beside a return

What a newcomer would stumble on: beginStart and endStart are awaitNewest and endAwaiting; the room that a takeover leaves for the map counts the longest key. No behavior changes otherwise.

--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -54,12 +54,12 @@
 
 // A start beside a return of the store.
 
-void operator_state::beginStart(row_version Noted) {
+void operator_state::awaitNewest(row_version Noted) {
   AwaitsNewest = true;
   NotedVersion = Noted;
 }
 
-void operator_state::endStart() {
+void operator_state::endAwaiting() {
   AwaitsNewest = false;
   IsAdopted = false;
 }
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -77,11 +77,12 @@
 
   /// Called when the daemon starts beside a return of the store. The store may
   /// have an earlier configuration than the newest one. It is not confirmed
-  /// before `endStart`, a configuration row of a version above `Noted` (if that
-  /// is not 0), or `adopt`.
-  void beginStart(row_version Noted);
-  /// Called when operators have had the time to write their rows again.
-  void endStart();
+  /// before `endAwaiting`, a configuration row of a version above `Noted` (if
+  /// that is not 0), or `adopt`.
+  void awaitNewest(row_version Noted);
+  /// Called when operators have had the time to write their rows again. From
+  /// then on the store has the newest configuration.
+  void endAwaiting();
   /// Whether the newest configuration may still be unknown.
   bool awaitsNewest() const { return AwaitsNewest; }
   /// Takes up the configuration of a daemon that knows the newest one. Returns
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -151,7 +151,7 @@
 /// A state that has read a copy with configuration 5 at its start.
 operator_state startedBesideReturn(row_version Noted) {
   operator_state State({Config, East}, &decode);
-  State.beginStart(Noted);
+  State.awaitNewest(Noted);
   State.apply({Config, 5, "x"});
   State.confirm(Now);
   return State;
@@ -164,7 +164,7 @@
   operator_state State = startedBesideReturn(40);
   CHECK(!isConfirmed(State));
   CHECK(!State.knownConfiguration(Now));
-  State.endStart();
+  State.endAwaiting();
   State.confirm(Now);
   CHECK(isConfirmed(State));
   CHECK(State.knownConfiguration(Now));
--- a/src/dragonflyvane/core/store.hpp
+++ b/src/dragonflyvane/core/store.hpp
@@ -158,7 +158,8 @@
   virtual void watch(row_kind Kind, row_version After,
                      std::chrono::milliseconds Wait,
                      read_callback Callback) = 0;
-  /// Commits a transaction if all its conditions hold.
+  /// Commits a transaction if all its conditions hold. One that is larger than
+  /// `maxTransactionSize` ends with `NotCommitted`.
   virtual void transact(const store_transaction &Transaction,
                         transaction_callback Callback) = 0;
 };
--- a/src/dragonflyvane/core/transaction_size.cpp
+++ b/src/dragonflyvane/core/transaction_size.cpp
@@ -9,7 +9,7 @@
 constexpr size_t EntryOverheadBytes = 128;
 /// An upper bound of the bytes of a call beside its entries.
 constexpr size_t CallOverheadBytes = 128;
-/// The largest key of the era row, and of its table.
+/// An upper bound of the bytes of the era row's key.
 constexpr size_t EraKeyBytes = 8;
 
 constexpr size_t base64Bytes(size_t Bytes) { return (Bytes + 2) / 3 * 4; }
--- a/src/dragonflyvane/core/transaction_size.hpp
+++ b/src/dragonflyvane/core/transaction_size.hpp
@@ -24,10 +24,15 @@
   bool operator==(const transaction_size &) const = default;
 };
 
+/// Returns the size of an entry.
 transaction_size sizeOf(const row_condition &Condition);
+/// Returns the size of an entry.
 transaction_size sizeOf(const row_write &Write);
+/// Returns the size of a transaction with all its entries.
 transaction_size sizeOf(const store_transaction &Transaction);
 
+/// The longest key of a row in bytes.
+inline constexpr size_t MaxRowKeyBytes = 200;
 /// The largest value of a row in bytes.
 inline constexpr size_t MaxRowBytes = 65'536;
 /// The largest transaction that the store accepts.
--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -135,7 +135,7 @@
   // Nothing has confirmed the configuration yet.
   bool MustRead =
       Deps.OperatorState.awaitsNewest() && OperatorSubscription.IsLoaded;
-  Deps.OperatorState.endStart();
+  Deps.OperatorState.endAwaiting();
   if (MustRead)
     readAll(OperatorSubscription);
   if (Deps.OperatorState.setSettling(false))
@@ -150,7 +150,7 @@
            {{"step", "store"},
             {"era", eraOf(Batch.Revision)},
             {"settling_ms", Age.SettlingLeft.count()}});
-  Deps.OperatorState.beginStart(Age.NotedVersion);
+  Deps.OperatorState.awaitNewest(Age.NotedVersion);
   SettlingTimer = Deps.Loop.after(Age.SettlingLeft, [this] { endSettling(); });
 }
 
--- a/src/dragonflyvane/node/cluster/host_takeover.cpp
+++ b/src/dragonflyvane/node/cluster/host_takeover.cpp
@@ -11,17 +11,17 @@
 
 namespace {
 
-/// The operations that every part has beside those of its hosts: condition and
-/// write of the map. Reserves room for the largest map.
-transaction_size mapOperationsSize(const std::string &Service) {
+/// Returns the size of the operations that every part has beside those of its
+/// hosts: condition and write of the map, with room for the largest map.
+transaction_size mapOperationsSize() {
+  row_id LongestRow{row_kind::Cluster, std::string(MaxRowKeyBytes, ' ')};
   store_transaction Transaction;
-  Transaction.Conditions.push_back({mapRow(Service), 0});
-  Transaction.Writes.push_back(
-      {mapRow(Service), std::string(MaxRowBytes, ' ')});
+  Transaction.Conditions.push_back({LongestRow, 0});
+  Transaction.Writes.push_back({LongestRow, std::string(MaxRowBytes, ' ')});
   return sizeOf(Transaction);
 }
 
-/// The operations that take over one host.
+/// Adds the operations that take over one host.
 void addFence(store_transaction &Transaction, const std::string &Host,
               row_version LeaseVersion) {
   Transaction.Conditions.push_back({leaseRow(Host), LeaseVersion});
@@ -86,7 +86,7 @@
 host_takeover::chooseOwners(const ownership_map &Map) const {
   const std::set<std::string> Expired = expiredHosts();
   std::set<std::string> Owners;
-  transaction_size Size = mapOperationsSize("");
+  transaction_size Size = mapOperationsSize();
   for (const owned_range &Range : Map.Ranges) {
     if (!Expired.contains(Range.Owner) || Owners.contains(Range.Owner))
       continue;
--- a/src/dragonflyvane/node/cluster/host_takeover.hpp
+++ b/src/dragonflyvane/node/cluster/host_takeover.hpp
@@ -57,6 +57,8 @@
   void takeOverService(const std::string &Service);
   std::set<std::string> expiredHosts() const;
   std::set<std::string> chooseOwners(const ownership_map &Map) const;
+  /// Returns the operations that overwrite the leases of some hosts, on the
+  /// condition that they are unchanged.
   store_transaction fence(const std::set<std::string> &Owners) const;
   void onPartResult(const std::string &Service, const part &Part,
                     const store_transaction &Transaction,
@@ -69,6 +71,7 @@
   void observeLeases(const transaction_result &Result);
   void removeHosts();
   void removeBatch(const store_transaction &Batch);
+  /// Returns the owners of all maps.
   std::set<std::string> owners() const;
 
   dependencies Deps;
