--- a/cmake/dragonflyvane_tests.cmake
+++ b/cmake/dragonflyvane_tests.cmake
@@ -47,6 +47,11 @@
   set_tests_properties(store_return_seeds_${FirstSeed} PROPERTIES ENVIRONMENT
     "DRAGONFLYVANE_FIRST_SEED=${FirstSeed};DRAGONFLYVANE_SEEDS=${SeedsPerShard}")
 endforeach()
+# The delay of configuration changes, beside random faults.
+add_test(NAME configuration_delay_seeds
+  COMMAND node_tests "--test-case=a?change?of?the?configuration?is?in?force*")
+set_tests_properties(configuration_delay_seeds PROPERTIES ENVIRONMENT
+  "DRAGONFLYVANE_FIRST_SEED=11;DRAGONFLYVANE_SEEDS=100")
 set_tests_properties(node PROPERTIES ENVIRONMENT "DRAGONFLYVANE_SEEDS=10")
 
 # Tests with the real programs as processes.
--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -14,6 +14,13 @@
   if (IsStale)
     return false;
   KnownVersion = IsDeleted ? 0 : Row.Version;
+  if (isConfirmed(Row.Id)) {
+    NewestVersion = std::max(NewestVersion, Row.Version);
+    if (IsDeleted)
+      Values.erase(Row.Id);
+    else
+      Values[Row.Id] = *Row.Value;
+  }
   if (IsDeleted) {
     if (Row.Id == ConfigRow)
       StoredConfigVersion = 0;
@@ -121,6 +128,35 @@
   return Changed;
 }
 
+// Exchange of rows with peers.
+
+bool operator_state::isConfirmed(const row_id &Id) const {
+  return std::find(Rows.begin(), Rows.end(), Id) != Rows.end();
+}
+
+row_batch operator_state::confirmedRows() const {
+  row_batch Batch;
+  Batch.Revision = NewestVersion;
+  Batch.Era = eraOf(NewestVersion);
+  for (const auto &[Id, Value] : Values)
+    Batch.Rows.push_back({Id, Versions.at(Id), Value});
+  return Batch;
+}
+
+bool operator_state::applyRowsOfPeer(const row_batch &Batch) {
+  // An older state may have rows that were deleted since, and lack newer ones.
+  if (Batch.Revision <= NewestVersion)
+    return false;
+  for (const row_id &Id : Rows) {
+    auto Row = std::find_if(
+        Batch.Rows.begin(), Batch.Rows.end(),
+        [&](const stored_row &Candidate) { return Candidate.Id == Id; });
+    apply(Row != Batch.Rows.end() ? *Row : stored_row{Id, Batch.Revision, {}});
+  }
+  NewestVersion = Batch.Revision;
+  return true;
+}
+
 void operator_state::confirm(time_point SentAt) {
   bool MayBeBehind = IsSettling || IsAdopted;
   if (AwaitsNewest ||
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -64,6 +64,16 @@
   /// Applies a batch of all operator rows; a missing row counts as deleted.
   /// Returns whether the state changed.
   bool applyAll(const row_batch &Batch);
+
+  /// Returns the version of the newest change of the confirmed rows, which are
+  /// those that the constructor got.
+  row_version newestVersion() const { return NewestVersion; }
+  /// Returns the confirmed rows that exist, for peers that know an older
+  /// version.
+  row_batch confirmedRows() const;
+  /// Applies the confirmed rows of a peer if the peer knows a newer version.
+  /// The rows must be of the known era. Returns whether they were newer.
+  bool applyRowsOfPeer(const row_batch &Batch);
   /// Records that the store confirmed the known versions in response to a
   /// request that was sent at `SentAt`. Has no effect while the state is
   /// settling and the store has an earlier configuration than the one in force:
@@ -122,7 +132,13 @@
   bool applyConfiguration(const std::shared_ptr<const configuration> &Latest,
                           const std::string &Value);
 
+  /// Whether the store has to confirm the versions of the row.
+  bool isConfirmed(const row_id &Id) const;
+
   std::map<row_id, row_version> Versions;
+  /// The values of the confirmed rows.
+  std::map<row_id, std::string> Values;
+  row_version NewestVersion = 0;
   /// The failure domain of each row that evacuates one.
   std::map<row_id, std::string> DomainOfRow;
   /// The rollout order of each row that holds one.
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -200,3 +200,40 @@
   CHECK(State.confirmationAge(Now) == std::chrono::seconds(0));
   CHECK(!State.adopt(Known, Now));
 }
+
+// Guards against an evacuation that acts again, or ends, since a peer with an
+// older state has told so.
+TEST_CASE("rows of a peer are applied only if the peer knows a newer version") {
+  operator_state Peer({Config, East}, &decode);
+  Peer.apply({Config, 5, "x"});
+  Peer.apply({East, 6, "{}"});
+  row_batch Older = Peer.confirmedRows();
+  CHECK(Older.Revision == 6);
+
+  operator_state State({Config, East}, &decode);
+  State.apply({Config, 5, "x"});
+  CHECK(State.applyRowsOfPeer(Older));
+  CHECK(State.isEvacuated("east"));
+  CHECK(State.newestVersion() == 6);
+  CHECK(State.conditions()[1].Version == 6);
+  CHECK(!State.applyRowsOfPeer(Older));
+
+  Peer.apply({East, 8, std::nullopt});
+  CHECK(State.applyRowsOfPeer(Peer.confirmedRows()));
+  CHECK(!State.isEvacuated("east"));
+  CHECK(!State.applyRowsOfPeer(Older));
+  CHECK(!State.isEvacuated("east"));
+  CHECK(State.config()->Version == 5);
+}
+
+// Guards against a configuration that counts as confirmed although this host
+// has not reached the store.
+TEST_CASE("rows of a peer do not confirm the configuration") {
+  operator_state Peer({Config}, &decode);
+  Peer.apply({Config, 5, "x"});
+  operator_state State({Config}, &decode);
+  State.confirm(time_point(std::chrono::seconds(3)));
+  State.applyRowsOfPeer(Peer.confirmedRows());
+  CHECK(State.confirmationAge(time_point(std::chrono::seconds(8))) ==
+        std::chrono::seconds(5));
+}
--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -28,6 +28,9 @@
 /// peer reported that version or this daemon wrote it.
 constexpr std::chrono::milliseconds MaxWatchLag{800};
 constexpr std::chrono::milliseconds RenewalRetryDelay{250};
+/// A renewal without a result for this long, beyond its delay for batching, is
+/// overdue: its path to the store may be lost.
+constexpr std::chrono::milliseconds RenewalOverdueTime{600};
 /// Maximum delay of a repeated claim or renewal. After a restart of a fleet the
 /// claims of all hosts conflict, and are batched again.
 constexpr std::chrono::milliseconds RetryBatchDelay{30};
@@ -342,6 +345,7 @@
               {"peer", "store"},
               {"reason", Reason}});
   Subscription.IsFailing = true;
+  Deps.OnStoreLost();
   bool WasLoaded = Subscription.IsLoaded;
   Subscription.RetryTimer =
       Deps.Loop.after(ReadRetryDelay, [this, &Subscription, WasLoaded] {
@@ -361,6 +365,16 @@
   Subscription.IsFailing = false;
 }
 
+void cluster_sync::onOperatorRowsOfPeer(const row_batch &Batch) {
+  // Which rows hold after a return of the store, only the store shows.
+  if (eraOf(Batch.Revision) != Eras.current() ||
+      !Deps.OperatorState.applyRowsOfPeer(Batch))
+    return;
+  writeLog(log_level::Info, "operators' rows of a peer applied",
+           {{"step", "orders"}, {"revision", Batch.Revision}});
+  Deps.OnChange();
+}
+
 void cluster_sync::recordWatchedVersions(const row_batch &Batch) {
   for (const stored_row &Row : Batch.Rows)
     WatchedVersion = std::max(WatchedVersion, Row.Version);
@@ -412,6 +426,10 @@
        encodeLease({RunId, RenewalCount, StoreClock.upperBound(SentAt),
                     Eras.hasKeptLease() ? Eras.current() : 0})});
   Transaction.MaxBatchDelay = MaxBatchDelay;
+  OverdueTimer = Deps.Loop.after(MaxBatchDelay + RenewalOverdueTime, [this] {
+    IsRenewalOverdue = true;
+    Deps.OnStoreLost();
+  });
   Deps.Store.transact(Transaction, [this, SentAt, Transaction](
                                        const transaction_result &Result) {
     observeEra(Result);
@@ -423,6 +441,8 @@
 void cluster_sync::onRenewed(time_point SentAt,
                              const transaction_result &Result) {
   time_point Now = Deps.Clock.now();
+  OverdueTimer.cancel();
+  IsRenewalOverdue = false;
   if (Result.StoreTime.count() > 0)
     StoreClock.onResponse(Result.StoreTime, SentAt, Now);
   if (Result.Outcome == transaction_outcome::Conflict) {
@@ -474,6 +494,7 @@
   if (FailedRenewals == 1)
     writeLog(log_level::Warning, "renewal failed",
              {{"step", "lease"}, {"reason", Result.Error}});
+  Deps.OnStoreLost();
 }
 
 void cluster_sync::noteRenewal() {
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -64,6 +64,9 @@
     std::function<void()> OnChange;
     /// Whether this host makes store calls for other hosts.
     std::function<bool()> IsRelay;
+    /// Called when a watch or a renewal has failed, or a renewal is overdue.
+    /// This host may then miss changes of the operators' rows.
+    std::function<void()> OnStoreLost = [] {};
   };
 
   explicit cluster_sync(dependencies Dependencies);
@@ -105,6 +108,14 @@
                 store::transaction_callback OnDone);
   /// Reads the lease rows of all hosts.
   void readLeases(store::read_callback Callback);
+  /// Whether this host watches the operators' rows, its last renewal confirmed
+  /// them, and the next one is not overdue.
+  bool isFollowingStore() const {
+    return OperatorSubscription.IsLoaded && !OperatorSubscription.IsFailing &&
+           FailedRenewals == 0 && !IsRenewalOverdue;
+  }
+  /// Applies the operators' rows of a peer that knows a newer version.
+  void onOperatorRowsOfPeer(const row_batch &Batch);
   /// Whether renewals have succeeded without a gap for at least
   /// `StoreRecoveryGrace`.
   bool isStoreStable() const;
@@ -229,6 +240,8 @@
   /// this host that other hosts have taken over.
   bool IsMapReadSinceClaim = false;
   timer RenewalTimer;
+  timer OverdueTimer;
+  bool IsRenewalOverdue = false;
   era_tracker Eras;
   timer SettlingTimer;
   timer MapRestoreTimer;
--- a/src/dragonflyvane/node/cluster/newest_configuration.cpp
+++ b/src/dragonflyvane/node/cluster/newest_configuration.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/node/cluster/newest_configuration.hpp"
 
+#include "dragonflyvane/core/cluster/random_peer.hpp"
 #include "dragonflyvane/net/log.hpp"
 #include "dragonflyvane/node/cluster/peer_messages.hpp"
 
@@ -20,12 +21,8 @@
 void newest_configuration::update() {
   if (IsAsking || !Deps.OperatorState.awaitsNewest())
     return;
-  std::vector<endpoint> Peers;
-  for (const auto &[Name, Row] : Deps.View.hosts())
-    if (Name != Deps.Host)
-      Peers.push_back(Row.Content.PeerEndpoint);
-  if (!Peers.empty())
-    ask(Peers[Random() % Peers.size()]);
+  if (auto Peer = randomPeer(Deps.View, Deps.Host, Random))
+    ask(*Peer);
 }
 
 void newest_configuration::ask(const endpoint &Peer) {
--- /dev/null
+++ b/src/dragonflyvane/node/cluster/operator_exchange.cpp
@@ -0,0 +1,76 @@
+#include "dragonflyvane/node/cluster/operator_exchange.hpp"
+
+#include "dragonflyvane/core/cluster/random_peer.hpp"
+#include "dragonflyvane/net/store_call_codec.hpp"
+#include "dragonflyvane/node/cluster/peer_messages.hpp"
+
+namespace dragonflyvane {
+
+namespace {
+
+constexpr std::chrono::milliseconds CallTimeout{400};
+/// The delay before the next peer is asked.
+constexpr std::chrono::milliseconds RetryDelay{250};
+/// The watch usually delivers a version that a peer has announced within this
+/// time.
+constexpr std::chrono::milliseconds UsualWatchLag{200};
+/// An announced version is given up after this many peers that do not know a
+/// newer version than this host, or do not respond.
+constexpr int MaxAsksWithoutNews = 5;
+
+} // namespace
+
+operator_exchange::operator_exchange(dependencies Dependencies)
+    : Deps(std::move(Dependencies)),
+      Random(std::hash<std::string>{}(Deps.Host)) {}
+
+void operator_exchange::onPeerVersion(row_version Version) {
+  AnnouncedVersion = std::max(AnnouncedVersion, Version);
+  if (isBehind() && !IsAsking)
+    AskTimer = Deps.Loop.after(UsualWatchLag, [this] { update(); });
+}
+
+void operator_exchange::update() {
+  if (IsAsking || (Deps.IsFollowingStore() && !isBehind()))
+    return;
+  std::optional<endpoint> Peer = randomPeer(Deps.View, Deps.Host, Random);
+  if (!Peer) {
+    AskTimer = Deps.Loop.after(RetryDelay, [this] { update(); });
+    return;
+  }
+  IsAsking = true;
+  Deps.Send(
+      *Peer, encodeOperatorRowsRequest(Deps.OperatorState.newestVersion()),
+      CallTimeout, [this](const call_result &Result) { onResult(Result); });
+}
+
+void operator_exchange::onResult(const call_result &Result) {
+  IsAsking = false;
+  bool HasRows = Result.Outcome == call_outcome::Completed &&
+                 Result.Response.Status == 200;
+  row_version KnownBefore = Deps.OperatorState.newestVersion();
+  if (HasRows) {
+    read_result Read = decodeReadResult(Result.Response);
+    if (Read.Outcome == read_outcome::Succeeded)
+      Deps.OnRows(Read.Batch);
+  }
+  bool HasNews = Deps.OperatorState.newestVersion() > KnownBefore;
+  AsksWithoutNews = HasNews ? 0 : AsksWithoutNews + 1;
+  if (AsksWithoutNews >= MaxAsksWithoutNews)
+    AnnouncedVersion = 0;
+  AskTimer = Deps.Loop.after(RetryDelay, [this] { update(); });
+}
+
+bool operator_exchange::serve(const exchange_pointer &Exchange) const {
+  auto KnownVersion = decodeOperatorRowsRequest(Exchange->request());
+  if (!KnownVersion)
+    return false;
+  if (Deps.OperatorState.newestVersion() <= *KnownVersion)
+    Exchange->respond({204, {}, ""});
+  else
+    Exchange->respond(encodeStoreResult(read_result{
+        read_outcome::Succeeded, Deps.OperatorState.confirmedRows(), ""}));
+  return true;
+}
+
+} // namespace dragonflyvane
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -60,7 +60,7 @@
       Sync({Deps.Settings.Host, Deps.Settings.FailureDomain,
             Deps.Settings.LocalService, Deps.Settings.CpuShare, Deps.Loop,
             Deps.Clock, Deps.Store, Deps.OperatorState,
-            [this] { onClusterChange(); }, Deps.IsRelay}),
+            [this] { onClusterChange(); }, Deps.IsRelay, Deps.OnStoreLost}),
       Server(Deps.Settings, Deps.Clock),
       Coordinator({Deps.Settings.Host, Deps.Loop, Deps.Clock, Sync,
                    Deps.OperatorState}),
--- a/src/dragonflyvane/node/cluster/ownership_manager.hpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.hpp
@@ -44,6 +44,8 @@
     std::function<void()> OnGranted;
     /// Encodes what operators read about a rollout.
     rollout_status_encoder EncodeRolloutStatus = {};
+    /// Called when this host may miss changes of the operators' rows.
+    std::function<void()> OnStoreLost = [] {};
   };
 
   explicit ownership_manager(dependencies Dependencies);
@@ -77,6 +79,10 @@
   /// Handles the information that a peer has seen a cluster row of this
   /// version.
   void onClusterVersion(row_version Version) { Sync.onClusterVersion(Version); }
+  /// Applies the operators' rows of a peer that knows a newer version.
+  void onOperatorRowsOfPeer(const row_batch &Batch) {
+    Sync.onOperatorRowsOfPeer(Batch);
+  }
   /// Returns the coordinator role of this host; active only while this host is
   /// elected and holds its lease.
   cluster_coordinator &coordinator() { return Coordinator; }
--- a/src/dragonflyvane/node/cluster/peer_messages.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.cpp
@@ -12,6 +12,7 @@
 /// callers.
 constexpr const char *KindField = "x-dragonflyvane-kind";
 constexpr const char *RouteTimesField = "route_times";
+constexpr const char *OperatorVersionField = "operator_version";
 /// Longer than any delay, and small enough to calculate with.
 constexpr int64_t MaxDelayMs = int64_t{1} << 40;
 
@@ -153,6 +154,7 @@
                {"work", Message.Load.ProcessingTime},
                {"sample", Message.Load.Sample},
                {"newest", Message.NewestVersion},
+               {OperatorVersionField, Message.OperatorVersion},
                {"crashes", toJson(Message.Crashes)},
                {"answered", Message.RequestsWithResponse}};
   if (!Message.RefusedRequests.empty())
@@ -199,6 +201,8 @@
         optionalInteger<uint64_t>(*Body, "rollout", 0);
     Message.Load.InFlight = optionalInteger<uint32_t>(*Body, "in_flight", 0);
     Message.NewestVersion = requireInteger<row_version>(*Body, "newest");
+    Message.OperatorVersion =
+        optionalInteger<row_version>(*Body, OperatorVersionField, 0);
     Message.Crashes = toCrashes(requireList(*Body, "crashes"));
     Message.RequestsWithResponse =
         toFingerprints(requireList(*Body, "answered"));
@@ -216,6 +220,7 @@
 http_response encodeResponse(const report_response &Response) {
   json Body = {{"steward", Response.IsCoordinator},
                {"newest", Response.NewestVersion},
+               {OperatorVersionField, Response.OperatorVersion},
                {"suspects", Response.Suspects},
                {"quarantined", Response.Quarantined}};
   if (!Response.Trials.empty())
@@ -236,6 +241,8 @@
     report_response Decoded;
     Decoded.IsCoordinator = Body->at("steward").get<bool>();
     Decoded.NewestVersion = requireInteger<row_version>(*Body, "newest");
+    Decoded.OperatorVersion =
+        optionalInteger<row_version>(*Body, OperatorVersionField, 0);
     Decoded.Suspects = {Suspects.begin(), Suspects.end()};
     Decoded.Quarantined = {Quarantined.begin(), Quarantined.end()};
     if (Body->contains("trials"))
@@ -285,6 +292,22 @@
   }
 }
 
+http_request encodeOperatorRowsRequest(row_version KnownVersion) {
+  return makeMessage("operator-rows", {{OperatorVersionField, KnownVersion}});
+}
+
+std::optional<row_version>
+decodeOperatorRowsRequest(const http_request &Request) {
+  auto Body = bodyOf(Request, "operator-rows");
+  if (!Body)
+    return std::nullopt;
+  try {
+    return requireInteger<row_version>(*Body, OperatorVersionField);
+  } catch (const std::exception &) {
+    return std::nullopt;
+  }
+}
+
 http_request encodeConfigurationRequest() {
   return makeMessage("configuration", json::object());
 }
--- a/src/dragonflyvane/node/cluster/peer_messages.hpp
+++ b/src/dragonflyvane/node/cluster/peer_messages.hpp
@@ -25,6 +25,9 @@
   load_report Load;
   /// The version of the newest cluster row that the host has seen.
   row_version NewestVersion = 0;
+  /// The version of the newest operators' row that the host knows; 0 from hosts
+  /// of earlier versions.
+  row_version OperatorVersion = 0;
   /// Crashes of the local backend server.
   std::vector<crash> Crashes;
   /// Suspect requests that did not crash the local backend server.
@@ -43,6 +46,9 @@
   bool IsCoordinator = false;
   /// The version of the newest cluster row that the responding host has seen.
   row_version NewestVersion = 0;
+  /// The version of the newest operators' row that the responding host knows; 0
+  /// from hosts of earlier versions.
+  row_version OperatorVersion = 0;
   /// Requests that may have crashed backend servers.
   std::set<request_fingerprint> Suspects;
   /// Requests that must not run.
@@ -102,6 +108,13 @@
 std::optional<known_configuration>
 decodeConfigurationResponse(const http_response &Response);
 
+/// Encodes a request for the operators' rows, if the peer knows a version above
+/// `KnownVersion`.
+http_request encodeOperatorRowsRequest(row_version KnownVersion);
+/// The reverse of `encodeOperatorRowsRequest`.
+std::optional<row_version>
+decodeOperatorRowsRequest(const http_request &Request);
+
 } // namespace dragonflyvane
 
 #endif // DRAGONFLYVANE_NODE_CLUSTER_PEER_MESSAGES_HPP
--- a/src/dragonflyvane/node/cluster/peer_messages_test.cpp
+++ b/src/dragonflyvane/node/cluster/peer_messages_test.cpp
@@ -149,3 +149,31 @@
   std::optional<known_configuration> None;
   CHECK(!decodeConfigurationResponse(encodeResponse(None)));
 }
+
+// A damaged request of a peer must not end this process, nor be taken for one
+// of a host that knows nothing.
+TEST_CASE("a malformed request for the operators' rows is no request") {
+  http_request Request = encodeOperatorRowsRequest(7);
+  CHECK(decodeOperatorRowsRequest(Request) == 7);
+  for (const char *Body : {"", "[]", "{}", "{\"operator_version\":-1}",
+                           "{\"operator_version\":\"7\"}"}) {
+    Request.Body = Body;
+    CHECK(!decodeOperatorRowsRequest(Request));
+  }
+}
+
+// Guards against reports of earlier versions that are no longer understood.
+TEST_CASE("a report without the version of the operators' rows is a report") {
+  report_message Message;
+  Message.Host = "a";
+  Message.OperatorVersion = 12;
+  http_request Request = encodeReport(Message);
+  CHECK(decodeReport(Request)->OperatorVersion == 12);
+  const std::string Field = "\"operator_version\":12,";
+  std::string Body = Request.Body;
+  size_t At = Body.find(Field);
+  REQUIRE(At != std::string::npos);
+  Request.Body = Body.erase(At, Field.size());
+  REQUIRE(decodeReport(Request));
+  CHECK(decodeReport(Request)->OperatorVersion == 0);
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -8,6 +8,7 @@
 #include "dragonflyvane/node/admin/admin.hpp"
 #include "dragonflyvane/node/cluster/coalescing_store.hpp"
 #include "dragonflyvane/node/cluster/newest_configuration.hpp"
+#include "dragonflyvane/node/cluster/operator_exchange.hpp"
 #include "dragonflyvane/node/cluster/ownership_manager.hpp"
 #include "dragonflyvane/node/cluster/peer_messages.hpp"
 #include "dragonflyvane/node/cluster/relayed_store.hpp"
@@ -63,27 +64,22 @@
                         [this] { CoalescingStore.onReturn(); }),
         CoalescingStore(RestorableStore, Loop, Clock),
         Store({Settings.Host, Settings.FailureDomain, CoalescingStore,
-               [this](const endpoint &Peer, http_request Request,
-                      std::chrono::milliseconds Timeout,
-                      peer_client::callback Callback) {
-                 Peers.send(Peer, std::move(Request), Timeout,
-                            std::move(Callback));
-               },
-               Clock, [this] { return &Ownership.view(); }}),
+               peerSender(), Clock, [this] { return &Ownership.view(); }}),
         Ownership({this->Settings, Loop, Clock, Store, OperatorState,
                    [this] { onClusterChange(); },
                    [this] { return Store.isRelay(); },
                    this->Platform.SendKeyCall,
                    [this] { Dispatcher.dispatchWaiting(); },
-                   this->Platform.EncodeRolloutStatus}),
+                   this->Platform.EncodeRolloutStatus,
+                   [this] { OperatorExchange.onStoreLost(); }}),
         Newest({Settings.Host, Loop, Clock, Ownership.view(), OperatorState,
-                [this](const endpoint &Peer, http_request Request,
-                       std::chrono::milliseconds Timeout,
-                       peer_client::callback Callback) {
-                  Peers.send(Peer, std::move(Request), Timeout,
-                             std::move(Callback));
-                },
-                [this] { onClusterChange(); }}),
+                peerSender(), [this] { onClusterChange(); }}),
+        OperatorExchange(
+            {Settings.Host, Loop, Ownership.view(), OperatorState, peerSender(),
+             [this] { return Ownership.sync().isFollowingStore(); },
+             [this](const row_batch &Rows) {
+               Ownership.onOperatorRowsOfPeer(Rows);
+             }}),
         Guard(Clock, Settings.Host),
         Dispatcher(
             {Loop, Clock,
@@ -188,6 +184,14 @@
         .Outgoing = &Pacer, .Incoming = &IncomingPacer, .Monitor = &Monitor};
   }
 
+  peer_sender peerSender() {
+    return [this](const endpoint &Peer, http_request Request,
+                  std::chrono::milliseconds Timeout,
+                  peer_client::callback Callback) {
+      Peers.send(Peer, std::move(Request), Timeout, std::move(Callback));
+    };
+  }
+
   void onClusterChange() {
     auto Config = OperatorState.config();
     if (Config && Config != AppliedConfig) {
@@ -247,6 +251,7 @@
     if (auto Report = decodeReport(Exchange->request())) {
       Ownership.onReport(Report->Host, Report->Load);
       Ownership.onClusterVersion(Report->NewestVersion);
+      OperatorExchange.onPeerVersion(Report->OperatorVersion);
       Guard.onReport(*Report, otherServers(Report->Host));
       return Exchange->respond(encodeResponse(makeReportResponse(*Report)));
     }
@@ -262,7 +267,7 @@
     if (isConfigurationRequest(Exchange->request()))
       return Exchange->respond(
           encodeResponse(OperatorState.knownConfiguration(Clock.now())));
-    if (!Store.serve(Exchange))
+    if (!OperatorExchange.serve(Exchange) && !Store.serve(Exchange))
       serveForwarded(Exchange);
   }
 
@@ -280,6 +285,7 @@
           ServiceTimes.mediansOf(Report.Service, Clock.now());
     }
     Response.NewestVersion = Ownership.sync().newestVersion();
+    Response.OperatorVersion = OperatorState.newestVersion();
     Guard.addQuarantine(Response);
     return Response;
   }
@@ -317,6 +323,7 @@
     Report.Host = Settings.Host;
     Report.Load = Dispatcher.takeLoadReport();
     Report.NewestVersion = Ownership.sync().newestVersion();
+    Report.OperatorVersion = OperatorState.newestVersion();
     Report.Service = Ownership.server().service();
     Report.UsualTimes = Dispatcher.capacity().usualTimes(Clock.now());
     Guard.addCrashReport(Report);
@@ -341,6 +348,7 @@
       applyReportResponse(*Response);
     }
     Ownership.onClusterVersion(Response->NewestVersion);
+    OperatorExchange.onPeerVersion(Response->OperatorVersion);
   }
 
   /// A host without usual times in the response goes on with the last ones.
@@ -403,6 +411,7 @@
   relayed_store Store;
   ownership_manager Ownership;
   newest_configuration Newest;
+  operator_exchange OperatorExchange;
   crash_guard Guard;
   dispatcher Dispatcher;
   /// Used while this host is the coordinator.
--- a/tests/fake_store.cpp
+++ b/tests/fake_store.cpp
@@ -13,6 +13,9 @@
 /// The time between the response of the store and the failure of a stalled
 /// watch.
 constexpr std::chrono::seconds StalledWatchTimeout{20};
+/// The time for which a client waits for the result of a watch, beyond the
+/// longest time that the store takes for it.
+constexpr std::chrono::seconds WatchTimeoutMargin{1};
 
 } // namespace
 
@@ -161,6 +164,12 @@
   }
 }
 
+void fake_store_client::setSilent(bool Value) {
+  if (Value && !Silent)
+    ++Silences;
+  Silent = Value;
+}
+
 void fake_store_client::setFrozen(bool Value) {
   Frozen = Value;
   if (Frozen)
@@ -212,9 +221,17 @@
                               std::chrono::milliseconds Wait,
                               read_callback Callback) {
   ++Store.Calls;
-  auto Respond = [this, Alive = Alive, Callback](const read_result &Result) {
+  time_point TimesOutAt = Store.Loop.now() + Wait + WatchTimeoutMargin;
+  auto Respond = [this, Alive = Alive, Callback, TimesOutAt,
+                  OpenedAt = Silences](const read_result &Result) {
     if (!*Alive)
       return;
+    if (Silent || Silences != OpenedAt)
+      return Store.Loop.postDelayed(TimesOutAt - Store.Loop.now(),
+                                    [this, Alive, Callback] {
+                                      if (*Alive)
+                                        deliver([Callback] { Callback({}); });
+                                    });
     // The watch of a disconnected client fails when it ends.
     read_result Received =
         canReachStore() && !WatchesStalled ? Result : read_result{};
--- a/tests/fake_store.hpp
+++ b/tests/fake_store.hpp
@@ -147,6 +147,10 @@
 
   /// Sets whether the store is unreachable for this client.
   void setDisconnected(bool Value) { Disconnected = Value; }
+  /// Sets whether the connections of this client to the store are silent. Calls
+  /// then get no response. Watches that were open, or are opened meanwhile,
+  /// stay without a result until they time out, also after the fault has ended.
+  void setSilent(bool Value);
   /// Sets whether watches stall, that is, fail only 20 s after the store has
   /// responded. Other calls work.
   void setWatchesStalled(bool Value) { WatchesStalled = Value; }
@@ -161,11 +165,14 @@
   template <typename Result>
   std::function<void(Result)> once(std::function<void(Result)> Callback,
                                    Result Default);
-  bool canReachStore() const { return !Disconnected && !Store.Down; }
+  bool canReachStore() const { return !Disconnected && !Silent && !Store.Down; }
 
   fake_store &Store;
   std::shared_ptr<bool> Alive;
   bool Disconnected = false;
+  bool Silent = false;
+  /// Watches that were opened before this many silences are without a result.
+  uint64_t Silences = 0;
   bool WatchesStalled = false;
   bool Frozen = false;
   std::vector<std::function<void()>> DeferredCallbacks;
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -78,6 +78,10 @@
         continue;
       Other.Ownership->onClusterVersion(Host.Ownership->sync().newestVersion());
       Host.Ownership->onClusterVersion(Other.Ownership->sync().newestVersion());
+      Other.OperatorExchange->onPeerVersion(
+          Host.OperatorState->newestVersion());
+      Host.OperatorExchange->onPeerVersion(
+          Other.OperatorState->newestVersion());
     }
   }
 }
@@ -104,6 +108,7 @@
   killDaemon(I);
   Host.Client = std::make_unique<fake_store_client>(Store);
   Host.Client->setDisconnected(Host.Disconnected);
+  Host.Client->setSilent(Host.Silent);
   Host.Client->setFrozen(Host.Frozen);
   Host.Client->setWatchesStalled(Host.WatchesStalled);
   Host.OperatorState = std::make_unique<operator_state>(
@@ -117,7 +122,11 @@
   Host.Store = std::make_unique<relayed_store>(storeDependencies(Host));
   Host.Ownership =
       std::make_unique<ownership_manager>(ownership_manager::dependencies{
-          Host.Settings, Loop, Loop.clock(), *Host.Store, *Host.OperatorState,
+          Host.Settings,
+          Loop,
+          Loop.clock(),
+          *Host.Store,
+          *Host.OperatorState,
           [&Host] {
             if (Host.Newest)
               Host.Newest->update();
@@ -127,13 +136,28 @@
                     fake_server::result_callback Callback) {
             sendKeyCall(I, Call, std::move(Callback));
           },
-          [] {}});
+          [] {},
+          {},
+          [&Host] {
+            if (Host.OperatorExchange)
+              Host.OperatorExchange->onStoreLost();
+          }});
   Host.Newest =
       std::make_unique<newest_configuration>(newest_configuration::dependencies{
           Host.Name, Loop, Loop.clock(), Host.Ownership->view(),
           *Host.OperatorState, storeDependencies(Host).Send, [] {}});
+  Host.OperatorExchange =
+      std::make_unique<operator_exchange>(operator_exchange::dependencies{
+          Host.Name, Loop, Host.Ownership->view(), *Host.OperatorState,
+          storeDependencies(Host).Send,
+          [&Host] { return Host.Ownership->sync().isFollowingStore(); },
+          [&Host](const row_batch &Rows) {
+            Host.Ownership->onOperatorRowsOfPeer(Rows);
+          }});
   Peers.add(Host.Settings.PeerEndpoint,
             [this, &Host](const exchange_pointer &Exchange) {
+              if (Host.OperatorExchange->serve(Exchange))
+                return;
               if (!isConfigurationRequest(Exchange->request()))
                 return void(Host.Store->serve(Exchange));
               Exchange->respond(encodeResponse(
@@ -209,6 +233,7 @@
   Hosts[I].OpenCalls.clear();
   Hosts[I].ConnectedEpoch = 0;
   Hosts[I].Newest.reset();
+  Hosts[I].OperatorExchange.reset();
   Hosts[I].Ownership.reset();
   Hosts[I].Store.reset();
   Hosts[I].CoalescingStore.reset();
@@ -244,6 +269,11 @@
   return IsServing ? State->config()->Version : 0;
 }
 
+uint64_t ownership_simulation::configInForce(int I) const {
+  const auto &State = Hosts[I].OperatorState;
+  return State && State->config() ? State->config()->Version : 0;
+}
+
 int ownership_simulation::leaseCount() const {
   return static_cast<int>(
       std::count_if(Hosts.begin(), Hosts.end(), [](const host &Host) {
@@ -264,6 +294,12 @@
     Hosts[I].Client->setDisconnected(Value);
 }
 
+void ownership_simulation::silenceStore(int I, bool Value) {
+  Hosts[I].Silent = Value;
+  if (Hosts[I].Client)
+    Hosts[I].Client->setSilent(Value);
+}
+
 void ownership_simulation::isolate(int I, bool Value) {
   disconnectStore(I, Value);
   Hosts[I].Isolated = Value;
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -5,6 +5,7 @@
 
 #include "dragonflyvane/node/cluster/coalescing_store.hpp"
 #include "dragonflyvane/node/cluster/newest_configuration.hpp"
+#include "dragonflyvane/node/cluster/operator_exchange.hpp"
 #include "dragonflyvane/node/cluster/ownership_manager.hpp"
 #include "dragonflyvane/node/cluster/relayed_store.hpp"
 #include "dragonflyvane/node/cluster/restorable_store.hpp"
@@ -98,6 +99,9 @@
   void disconnectStore(int Host, bool Value);
   /// Disconnects a host from the store and from all peers.
   void isolate(int Host, bool Value);
+  /// Connections of a host to the store are silent, those to its peers work.
+  /// Open watches stay without a result also after the end of the fault.
+  void silenceStore(int Host, bool Value);
   /// Watches of the host deliver nothing; its other calls work.
   void stallWatches(int Host, bool Value);
 
@@ -106,6 +110,11 @@
   /// Returns the version of the configuration by which a daemon serves
   /// requests; 0 if it has none that is confirmed.
   uint64_t servedConfig(int Host) const;
+  /// Returns the version of the configuration in force at a daemon, confirmed
+  /// or not; 0 if it has none or does not run.
+  uint64_t configInForce(int Host) const;
+  /// Returns the version of the newest configuration that was written.
+  uint64_t newestConfig() const { return NewestConfig; }
   /// Returns the backend server of a host.
   fake_server &server(int Host) { return *Hosts[Host].Server; }
   /// Ends the daemons of all hosts at once and starts them again; backend
@@ -161,6 +170,7 @@
     std::unique_ptr<operator_state> OperatorState;
     std::unique_ptr<ownership_manager> Ownership;
     std::unique_ptr<newest_configuration> Newest;
+    std::unique_ptr<operator_exchange> OperatorExchange;
     /// The newest configuration that this run of the daemon had in force.
     uint64_t ConfigVersion = 0;
     /// Callbacks of the daemon's open calls to its backend server.
@@ -171,6 +181,7 @@
     uint64_t ConnectedEpoch = 0;
     bool Frozen = false;
     bool Disconnected = false;
+    bool Silent = false;
     bool WatchesStalled = false;
     bool Isolated = false;
   };
