--- a/src/dragonflyvane/core/http_message.hpp
+++ b/src/dragonflyvane/core/http_message.hpp
@@ -53,6 +53,11 @@
   message_body Body;
 };
 
+/// Whether HTTP has responses of this status (RFC 9110, 15).
+constexpr bool isResponseStatus(int Status) {
+  return Status >= 100 && Status < 600;
+}
+
 /// Returns a response with a body of type `application/json`.
 http_response jsonResponse(int Status, std::string Body);
 
--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -318,6 +318,10 @@
     if (Error && Error != http::error::need_more)
       return fail(C, call_outcome::ConnectionLost,
                   "invalid response: " + Error.message());
+    int Status = static_cast<int>(C->Parser->get().result_int());
+    if (C->Parser->is_header_done() && !isResponseStatus(Status))
+      return fail(C, call_outcome::ConnectionLost,
+                  "invalid response: status " + std::to_string(Status));
     if (!reserveBody(*C->Parser, C->BodyShare))
       return fail(C, call_outcome::ConnectionLost,
                   "no memory for the body of the response");
--- a/src/dragonflyvane/net/http_client_test.cpp
+++ b/src/dragonflyvane/net/http_client_test.cpp
@@ -284,3 +284,25 @@
     CHECK(Next.Response.Body.text() == (Example.IsReused ? "0" : "1"));
   }
 }
+
+// Guards against an answer with a status that HTTP does not have, which callers
+// would take for a response, or which would be skipped so that the next
+// response is taken for that of the request.
+TEST_CASE("a response with a status that does not exist is no response") {
+  for (const char *Status : {"000", "001", "099", "600", "999"}) {
+    CAPTURE(Status);
+    std::string Odd = "HTTP/1.1 " + std::string(Status) +
+                      " Odd\r\nContent-Length: 2\r\n\r\nno";
+    for (const std::string &After : {std::string(), WholeResponse}) {
+      call_result Result = callCutOff(Odd + After, 1, false);
+      CHECK(Result.Outcome == call_outcome::ConnectionLost);
+      CHECK(Result.Error ==
+            "invalid response: status " + std::to_string(std::stoi(Status)));
+    }
+  }
+  for (const char *Status : {"200", "599"})
+    CHECK(callCutOff("HTTP/1.1 " + std::string(Status) +
+                         " Sound\r\nContent-Length: 2\r\n\r\nok",
+                     0, false)
+              .Outcome == call_outcome::Completed);
+}
--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -881,6 +881,10 @@
                     std::move(Stream.ReceivedShare));
   if (Role == peer_role::Client) {
     Stream.Response.Body = std::move(Body);
+    if (!isResponseStatus(Stream.Response.Status))
+      return finishCall(Stream, call_outcome::ConnectionLost,
+                        "invalid response: status " +
+                            std::to_string(Stream.Response.Status));
     return finishCall(Stream, call_outcome::Completed, "");
   }
   Stream.Request.Body = std::move(Body);
--- a/src/dragonflyvane/net/peer_transport_test.cpp
+++ b/src/dragonflyvane/net/peer_transport_test.cpp
@@ -85,6 +85,29 @@
   CHECK(Result.Response.Headers.all().size() == 2);
 }
 
+// Guards against a status that HTTP does not have, passed on by a peer of an
+// earlier version.
+TEST_CASE("a response of a peer with a status that does not exist is no "
+          "response") {
+  event_loop Loop;
+  endpoint Listen{"127.0.0.1", freePort()};
+  int Status = 0;
+  peer_server Server(Loop, Listen, MaxBodyBytes,
+                     [&](const exchange_pointer &Exchange) {
+                       Exchange->respond({Status, {}, "no"});
+                     });
+  peer_client Client(Loop, MaxBodyBytes);
+  for (int Odd : {600, 999}) {
+    CAPTURE(Odd);
+    Status = Odd;
+    CHECK(callAndWait(Loop, Client, Listen, makeRequest("GET", ""), LongTimeout)
+              .Outcome == call_outcome::ConnectionLost);
+  }
+  Status = 599;
+  CHECK(callAndWait(Loop, Client, Listen, makeRequest("GET", ""), LongTimeout)
+            .Outcome == call_outcome::Completed);
+}
+
 TEST_CASE("a call to a peer that does not listen is not sent") {
   event_loop Loop;
   peer_client Client(Loop, MaxBodyBytes);
