--- a/src/dragonflyvane/node/cluster/coalescing_store.cpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.cpp
@@ -92,6 +92,9 @@
     Watch.ReceivedRevision =
         std::max(Watch.ReceivedRevision, Result.Batch.Revision);
     Watch.IsInFlight = false;
+    // Those that are behind get their rows, not the news that there are none.
+    if (Result.Outcome == read_outcome::Succeeded)
+      deliver(Kind);
     return notifyWatchers(Watch, Result);
   }
   Watch.ReceivedRevision =
--- a/src/dragonflyvane/node/cluster/coalescing_store_test.cpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store_test.cpp
@@ -179,3 +179,29 @@
   F.Loop.runFor(milliseconds(100));
   CHECK(Compacted == 2);
 }
+
+// Guards against a change that a host misses: its watch starts behind the rows
+// that the relay has, and the relay's watch ends without changes before the
+// host has got them.
+TEST_CASE(
+    "a watch that starts behind gets the changes, whatever ends the watch "
+    "of the relay meanwhile") {
+  fixture F;
+  F.Calls.KeepsWatches = true;
+  int First = 0;
+  F.watchRepeatedly(10, First);
+  REQUIRE(F.Calls.KeptWatches.size() == 1);
+  F.Calls.KeptWatches[0](
+      {read_outcome::Succeeded, {11, {}, {{Config, 11, "one"}}}, ""});
+  F.Loop.runFor(milliseconds(100));
+  REQUIRE(First == 1);
+  REQUIRE(F.Calls.KeptWatches.size() == 2);
+  std::vector<read_result> Results;
+  F.CoalescingStore.watch(
+      row_kind::Operator, 10, LongWait,
+      [&](const read_result &Result) { Results.push_back(Result); });
+  F.Calls.KeptWatches[1]({read_outcome::Succeeded, {11, {}, {}}, ""});
+  F.Loop.runFor(milliseconds(200));
+  REQUIRE(Results.size() == 1);
+  CHECK(Results[0].Batch.Rows.size() == 1);
+}
--- a/tests/counting_store.hpp
+++ b/tests/counting_store.hpp
@@ -4,6 +4,8 @@
 
 #include "dragonflyvane/core/store.hpp"
 
+#include <vector>
+
 namespace dragonflyvane {
 
 /// Counts calls and forwards them to another store, which must outlive it.
@@ -18,6 +20,8 @@
   void watch(row_kind Kind, row_version After, std::chrono::milliseconds Wait,
              read_callback Callback) override {
     ++Watches;
+    if (KeepsWatches)
+      return KeptWatches.push_back(std::move(Callback));
     Inner.watch(Kind, After, Wait, std::move(Callback));
   }
   void transact(const store_transaction &Transaction,
@@ -32,6 +36,9 @@
   int Transactions = 0;
   /// Whether transactions are dropped; their callbacks are then never called.
   bool DropsTransactions = false;
+  /// Whether watches are kept, so that a test can end them itself.
+  bool KeepsWatches = false;
+  std::vector<read_callback> KeptWatches;
 
 private:
   store &Inner;
