--- a/src/dragonflyvane/node/cluster/coalescing_store.cpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.cpp
@@ -59,7 +59,7 @@
   if (Watch.HistoryStart == 0)
     Watch.HistoryStart = Watch.ReceivedRevision = After;
   if (After < Watch.HistoryStart)
-    return Direct.watch(Kind, After, Wait, std::move(Callback));
+    return watchSeparately(Kind, After, Wait, std::move(Callback));
   Watch.Wait = Wait;
   bool IsBehind = !rowsAfter(Watch, After).Rows.empty();
   Watch.Watchers.push_back({After, std::move(Callback)});
@@ -70,6 +70,18 @@
     sendWatch(Kind);
 }
 
+void coalescing_store::watchSeparately(row_kind Kind, row_version After,
+                                       std::chrono::milliseconds Wait,
+                                       read_callback Callback) {
+  uint64_t CallId = ++LastCallId;
+  SeparateWatches[CallId] = std::move(Callback);
+  Direct.watch(Kind, After, Wait, [this, CallId](const read_result &Result) {
+    auto Watch = SeparateWatches.extract(CallId);
+    if (!Watch.empty())
+      Watch.mapped()(Result);
+  });
+}
+
 void coalescing_store::sendWatch(row_kind Kind) {
   coalesced_watch &Watch = Watches[Kind];
   Watch.IsInFlight = true;
@@ -151,6 +163,8 @@
     Watch.CoalescingTimer.cancel();
     notifyWatchers(Watch, Failed);
   }
+  for (const auto &[CallId, Callback] : std::exchange(SeparateWatches, {}))
+    Callback(Failed);
 }
 
 void coalescing_store::expectVersion(row_kind Kind, row_version Version) {
--- a/src/dragonflyvane/node/cluster/coalescing_store.hpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.hpp
@@ -74,6 +74,8 @@
 
   void sendRead(row_kind Kind);
   void sendWatch(row_kind Kind);
+  void watchSeparately(row_kind Kind, row_version After,
+                       std::chrono::milliseconds Wait, read_callback Callback);
   void onWatchResult(row_kind Kind, const read_result &Result);
   void scheduleNextWatch(row_kind Kind);
   void deliver(row_kind Kind);
@@ -96,6 +98,8 @@
   const clock_source &Clock;
   std::map<row_kind, coalesced_read> Reads;
   std::map<row_kind, coalesced_watch> Watches;
+  /// The watches that have a call of their own, by call ID.
+  std::map<uint64_t, read_callback> SeparateWatches;
   transaction_group Pending;
   timer FlushTimer;
   /// For each transaction in flight, by call ID, the timer that fails all
--- a/src/dragonflyvane/node/cluster/coalescing_store_test.cpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store_test.cpp
@@ -205,3 +205,27 @@
   REQUIRE(Results.size() == 1);
   CHECK(Results[0].Batch.Rows.size() == 1);
 }
+
+// Guards against a watch that hangs for its whole time because it started
+// before the rows that the relay has kept, and so has a call of its own.
+TEST_CASE("a watch with a call of its own fails with the others") {
+  fixture F;
+  F.FakeStore.put(Config, "one");
+  F.CoalescingStore.watch(row_kind::Operator, 11, LongWait,
+                          [](const read_result &) {});
+  // The relay has no history from before revision 11.
+  F.Client.setSilent(true);
+  int Failed = 0;
+  F.CoalescingStore.watch(row_kind::Operator, 10, LongWait,
+                          [&](const read_result &Result) {
+                            Failed += Result.Outcome == read_outcome::Failed;
+                          });
+  F.Loop.runFor(milliseconds(10));
+  F.CoalescingStore.transact({{}, {{leaseRow("a"), "x"}}, milliseconds(0)},
+                             [](const transaction_result &) {});
+  F.Loop.runFor(milliseconds(700));
+  CHECK(Failed == 1);
+  // The call's own end is not reported again.
+  F.Loop.runFor(std::chrono::seconds(30));
+  CHECK(Failed == 1);
+}
