--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -25,6 +25,8 @@
 namespace {
 
 constexpr size_t ReadSize = size_t{64} << 10;
+/// Requests are served after at most this many reads that leave bytes unread.
+constexpr int MaxReadsBeforeServing = 4;
 /// Frames are collected for one write until they reach this size in bytes.
 constexpr size_t WriteBatchSize = size_t{16} << 10;
 /// The kernel takes no more bytes while it holds this many that are not sent.
@@ -364,12 +366,36 @@
   Receiving = false;
   if (Consumed < 0)
     return close(nghttp2_strerror(static_cast<int>(Consumed)));
+  serveArrived();
   reportProgress();
   flush();
   if (Open)
     readMore();
 }
 
+/// After a delay on the link, a request and its cancellation arrive together;
+/// the request must not start then. So what can be read is read first.
+void peer_connection::serveArrived() {
+  if (ArrivedRequests.empty())
+    return;
+  boost::system::error_code Ignored;
+  bool HasMore = Socket.available(Ignored) > 0;
+  if (HasMore && ++ReadsBeforeServing < MaxReadsBeforeServing)
+    return;
+  ReadsBeforeServing = 0;
+  Receiving = true;
+  for (stream_id Id : std::exchange(ArrivedRequests, {})) {
+    auto Found = Streams.find(Id);
+    if (Found == Streams.end() || Found->second.IsRejected)
+      continue;
+    // A copy, since a response releases the one of the stream.
+    std::shared_ptr<peer_exchange> Exchange = Found->second.Exchange;
+    if (Exchange)
+      serveGuarded(Handler, Exchange);
+  }
+  Receiving = false;
+}
+
 void peer_connection::reportProgress() {
   int32_t Unreported = nghttp2_session_get_effective_recv_data_length(Session);
   time_point Now = Clock.now();
@@ -890,8 +916,8 @@
   Stream.Request.Body = std::move(Body);
   auto Exchange = std::make_shared<peer_exchange>(
       weak_from_this(), Id, std::move(Stream.Request), transitDelay(Stream));
-  Stream.Exchange = Exchange;
-  serveGuarded(Handler, Exchange);
+  Stream.Exchange = std::move(Exchange);
+  ArrivedRequests.push_back(Id);
 }
 
 void peer_connection::onStreamClose(stream_id Id, uint32_t ErrorCode) {
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -129,6 +129,8 @@
   void readMore();
   void readAvailable();
   void onRead(const uint8_t *Data, size_t Size);
+  /// Serves the requests that have arrived, unless more bytes can be read.
+  void serveArrived();
   /// Tells the peer of received bytes while a message is incomplete, so that it
   /// sees progress.
   void reportProgress();
@@ -235,8 +237,12 @@
   bool Open = true;
   /// Whether frames are collected or written; nothing else may be sent then.
   bool Writing = false;
-  /// Whether `nghttp2_session_mem_recv` is running; nothing may be sent then.
+  /// Whether `nghttp2_session_mem_recv` is running, or requests are served;
+  /// nothing may be sent then.
   bool Receiving = false;
+  /// Complete requests that are not served yet.
+  std::vector<stream_id> ArrivedRequests;
+  int ReadsBeforeServing = 0;
   /// Whether the peer's settings have arrived. Bodies wait for them, unless
   /// they are small.
   bool HasPeerSettings = false;
--- a/tests/http2_frames.hpp
+++ b/tests/http2_frames.hpp
@@ -10,10 +10,13 @@
 enum class frame_type : uint8_t {
   Data = 0,
   Headers = 1,
+  ResetStream = 3,
   Settings = 4,
   Continuation = 9,
 };
 
+/// The flag of a frame that ends a message.
+constexpr uint8_t EndStreamFlag = 1;
 /// The flag of a frame that ends a head.
 constexpr uint8_t EndHeadersFlag = 4;
 /// What a client sends before its first frame.
@@ -23,6 +26,9 @@
 std::string encodeFrame(frame_type Type, uint8_t Flags, uint8_t Stream,
                         const std::string &Payload);
 
+/// The payload of a `ResetStream` frame by which a caller cancels its request.
+inline const std::string CancelCode{"\0\0\0\x08", 4};
+
 /// Heads in the encoding of HPACK. `encodedEntry` puts a field of 4,001 bytes
 /// into the dynamic table; each `EncodedReference` after it repeats that field.
 constexpr const char *EncodedPost = "\x83\x84";
