--- a/src/dragonflyvane/net/store_call_codec.cpp
+++ b/src/dragonflyvane/net/store_call_codec.cpp
@@ -1,5 +1,6 @@
 #include "dragonflyvane/net/store_call_codec.hpp"
 
+#include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/core/json_fields.hpp"
 
 namespace dragonflyvane {
@@ -111,6 +112,13 @@
                      requireMilliseconds(Body, "wait")};
 }
 
+/// Throws if the peer has not made the call.
+void requireResult(const http_response &Response) {
+  if (Response.Status != 200)
+    throw step_error("store call", "",
+                     "HTTP status " + std::to_string(Response.Status));
+}
+
 } // namespace
 
 http_request encodeStoreCall(const store_call &Call) {
@@ -156,6 +164,7 @@
 read_result decodeReadResult(const http_response &Response) {
   read_result Result;
   try {
+    requireResult(Response);
     json Body = parseJson(Response.Body);
     Result.Batch.Revision = requireInteger<row_version>(Body, "revision");
     Result.Batch.StoreTime = requireMilliseconds(Body, "time");
@@ -173,6 +182,7 @@
 transaction_result decodeTransactionResult(const http_response &Response) {
   transaction_result Result;
   try {
+    requireResult(Response);
     json Body = parseJson(Response.Body);
     Result.Revision = requireInteger<row_version>(Body, "revision");
     Result.StoreTime = requireMilliseconds(Body, "time");
--- a/src/dragonflyvane/net/store_call_codec_test.cpp
+++ b/src/dragonflyvane/net/store_call_codec_test.cpp
@@ -40,3 +40,18 @@
           transaction_outcome::Unknown);
   }
 }
+
+// Guards against a log that names a syntax error where a peer has refused to
+// make a call.
+TEST_CASE("a call that a peer refuses fails with the status of the response") {
+  for (const http_response &Refusal :
+       {http_response{503, {}, ""}, http_response{400, {}, "{}"}}) {
+    std::string Status = std::to_string(Refusal.Status);
+    read_result Read = decodeReadResult(Refusal);
+    CHECK(Read.Outcome == read_outcome::Failed);
+    CHECK(Read.Error == "store call: HTTP status " + Status);
+    transaction_result Transaction = decodeTransactionResult(Refusal);
+    CHECK(Transaction.Outcome == transaction_outcome::Unknown);
+    CHECK(Transaction.Error == "store call: HTTP status " + Status);
+  }
+}
