--- a/src/dragonflyvane/node/cluster/operator_exchange.cpp
+++ b/src/dragonflyvane/node/cluster/operator_exchange.cpp
@@ -26,18 +26,24 @@
 
 void operator_exchange::onPeerVersion(row_version Version) {
   AnnouncedVersion = std::max(AnnouncedVersion, Version);
-  if (isBehind() && !IsAsking)
-    AskTimer = Deps.Loop.after(UsualWatchLag, [this] { update(); });
+  if (isBehind() && !IsAsking && !IsAskScheduled)
+    scheduleAsk(UsualWatchLag);
+}
+
+void operator_exchange::scheduleAsk(duration Delay) {
+  IsAskScheduled = true;
+  AskTimer = Deps.Loop.after(Delay, [this] {
+    IsAskScheduled = false;
+    update();
+  });
 }
 
 void operator_exchange::update() {
   if (IsAsking || (Deps.IsFollowingStore() && !isBehind()))
     return;
   std::optional<endpoint> Peer = randomPeer(Deps.View, Deps.Host, Random);
-  if (!Peer) {
-    AskTimer = Deps.Loop.after(RetryDelay, [this] { update(); });
-    return;
-  }
+  if (!Peer)
+    return scheduleAsk(RetryDelay);
   IsAsking = true;
   Deps.Send(
       *Peer, encodeOperatorRowsRequest(Deps.OperatorState.newestVersion()),
@@ -58,7 +64,7 @@
   AsksWithoutNews = HasNews ? 0 : AsksWithoutNews + 1;
   if (AsksWithoutNews >= MaxAsksWithoutNews)
     AnnouncedVersion = 0;
-  AskTimer = Deps.Loop.after(RetryDelay, [this] { update(); });
+  scheduleAsk(RetryDelay);
 }
 
 bool operator_exchange::serve(const exchange_pointer &Exchange) const {
--- a/src/dragonflyvane/node/cluster/operator_exchange.hpp
+++ b/src/dragonflyvane/node/cluster/operator_exchange.hpp
@@ -51,6 +51,7 @@
   }
   /// Asks a peer if this host may be behind and no peer is being asked.
   void update();
+  void scheduleAsk(duration Delay);
   void onResult(const call_result &Result);
 
   dependencies Deps;
@@ -59,6 +60,7 @@
   row_version AnnouncedVersion = 0;
   int AsksWithoutNews = 0;
   bool IsAsking = false;
+  bool IsAskScheduled = false;
   timer AskTimer;
   std::mt19937_64 Random;
 };
--- a/src/dragonflyvane/node/cluster/operator_exchange_test.cpp
+++ b/src/dragonflyvane/node/cluster/operator_exchange_test.cpp
@@ -121,3 +121,16 @@
   F.Loop.runFor(std::chrono::seconds(10));
   CHECK(F.Asked["b"] == Before);
 }
+
+// Guards against a coordinator that never asks, since it gets reports of many
+// hosts in quick succession.
+TEST_CASE("announcements that keep coming do not put off the question") {
+  fixture F;
+  F.IsFollowing = true;
+  F.SecondState.apply({Config, 12, "12"});
+  for (int I = 0; I < 50; ++I) {
+    F.First.onPeerVersion(F.SecondState.newestVersion());
+    F.Loop.runFor(milliseconds(10));
+  }
+  CHECK(F.FirstState.config());
+}
