Reproduce late changes and lost leases on clusters of 295 hosts

The check of the time that changes take moves from configuration_delay_test to tests/configuration_watch, with the same bounds, and is shared.

--- a/src/dragonflyvane/node/cluster/configuration_delay_test.cpp
+++ b/src/dragonflyvane/node/cluster/configuration_delay_test.cpp
@@ -1,4 +1,4 @@
-#include "ownership_simulation.hpp"
+#include "configuration_watch.hpp"
 
 #include <doctest/doctest.h>
 
@@ -12,10 +12,8 @@
 namespace {
 
 constexpr seconds StartupTime{6};
-/// A change has to be in force this long after the store has acknowledged it,
+/// The time until a change must be in force.
 constexpr milliseconds MaxDelay{2500};
-/// at each host that has run without a fault for this long.
-constexpr milliseconds UndisturbedTime{3000};
 constexpr milliseconds Step{20};
 
 /// Random faults of single hosts, beside configuration changes in quick
@@ -24,7 +22,8 @@
 public:
   configuration_delays(uint64_t Seed, int HostCount)
       : HostCount(HostCount), Random(Seed), Simulation(Seed, HostCount),
-        Hosts(static_cast<size_t>(HostCount)) {
+        Watch(Simulation, HostCount, {MaxDelay, milliseconds(3000)}),
+        Faults(static_cast<size_t>(HostCount)) {
     Simulation.runFor(StartupTime);
   }
 
@@ -37,20 +36,17 @@
         beginFault();
       endFaults();
       Simulation.runFor(Step);
-      check();
+      Watch.check();
     }
   }
 
-  /// Hosts at which a change was late, each counted once for each change.
-  int lateChanges() const { return Late; }
+  int lateChanges() const { return Watch.lateChanges(); }
 
 private:
   /// A fault of a host, if any.
-  struct host_state {
+  struct host_fault {
     std::function<void()> End;
     time_point EndsAt{};
-    time_point DisturbedUntil{};
-    uint64_t LastLate = 0;
   };
 
   milliseconds randomTime(milliseconds Min, milliseconds Max) {
@@ -58,8 +54,7 @@
   }
 
   void change() {
-    Simulation.changeConfiguration();
-    ChangedAt.push_back(Simulation.now());
+    Watch.change();
     NextChangeAt =
         Simulation.now() + randomTime(milliseconds(200), milliseconds(1500));
   }
@@ -68,77 +63,52 @@
     NextFaultAt =
         Simulation.now() + randomTime(milliseconds(50), milliseconds(1000));
     int I = static_cast<int>(Random() % HostCount);
-    host_state &Host = Hosts[I];
-    if (Host.End)
+    host_fault &Fault = Faults[I];
+    if (Fault.End)
       return;
-    Host.EndsAt =
+    Fault.EndsAt =
         Simulation.now() + randomTime(milliseconds(300), milliseconds(7000));
     switch (Random() % 5) {
     case 0:
       Simulation.killDaemon(I);
-      Host.End = [this, I] { Simulation.startDaemon(I); };
+      Fault.End = [this, I] { Simulation.startDaemon(I); };
       break;
     case 1:
       Simulation.freeze(I, true);
-      Host.End = [this, I] { Simulation.freeze(I, false); };
+      Fault.End = [this, I] { Simulation.freeze(I, false); };
       break;
     case 2:
       Simulation.isolate(I, true);
-      Host.End = [this, I] { Simulation.isolate(I, false); };
+      Fault.End = [this, I] { Simulation.isolate(I, false); };
       break;
     case 3:
       Simulation.disconnectStore(I, true);
-      Host.End = [this, I] { Simulation.disconnectStore(I, false); };
+      Fault.End = [this, I] { Simulation.disconnectStore(I, false); };
       break;
     default:
       Simulation.silenceStore(I, true);
-      Host.End = [this, I] { Simulation.silenceStore(I, false); };
+      Fault.End = [this, I] { Simulation.silenceStore(I, false); };
     }
   }
 
   void endFaults() {
-    for (host_state &Host : Hosts) {
-      if (!Host.End)
-        continue;
-      Host.DisturbedUntil = Simulation.now();
-      if (Simulation.now() >= Host.EndsAt)
-        std::exchange(Host.End, nullptr)();
-    }
-  }
-
-  void check() {
-    time_point Now = Simulation.now();
-    uint64_t Due = FirstVersion;
-    while (Due - FirstVersion < ChangedAt.size() &&
-           ChangedAt[Due - FirstVersion] + MaxDelay <= Now)
-      ++Due;
     for (int I = 0; I < HostCount; ++I) {
-      host_state &Host = Hosts[I];
-      bool IsUndisturbed =
-          !Host.End && Now >= Host.DisturbedUntil + UndisturbedTime;
-      // Versions count from the one at the start.
-      uint64_t InForce = Simulation.configInForce(I);
-      if (!IsUndisturbed || InForce + 1 >= Due || Host.LastLate + 1 >= Due)
+      host_fault &Fault = Faults[I];
+      if (!Fault.End)
         continue;
-      Host.LastLate = Due - 1;
-      ++Late;
-      MESSAGE(
-          "at " << std::chrono::duration<double>(Now.time_since_epoch()).count()
-                << " s " << Simulation.nameOf(I) << " has version " << InForce
-                << ", due is " << Due - 1);
+      Watch.onDisturbed(I);
+      if (Simulation.now() >= Fault.EndsAt)
+        std::exchange(Fault.End, nullptr)();
     }
   }
 
-  /// The first change; an earlier version is in force at the start.
-  static constexpr uint64_t FirstVersion = 2;
   int HostCount;
   std::mt19937_64 Random;
   ownership_simulation Simulation;
-  std::vector<host_state> Hosts;
-  std::vector<time_point> ChangedAt;
+  configuration_watch Watch;
+  std::vector<host_fault> Faults;
   time_point NextChangeAt{};
   time_point NextFaultAt{};
-  int Late = 0;
 };
 
 uint64_t environmentNumber(const char *Name, uint64_t Default) {
--- /dev/null
+++ b/src/dragonflyvane/node/cluster/large_cluster_test.cpp
@@ -0,0 +1,66 @@
+#include "large_cluster.hpp"
+
+#include <doctest/doctest.h>
+
+using namespace dragonflyvane;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+namespace {
+
+constexpr int HostCount = large_cluster::HostCount;
+
+/// Cuts every third host off from all other hosts, or ends that.
+void cutThirdFromPeers(large_cluster &Cluster, bool Value) {
+  for (int Host = 0; Host < HostCount; Host += 3)
+    Cluster.Simulation.cutFromPeers(Host, Value);
+}
+
+} // namespace
+
+// Guards against hosts that miss changes, although they reach the store,
+// because they first try one peer after another that cannot be reached.
+TEST_CASE("hosts that are cut off from their peers follow the changes of the "
+          "configuration on their own path to the store" *
+          doctest::may_fail()) {
+  for (uint64_t Seed = 1; Seed <= 3; ++Seed) {
+    CAPTURE(Seed);
+    large_cluster Cluster(Seed);
+    cutThirdFromPeers(Cluster, true);
+    Cluster.runFor(seconds(12));
+    cutThirdFromPeers(Cluster, false);
+    Cluster.runFor(seconds(6));
+    CHECK(Cluster.Watch.lateChanges() == 0);
+  }
+}
+
+// Guards against a fleet whose attempts to reach the store keep it overloaded
+// after an outage has ended, so that no host gets its lease back and changes
+// arrive late.
+TEST_CASE("a large cluster gets its leases and keys back soon after an outage "
+          "of the store" *
+          doctest::may_fail()) {
+  constexpr milliseconds RecoveryTime{2000};
+  for (milliseconds Outage : {milliseconds(4500), milliseconds(8000)}) {
+    CAPTURE(Outage.count());
+    large_cluster Cluster(1);
+    fake_store &Store = Cluster.Simulation.fakeStore();
+    int CallsBefore = Store.calls();
+    auto AllDisturbed = [&] {
+      for (int Host = 0; Host < HostCount; ++Host)
+        Cluster.Watch.onDisturbed(Host);
+    };
+    Store.setDown(true);
+    Cluster.runFor(Outage, AllDisturbed);
+    Store.setDown(false);
+    Cluster.runFor(RecoveryTime);
+    CHECK(Cluster.Simulation.leaseCount() == HostCount);
+    CHECK(Cluster.Simulation.ownedFractionWithin(RecoveryTime) == 1.0);
+    Cluster.runFor(seconds(6));
+    CHECK(Cluster.Simulation.ownedFraction() == 1.0);
+    CHECK(Cluster.Watch.lateChanges() == 0);
+    // A call of each host in each second is more than a fleet may make.
+    auto Seconds = (Outage + 2 * RecoveryTime + seconds(6)) / seconds(1);
+    CHECK(Store.calls() - CallsBefore < HostCount * Seconds);
+  }
+}
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -17,23 +17,25 @@
 constexpr std::array<key_point, 12> CheckedPoints = {
     0,     5000,  11000, 16383, 16384, 21845,
     30000, 32768, 43000, 49152, 60000, 65535};
+const std::array<std::string, 5> FailureDomains = {"west", "east", "north",
+                                                   "south", "centre"};
 const row_id ConfigRow{row_kind::Operator, "config"};
 const row_id EvacuationRow{row_kind::Operator, "evacuated-east"};
 
 } // namespace
 
-ownership_simulation::ownership_simulation(uint64_t Seed, int Count,
+ownership_simulation::ownership_simulation(uint64_t Seed, cluster_shape Shape,
                                            simulation_defects Defects,
                                            grant_way GrantWay)
     : Random(Seed), Defects(Defects), GrantWay(GrantWay),
       Store(Loop, Seed + 1, Defects.Store), Peers(Loop),
-      Hosts(static_cast<size_t>(Count)) {
+      Hosts(static_cast<size_t>(Shape.Hosts)) {
   changeConfiguration();
-  for (int I = 0; I < Count; ++I) {
+  for (int I = 0; I < Shape.Hosts; ++I) {
     host &Host = Hosts[I];
     Host.Name = nameOf(I);
     Host.Settings.Host = Host.Name;
-    Host.Settings.FailureDomain = I % 2 ? "east" : "west";
+    Host.Settings.FailureDomain = FailureDomains.at(I % Shape.FailureDomains);
     Host.Settings.LocalService = "desk";
     Host.Settings.PeerEndpoint = {"127.0.0.1", static_cast<uint16_t>(7000 + I)};
     Host.Server = std::make_unique<fake_server>(
@@ -66,7 +68,8 @@
     if (!Host.Ownership || Host.Frozen)
       continue;
     for (host &Other : Hosts) {
-      bool IsReached = !Host.Isolated && !Other.Isolated;
+      bool IsReached = !Host.Isolated && !Other.Isolated &&
+                       !Host.CutFromPeers && !Other.CutFromPeers;
       bool IsCoordinator =
           Other.Ownership && !Other.Frozen && IsReached &&
           Host.Ownership->view().coordinatorHost().Content == Other.Name;
@@ -164,7 +167,7 @@
                   Host.OperatorState->knownConfiguration(Loop.now())));
             });
   Peers.setFrozen(Host.Settings.PeerEndpoint, Host.Frozen);
-  Peers.setDisconnected(Host.Settings.PeerEndpoint, Host.Isolated);
+  updatePeerConnection(Host);
   Host.Ownership->start();
 }
 
@@ -303,7 +306,17 @@
 void ownership_simulation::isolate(int I, bool Value) {
   disconnectStore(I, Value);
   Hosts[I].Isolated = Value;
-  Peers.setDisconnected(Hosts[I].Settings.PeerEndpoint, Value);
+  updatePeerConnection(Hosts[I]);
+}
+
+void ownership_simulation::cutFromPeers(int I, bool Value) {
+  Hosts[I].CutFromPeers = Value;
+  updatePeerConnection(Hosts[I]);
+}
+
+void ownership_simulation::updatePeerConnection(const host &Host) {
+  Peers.setDisconnected(Host.Settings.PeerEndpoint,
+                        Host.Isolated || Host.CutFromPeers);
 }
 
 void ownership_simulation::stallWatches(int I, bool Value) {
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -38,6 +38,17 @@
   std::chrono::seconds MaxCopyAge{12};
 };
 
+/// The number of hosts, and of failure domains over which they are spread in
+/// turn.
+struct cluster_shape {
+  // NOLINTNEXTLINE(google-explicit-constructor): a number of hosts alone will
+  // do for most tests.
+  cluster_shape(int Hosts, int FailureDomains = 2)
+      : Hosts(Hosts), FailureDomains(FailureDomains) {}
+  int Hosts;
+  int FailureDomains;
+};
+
 /// Counts of violated rules and of checks.
 struct simulation_report {
   /// Checks that found more than one owner of a point.
@@ -62,7 +73,7 @@
 public:
   /// Starts a daemon and a backend server on each host; `Seed` determines the
   /// random faults and delays.
-  ownership_simulation(uint64_t Seed, int Hosts,
+  ownership_simulation(uint64_t Seed, cluster_shape Shape,
                        simulation_defects Defects = {},
                        grant_way GrantWay = grant_way::Heartbeat);
   ~ownership_simulation();
@@ -99,6 +110,8 @@
   void disconnectStore(int Host, bool Value);
   /// Disconnects a host from the store and from all peers.
   void isolate(int Host, bool Value);
+  /// Disconnects a host from all peers, but not from the store.
+  void cutFromPeers(int Host, bool Value);
   /// Connections of a host to the store are silent, those to its peers work.
   /// Open watches stay without a result also after the end of the fault.
   void silenceStore(int Host, bool Value);
@@ -142,6 +155,7 @@
   struct host;
 
   void restartServer(int Host);
+  void updatePeerConnection(const host &Host);
   void restoreStoreRandomly();
   void check();
   void checkConfigurations();
@@ -184,6 +198,7 @@
     bool Silent = false;
     bool WatchesStalled = false;
     bool Isolated = false;
+    bool CutFromPeers = false;
   };
 
   manual_scheduler Loop;
