Choose the path to the store by breakers, and pace calls of last resort

What callers saw: after an outage of the store of some seconds, a large fleet kept failing for many seconds more. Hosts that reach the store but not their peers learned changes up to 5.1 s late.

Cause: a path was given up for a fixed time after any failure, and the next one was tried, with calls of every kind at once, by every host. While the store is down for all, 295 hosts leave relays that work, call it themselves and through random peers, unbatched; when it is back these calls fill its queue of transactions (200 a second), the waits count as lost paths, and the attempts go on. And a host that is cut off from its peers tried one relay after another, with a timeout of a second each, again whenever a backoff had ended.

After two relays that do not respond the direct path comes next; if relays respond but cannot reach the store, relays of other failure domains come next. - fleet_pace: the direct path and random peers, as a last resort, are used at a rate that the whole fleet shares (50 a second, whatever its size). - A call without any path fails after 0.1 s; a map that cannot be written is written again after 0.25 s. Before, both could be repeated at once. - A transaction that waits while the store responds to other calls is no reason to fail the watches of all hosts of a relay. - New log line 'store calls take another path', and whether a failed relay responds.

--- a/src/dragonflyvane/net/store_call_codec.cpp
+++ b/src/dragonflyvane/net/store_call_codec.cpp
@@ -12,6 +12,7 @@
 /// Header field that names the call. Only daemons may send it; it is removed
 /// from requests of callers.
 constexpr const char *StoreCallField = "x-dragonflyvane-store";
+constexpr const char *PingKind = "ping";
 
 /// Far beyond any clock, and small enough to calculate with.
 constexpr int64_t MaxTimeMs = int64_t{1} << 52;
@@ -142,6 +143,14 @@
   }
 }
 
+http_request encodeStorePing() {
+  return encodeRequest(PingKind, json::object());
+}
+
+bool isStorePing(const http_request &Request) {
+  return Request.Headers.find(StoreCallField) == PingKind;
+}
+
 http_response encodeStoreResult(const read_result &Result) {
   return encodeResponse({{"outcome", static_cast<int>(Result.Outcome)},
                          {"revision", Result.Batch.Revision},
--- a/src/dragonflyvane/net/store_call_codec.hpp
+++ b/src/dragonflyvane/net/store_call_codec.hpp
@@ -35,6 +35,11 @@
 /// malformed.
 std::optional<store_call> decodeStoreCall(const http_request &Request);
 
+/// Encodes a request that a host answers at once, without a call to the store.
+/// Any response shows that the host runs and can be reached.
+http_request encodeStorePing();
+bool isStorePing(const http_request &Request);
+
 /// Encodes a result, successful or not, as a response with status 200.
 http_response encodeStoreResult(const read_result &Result);
 /// Encodes a result, successful or not, as a response with status 200.
--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -59,6 +59,8 @@
 /// share, so that few hosts write it.
 constexpr std::chrono::milliseconds MapRestoreDelayPerRank{40};
 constexpr size_t MaxMapRestoreRank = 8;
+/// The delay before a map is written again whose write has failed.
+constexpr std::chrono::milliseconds MapRestoreRetryDelay{250};
 /// Maximum further delay of hosts beyond that rank.
 constexpr std::chrono::milliseconds MapRestoreSpread{600};
 
@@ -180,14 +182,15 @@
   Lease.onLost();
 }
 
-void cluster_sync::scheduleMapRestore() {
+void cluster_sync::scheduleMapRestore(duration MinDelay) {
   bool IsNeeded =
       std::any_of(View.maps().begin(), View.maps().end(),
                   [this](const auto &M) { return Eras.mustRestore(M.second); });
   if (!IsNeeded || std::exchange(IsMapRestoreScheduled, true))
     return;
   size_t Rank = hostRank(View, Deps.Host);
-  duration Delay = MapRestoreDelayPerRank * std::min(Rank, MaxMapRestoreRank);
+  duration Delay =
+      MinDelay + MapRestoreDelayPerRank * std::min(Rank, MaxMapRestoreRank);
   if (Rank >= MaxMapRestoreRank)
     Delay += std::chrono::duration_cast<duration>(
         MapRestoreSpread *
@@ -232,9 +235,11 @@
   Transaction.Conditions.push_back(
       {mapRow(Service), View.map(Service)->Version});
   Transaction.Writes.push_back({mapRow(Service), encodeMap(Map)});
-  transact(Transaction, [this, Service](const transaction_result &) {
+  transact(Transaction, [this, Service](const transaction_result &Result) {
     UpdatesInFlight[Service] = false;
-    scheduleMapRestore();
+    bool IsAnswered = Result.Outcome == transaction_outcome::Committed ||
+                      Result.Outcome == transaction_outcome::Conflict;
+    scheduleMapRestore(IsAnswered ? duration{0} : MapRestoreRetryDelay);
   });
 }
 
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -167,8 +167,8 @@
   void onReturn(row_version Version);
   /// Treats the lease as lost, so that a renewal claims it anew.
   void dropClaim();
-  /// Writes maps again that the store has lost.
-  void scheduleMapRestore();
+  /// Writes maps again that the store has lost, after `MinDelay` or later.
+  void scheduleMapRestore(duration MinDelay = duration{0});
   void restoreMaps();
   void writeMap(const std::string &Service, const ownership_map &Map);
 
--- a/src/dragonflyvane/node/cluster/coalescing_store.cpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.cpp
@@ -40,6 +40,8 @@
   Direct.read(Kind, [this, Kind, Callbacks = std::exchange(Read.Queued, {})](
                         const read_result &Result) {
     Reads[Kind].IsInFlight = false;
+    if (Result.Outcome != read_outcome::Failed)
+      noteResponse();
     if (Result.Outcome == read_outcome::Succeeded)
       expectVersion(Kind, newestVersionOf(Result.Batch));
     for (const read_callback &Callback : Callbacks)
@@ -95,6 +97,8 @@
 
 void coalescing_store::onWatchResult(row_kind Kind, const read_result &Result) {
   coalesced_watch &Watch = Watches[Kind];
+  if (Result.Outcome != read_outcome::Failed)
+    noteResponse();
   if (Result.Outcome == read_outcome::HistoryCompacted) {
     Watch.HistoryStart = Watch.ReceivedRevision = 0;
     Watch.RecentRows.clear();
@@ -257,18 +261,24 @@
 void coalescing_store::send(const store_transaction &Transaction,
                             transaction_callback Callback) {
   uint64_t CallId = ++LastCallId;
-  ResponseTimers[CallId] = Loop.after(StallTimeout, [this] {
-    failWatches("no response from the store to a transaction");
-  });
+  ResponseTimers[CallId] = Loop.after(
+      StallTimeout, [this, SentAt = Clock.now()] { onStalled(SentAt); });
   Direct.transact(Transaction,
                   [this, Transaction, CallId, Callback = std::move(Callback)](
                       const transaction_result &Result) {
                     ResponseTimers.erase(CallId);
+                    if (Result.Era)
+                      noteResponse();
                     expectResultVersions(Transaction, Result);
                     Callback(Result);
                   });
 }
 
+void coalescing_store::onStalled(time_point SentAt) {
+  if (LastResponseAt < SentAt)
+    failWatches("no response from the store to a transaction");
+}
+
 void coalescing_store::expectResultVersions(
     const store_transaction &Transaction, const transaction_result &Result) {
   if (Result.Outcome == transaction_outcome::Committed)
--- a/src/dragonflyvane/node/cluster/coalescing_store.hpp
+++ b/src/dragonflyvane/node/cluster/coalescing_store.hpp
@@ -30,8 +30,9 @@
   void watch(row_kind Kind, row_version After, std::chrono::milliseconds Wait,
              read_callback Callback) override;
   /// Batches transactions that have a `MaxBatchDelay`; sends others without
-  /// delay. If the store does not respond to a transaction in time, all watches
-  /// fail too, since the connection to the store is probably broken.
+  /// delay. If the store responds neither to a transaction in time nor to any
+  /// later call, all watches fail too, since the connection to the store is
+  /// probably broken. A transaction alone may only be waiting behind others.
   void transact(const store_transaction &Transaction,
                 transaction_callback Callback) override;
   /// Called when the store has come back from an older copy: watches that wait
@@ -92,6 +93,9 @@
                      const transaction_result &Result);
   void send(const store_transaction &Transaction,
             transaction_callback Callback);
+  /// Notes that the store has responded to a call.
+  void noteResponse() { LastResponseAt = Clock.now(); }
+  void onStalled(time_point SentAt);
 
   store &Direct;
   scheduler &Loop;
@@ -102,6 +106,8 @@
   std::map<uint64_t, read_callback> SeparateWatches;
   transaction_group Pending;
   timer FlushTimer;
+  /// When the store last responded to any call.
+  time_point LastResponseAt{};
   /// For each transaction in flight, by call ID, the timer that fails all
   /// watches if no response arrives.
   std::map<uint64_t, timer> ResponseTimers;
--- a/src/dragonflyvane/node/cluster/relayed_store.hpp
+++ b/src/dragonflyvane/node/cluster/relayed_store.hpp
@@ -1,11 +1,14 @@
-/// Access to the store through the relay of the failure domain, and through any
-/// peer while neither the relay nor the direct path works.
+/// Access to the store through the relays of the failure domain, and on other
+/// paths while these do not work.
 #ifndef DRAGONFLYVANE_NODE_CLUSTER_RELAYED_STORE_HPP
 #define DRAGONFLYVANE_NODE_CLUSTER_RELAYED_STORE_HPP
 
 #include "dragonflyvane/core/clock.hpp"
+#include "dragonflyvane/core/cluster/circuit_breaker.hpp"
 #include "dragonflyvane/core/cluster/cluster_view.hpp"
+#include "dragonflyvane/core/cluster/fleet_pace.hpp"
 #include "dragonflyvane/core/endpoint.hpp"
+#include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/core/store.hpp"
 #include "dragonflyvane/net/call_result.hpp"
 #include "dragonflyvane/net/http_exchange.hpp"
@@ -13,7 +16,7 @@
 
 #include <functional>
 #include <map>
-#include <optional>
+#include <memory>
 #include <random>
 #include <string>
 
@@ -25,10 +28,16 @@
     const endpoint &Peer, http_request Request,
     std::chrono::milliseconds Timeout, std::function<void(call_result)>)>;
 
-/// Chooses the path of each call: the relay of this failure domain, the direct
-/// path from this host, or any peer. A failed call is not retried here; its
-/// callback gets the failure. The confirmation age counts from the time at
-/// which the requesting host sent its call, not from that of the relay.
+/// Chooses the path of each call, in this order: a relay of this failure
+/// domain, the direct path from this host, a relay of another failure domain,
+/// any peer. The direct path comes before the other relays only if peers do not
+/// respond; otherwise the direct path and random peers are used at a pace at
+/// which the whole fleet makes few such calls, since a store that is down for
+/// all relays is likely to be down for all hosts. A path that fails is probed
+/// with single calls until it works; a peer that does not respond is asked for
+/// a sign of life by pings. A failed call is not retried here; its callback
+/// gets the failure. The confirmation age counts from the time at which the
+/// requesting host sent its call, not from that of the relay.
 class relayed_store final : public store {
 public:
   /// Constructor arguments; the references must outlive the object.
@@ -39,6 +48,7 @@
     /// this host as relay.
     store &Direct;
     peer_sender Send;
+    scheduler &Loop;
     const clock_source &Clock;
     /// Returns the view of the cluster from which relays and peers are chosen;
     /// may be null.
@@ -60,31 +70,71 @@
   bool isRelay() const;
 
 private:
-  /// A host that makes store calls for this one.
-  struct relay {
-    std::string Host;
-    endpoint Peer;
+  enum class path_kind { Relay, Direct, OtherRelay, AnyPeer, None };
+  static const char *nameOf(path_kind Kind);
+  /// The way of a call to the store.
+  struct path {
+    path_kind Kind = path_kind::None;
+    /// The host that makes the call, unless this host makes it or none does.
+    std::string Host = {};
+    endpoint Peer = {};
+    /// Whether the path may well not work: the peer's breaker is open, or the
+    /// peer is no relay.
+    bool IsProbe = false;
   };
-  /// A host that failed to reach the store gets no calls before `Until`. The
-  /// backoff doubles with each failure in a row, up to a maximum.
-  struct backoff {
-    time_point Until{};
-    /// Number of failures in a row, at most `MaxBackoffDoublings`.
-    int Failures = 0;
+  /// What is known of a path through a peer.
+  struct peer_path {
+    explicit peer_path(duration ProbeDelay) : Breaker(ProbeDelay) {}
+    circuit_breaker Breaker;
+    /// The peer did not respond. It gets no calls until it responds to a ping,
+    /// so that no call waits for it.
+    bool IsUnresponsive = false;
+    int FailedPings = 0;
+    timer PingTimer;
   };
 
-  /// Returns the host that makes the next call; none means this host.
-  std::optional<relay> chooseRelay();
-  std::optional<relay> chooseRandomPeer(const cluster_view &View);
-  bool isBackedOff(const std::string &Host) const;
-  bool isDirectPathAvailable() const {
-    return Deps.Clock.now() >= DirectRetryAt;
+  /// Chooses the path of a call that is sent now.
+  path choosePath(call_length Length);
+  path findPath(const cluster_view &View, call_length Length);
+  /// Returns the path that the fleet uses at a limited pace.
+  path lastResort(const cluster_view &View, call_length Length);
+  /// Returns any peer through which a call has reached the store lately.
+  path provenPeer(const cluster_view &View, call_length Length) const;
+  path relayOfOtherDomain(const cluster_view &View, call_length Length);
+  path randomPeer(const cluster_view &View, call_length Length);
+  path peerPath(path_kind Kind, const cluster_view &View,
+                const std::string &Host) const;
+  bool admits(const std::string &Host, call_length Length) const;
+  bool isUnresponsive(const std::string &Host) const;
+  /// Whether the path of a breaker has been used with success lately.
+  bool isProven(const circuit_breaker &Breaker) const;
+  bool isDirectPathAvailable(call_length Length) const {
+    return DirectBreaker.admits(Length, Deps.Clock.now());
   }
-  void onDirectResult(bool Reached);
-  void onRelayResult(const std::string &Host, bool Reached,
-                     const std::string &Error);
+  size_t hostCount() const;
+  void notePath(const path &Path);
+  peer_path &pathThrough(const std::string &Host);
+  void onDirectResult(bool Reached, time_point SentAt);
+  void onPeerResult(const std::string &Host, time_point SentAt, bool Reached,
+                    bool HasResponded, const std::string &Error);
+  void onUnresponsive(const std::string &Host);
+  void schedulePing(const std::string &Host);
+  void ping(const std::string &Host);
+  void onPingResult(const std::string &Host, const call_result &Result);
+  /// Fails a call after a delay, unless its callback is taken before.
+  template <typename Result>
+  void failAfter(duration Delay, const char *Error,
+                 std::shared_ptr<std::function<void(Result)>> To, uint64_t Id);
+  /// Fails a call for which there is no path.
+  template <typename Result>
+  void failLater(std::function<void(Result)> Callback);
+  /// Wraps the callback of a probe, so that it gets a failure if the probe
+  /// takes long.
   template <typename Result>
-  void callPeer(const relay &Relay, const store_call &Call,
+  std::function<void(Result)>
+  withProbeTimeout(std::function<void(Result)> Callback);
+  template <typename Result>
+  void callPeer(const path &Path, const store_call &Call,
                 std::chrono::milliseconds Timeout,
                 Result (*Decode)(const http_response &),
                 bool (*ReachedStore)(const Result &),
@@ -95,15 +145,23 @@
   std::function<void(Result)>
   recordingDirectResult(bool (*ReachedStore)(const Result &),
                         std::function<void(Result)> Callback);
+  template <typename Result>
+  std::function<void(Result)> respondingTo(const exchange_pointer &Exchange,
+                                           bool IsProbe);
   void callDirect(const store_call &Call, const exchange_pointer &Exchange);
 
   dependencies Deps;
   time_point StartedAt;
-  /// The direct path is not tried before this time.
-  time_point DirectRetryAt{};
-  std::map<std::string, backoff> Backoffs;
+  circuit_breaker DirectBreaker;
+  std::map<std::string, peer_path> PeerPaths;
+  fleet_pace LastResortPace;
+  /// The kind of the path that was chosen last.
+  path_kind LastKind = path_kind::Direct;
   time_point LastServedAt{};
   std::mt19937_64 Random;
+  /// The calls that fail after a delay, by ID.
+  std::map<uint64_t, timer> Failures;
+  uint64_t LastFailureId = 0;
 };
 
 } // namespace dragonflyvane
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -183,6 +183,7 @@
         Peers.send(Host.Settings.PeerEndpoint, Peer, Request, Timeout,
                    std::move(Callback));
       },
+      Loop,
       Loop.clock(),
       [&Host] { return Host.Ownership ? &Host.Ownership->view() : nullptr; }};
 }
