A host without a lease does not replace the coordinator

What callers saw: for 5.3 s after an outage of the store every request of a workspace with a rate was refused with 429 (some 3,600 a second on the large site, 'over-rate'), although the store, the coordinator and the servers were well.

Cause: hosts count the time since the coordinator last confirmed a report. A coordinator confirms only while it holds its lease, which an outage ends for all hosts. The first host that gets its own lease back finds the time exceeded and claims the role, and the new coordinator hands out no tokens until the lease of the previous one must have expired.

Change: the time counts only while the host holds its own lease.

large_cluster_test, 'the coordinator of a large cluster keeps its role through an outage of the store': the outage of 8 s failed before.

--- a/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
@@ -96,6 +96,10 @@
     LastContactAt = Now;
     return;
   }
+  // A coordinator confirms reports only while it holds its lease. A host that
+  // has none may miss that for the same reason.
+  if (!Deps.Sync.holdsLease() && !Holder.empty())
+    LastContactAt = Now;
   if (!Deps.Sync.holdsLease() || IsClaimInFlight)
     return;
   size_t Rank =
--- a/src/dragonflyvane/node/cluster/large_cluster_test.cpp
+++ b/src/dragonflyvane/node/cluster/large_cluster_test.cpp
@@ -62,3 +62,21 @@
     CHECK(Store.calls() - CallsBefore < HostCount * Seconds);
   }
 }
+
+// Guards against a change of the coordinator that nobody needs: the rates of
+// all workspaces are refused until the lease of the previous one has expired.
+TEST_CASE("the coordinator of a large cluster keeps its role through an outage "
+          "of the store") {
+  for (milliseconds Outage :
+       {milliseconds(3000), milliseconds(4500), milliseconds(8000)}) {
+    CAPTURE(Outage.count());
+    large_cluster Cluster(1);
+    fake_store &Store = Cluster.Simulation.fakeStore();
+    row_version RoleVersion = Store.rows().at(coordinatorRow()).Version;
+    Store.setDown(true);
+    Cluster.Simulation.runFor(Outage);
+    Store.setDown(false);
+    Cluster.Simulation.runFor(seconds(8));
+    CHECK(Store.rows().at(coordinatorRow()).Version == RoleVersion);
+  }
+}
