Late results neither delete a newer operator row nor bring back a deleted one

What callers could see: an evacuation that ends too early, or one that was taken back and is in force again, for up to a renewal (2 s), and rows that are passed on to peers with a newer revision than their own.

Cause: a deletion applied whatever its version, and forgot the version of the deleted row. Reads, watches, conflicts and rows of peers take different paths and arrive in any order.

Change: the version of a deletion is kept, and an older change is ignored. A deletion that a conflict shows, which has no version, still applies, but the row comes back only with a newer version than the one that is known.

--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -8,12 +8,15 @@
 bool operator_state::apply(const stored_row &Row) {
   if (Row.Id.Kind != row_kind::Operator)
     return false;
-  row_version &KnownVersion = Versions[Row.Id];
+  known_row &Known = KnownRows[Row.Id];
   bool IsDeleted = !Row.Value;
-  bool IsStale = IsDeleted ? KnownVersion == 0 : Row.Version <= KnownVersion;
-  if (IsStale)
+  // A deletion may come without a version, which is then not known.
+  bool HasVersion = Row.Version > 0 || !IsDeleted;
+  bool IsStale = HasVersion && Row.Version <= Known.Version;
+  if (IsStale || (IsDeleted && !Known.Exists))
     return false;
-  KnownVersion = IsDeleted ? 0 : Row.Version;
+  Known.Version = std::max(Known.Version, Row.Version);
+  Known.Exists = !IsDeleted;
   if (isConfirmed(Row.Id)) {
     NewestVersion = std::max(NewestVersion, Row.Version);
     if (IsDeleted)
@@ -139,7 +142,7 @@
   Batch.Revision = NewestVersion;
   Batch.Era = eraOf(NewestVersion);
   for (const auto &[Id, Value] : Values)
-    Batch.Rows.push_back({Id, Versions.at(Id), Value});
+    Batch.Rows.push_back({Id, KnownRows.at(Id).Version, Value});
   return Batch;
 }
 
@@ -168,8 +171,9 @@
 std::vector<row_condition> operator_state::conditions() const {
   std::vector<row_condition> Conditions;
   for (const row_id &Id : Rows) {
-    auto Known = Versions.find(Id);
-    Conditions.push_back({Id, Known == Versions.end() ? 0 : Known->second});
+    auto Known = KnownRows.find(Id);
+    bool Exists = Known != KnownRows.end() && Known->second.Exists;
+    Conditions.push_back({Id, Exists ? Known->second.Version : 0});
   }
   return Conditions;
 }
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -46,8 +46,9 @@
   std::chrono::milliseconds ConfirmationAge{0};
 };
 
-/// The operator rows that are in force at this daemon. The value of a row is
-/// replaced only by a newer version; a deletion applies whatever its version. A
+/// The operator rows that are in force at this daemon. A row is changed or
+/// deleted only by a newer version, and a deleted row does not come back by an
+/// older one. A deletion without a version applies to any. A
 /// configuration is also never replaced by an earlier one, which the store
 /// shows after it has come back from an older copy.
 class operator_state {
@@ -135,7 +136,14 @@
   /// Whether the store has to confirm the versions of the row.
   bool isConfirmed(const row_id &Id) const;
 
-  std::map<row_id, row_version> Versions;
+  /// What is known of a row in the store.
+  struct known_row {
+    /// The version of the newest known change, also of a deletion.
+    row_version Version = 0;
+    bool Exists = false;
+  };
+
+  std::map<row_id, known_row> KnownRows;
   /// The values of the confirmed rows.
   std::map<row_id, std::string> Values;
   row_version NewestVersion = 0;
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -47,6 +47,26 @@
   CHECK(!State.isEvacuated("east"));
 }
 
+// Guards against results that arrive late, by another path than newer ones: an
+// evacuation would end, or one that was taken back would be in force again.
+TEST_CASE("late results neither delete a newer row nor bring back a deleted "
+          "one") {
+  operator_state State({Config, East}, &decode);
+  CHECK(State.apply({East, 7, "{}"}));
+  CHECK(!State.applyAll({6, {}, {}}));
+  CHECK(State.isEvacuated("east"));
+  CHECK(State.conditions()[1].Version == 7);
+  CHECK(State.apply({East, 9, std::nullopt}));
+  CHECK(!State.apply({East, 8, "{}"}));
+  CHECK(!State.isEvacuated("east"));
+  CHECK(State.conditions()[1].Version == 0);
+  CHECK(State.apply({East, 10, "{}"}));
+  // A conflict tells that the row is missing, but not since when.
+  CHECK(State.apply({East, 0, std::nullopt}));
+  CHECK(!State.apply({East, 10, "{}"}));
+  CHECK(!State.isEvacuated("east"));
+}
+
 // Guards against an order that is lost because its row is not among those whose
 // versions are confirmed, and against one that stays after its withdrawal.
 TEST_CASE("rollout orders are put in force and withdrawn with their rows") {
