A host first asks the peer that has announced a newer version

What callers could see: a change that is late at a host whose watch hangs, while many of its peers are down. The host asked random peers, and gave the announced version up after five that did not know it or did not respond; of 295 hosts with a fifth to half of them down that is not rare.

Reports between daemons name their sender, so the peer that is known to have the version is asked first. operator_exchange_test, 'a host first asks the peer that has announced a newer version', with 100 hosts that are down: failed before.

--- a/src/dragonflyvane/node/cluster/operator_exchange.cpp
+++ b/src/dragonflyvane/node/cluster/operator_exchange.cpp
@@ -4,6 +4,9 @@
 #include "dragonflyvane/net/store_call_codec.hpp"
 #include "dragonflyvane/node/cluster/peer_messages.hpp"
 
+#include <algorithm>
+#include <utility>
+
 namespace dragonflyvane {
 
 namespace {
@@ -24,8 +27,12 @@
     : Deps(std::move(Dependencies)),
       Random(std::hash<std::string>{}(Deps.Host)) {}
 
-void operator_exchange::onPeerVersion(row_version Version) {
-  AnnouncedVersion = std::max(AnnouncedVersion, Version);
+void operator_exchange::onPeerVersion(row_version Version,
+                                      const std::string &Host) {
+  if (Version > AnnouncedVersion) {
+    AnnouncedVersion = Version;
+    Announcer = Host;
+  }
   if (isBehind() && !IsAsking && !IsAskScheduled)
     scheduleAsk(UsualWatchLag);
 }
@@ -38,10 +45,18 @@
   });
 }
 
+std::optional<endpoint> operator_exchange::choosePeer() {
+  std::string Host = std::exchange(Announcer, "");
+  const host_info *Info = isBehind() ? Deps.View.host(Host) : nullptr;
+  if (Info && Host != Deps.Host)
+    return Info->PeerEndpoint;
+  return randomPeer(Deps.View, Deps.Host, Random);
+}
+
 void operator_exchange::update() {
   if (IsAsking || (Deps.IsFollowingStore() && !isBehind()))
     return;
-  std::optional<endpoint> Peer = randomPeer(Deps.View, Deps.Host, Random);
+  std::optional<endpoint> Peer = choosePeer();
   if (!Peer)
     return scheduleAsk(RetryDelay);
   IsAsking = true;
--- a/src/dragonflyvane/node/cluster/operator_exchange.hpp
+++ b/src/dragonflyvane/node/cluster/operator_exchange.hpp
@@ -10,6 +10,7 @@
 #include "dragonflyvane/node/cluster/relayed_store.hpp"
 
 #include <functional>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -39,8 +40,9 @@
 
   /// Called when this host may no longer learn of changes from the store.
   void onStoreLost() { update(); }
-  /// Called when a peer has announced the newest version that it knows.
-  void onPeerVersion(row_version Version);
+  /// Called when a peer has announced the newest version that it knows. The
+  /// first peer that is asked for it is `Announcer`.
+  void onPeerVersion(row_version Version, const std::string &Announcer);
   /// Responds to a peer that asks for newer rows. Returns false if the exchange
   /// is for something else.
   bool serve(const exchange_pointer &Exchange) const;
@@ -51,6 +53,9 @@
   }
   /// Asks a peer if this host may be behind and no peer is being asked.
   void update();
+  /// Returns the peer to ask next: once that which has announced a newer
+  /// version, since others may be down or behind as well; otherwise any.
+  std::optional<endpoint> choosePeer();
   void scheduleAsk(duration Delay);
   void onResult(const call_result &Result);
 
@@ -58,6 +63,8 @@
   /// The newest version that a peer has announced, until peers were asked for
   /// it several times without success.
   row_version AnnouncedVersion = 0;
+  /// The host that has announced it, until that host was asked.
+  std::string Announcer;
   int AsksWithoutNews = 0;
   bool IsAsking = false;
   bool IsAskScheduled = false;
--- a/src/dragonflyvane/node/cluster/operator_exchange_test.cpp
+++ b/src/dragonflyvane/node/cluster/operator_exchange_test.cpp
@@ -98,13 +98,13 @@
   fixture F;
   F.IsFollowing = true;
   F.SecondState.apply({Config, 12, "12"});
-  F.First.onPeerVersion(F.SecondState.newestVersion());
+  F.First.onPeerVersion(F.SecondState.newestVersion(), "b");
   CHECK(F.Asked["b"] == 0);
   F.Loop.runFor(milliseconds(500));
   REQUIRE(F.FirstState.config());
   CHECK(F.FirstState.config()->Version == 12);
   int Before = F.Asked["b"];
-  F.First.onPeerVersion(F.SecondState.newestVersion());
+  F.First.onPeerVersion(F.SecondState.newestVersion(), "b");
   F.Loop.runFor(std::chrono::seconds(2));
   CHECK(F.Asked["b"] == Before);
 }
@@ -114,7 +114,7 @@
 TEST_CASE("a host stops asking for an announced version that no peer has") {
   fixture F;
   F.IsFollowing = true;
-  F.First.onPeerVersion(versionIn(3, 1));
+  F.First.onPeerVersion(versionIn(3, 1), "b");
   F.Loop.runFor(std::chrono::seconds(10));
   int Before = F.Asked["b"];
   CHECK(Before > 0);
@@ -129,8 +129,25 @@
   F.IsFollowing = true;
   F.SecondState.apply({Config, 12, "12"});
   for (int I = 0; I < 50; ++I) {
-    F.First.onPeerVersion(F.SecondState.newestVersion());
+    F.First.onPeerVersion(F.SecondState.newestVersion(), "b");
     F.Loop.runFor(milliseconds(10));
   }
   CHECK(F.FirstState.config());
 }
+
+// Guards against a host that gives up an announced version because the peers
+// that it happens to ask are down.
+TEST_CASE("a host first asks the peer that has announced a newer version") {
+  fixture F;
+  F.IsFollowing = true;
+  for (int I = 0; I < 100; ++I) {
+    host_info Info;
+    Info.PeerEndpoint = {"127.0.0.1", static_cast<uint16_t>(8000 + I)};
+    F.View.apply({hostRow("down" + std::to_string(I)), 1, encodeHost(Info)});
+  }
+  F.SecondState.apply({Config, 12, "12"});
+  F.First.onPeerVersion(F.SecondState.newestVersion(), "b");
+  F.Loop.runFor(milliseconds(500));
+  REQUIRE(F.FirstState.config());
+  CHECK(F.FirstState.config()->Version == 12);
+}
--- a/src/dragonflyvane/node/daemon.cpp
+++ b/src/dragonflyvane/node/daemon.cpp
@@ -252,7 +252,7 @@
     if (auto Report = decodeReport(Exchange->request())) {
       Ownership.onReport(Report->Host, Report->Load);
       Ownership.onClusterVersion(Report->NewestVersion);
-      OperatorExchange.onPeerVersion(Report->OperatorVersion);
+      OperatorExchange.onPeerVersion(Report->OperatorVersion, Report->Host);
       Guard.onReport(*Report, otherServers(Report->Host));
       return Exchange->respond(encodeResponse(makeReportResponse(*Report)));
     }
@@ -349,7 +349,8 @@
       applyReportResponse(*Response);
     }
     Ownership.onClusterVersion(Response->NewestVersion);
-    OperatorExchange.onPeerVersion(Response->OperatorVersion);
+    OperatorExchange.onPeerVersion(Response->OperatorVersion,
+                                   Ownership.view().coordinatorHost().Content);
   }
 
   /// A host without usual times in the response goes on with the last ones.
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -81,10 +81,10 @@
         continue;
       Other.Ownership->onClusterVersion(Host.Ownership->sync().newestVersion());
       Host.Ownership->onClusterVersion(Other.Ownership->sync().newestVersion());
-      Other.OperatorExchange->onPeerVersion(
-          Host.OperatorState->newestVersion());
-      Host.OperatorExchange->onPeerVersion(
-          Other.OperatorState->newestVersion());
+      Other.OperatorExchange->onPeerVersion(Host.OperatorState->newestVersion(),
+                                            Host.Name);
+      Host.OperatorExchange->onPeerVersion(Other.OperatorState->newestVersion(),
+                                           Other.Name);
     }
   }
 }
