--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -33,20 +33,8 @@
 /// Later bytes stay in this process, where small messages go first and the end
 /// of a request is not lost with the connection.
 constexpr int MaxUnsentInKernel = 16 << 10;
-/// Flow-control windows in bytes.
+/// The flow-control window of a stream in bytes.
 constexpr int32_t StreamWindow = 1 << 20;
-constexpr int32_t ConnectionWindow = 16 << 20;
-/// The largest head of a message, with `FieldOverhead` for each field. More
-/// than any head that a daemon takes from a caller or a backend server.
-constexpr size_t MaxHeadBytes = 128 << 10;
-/// What a field takes on the wire of HTTP/1.1 besides its name and value.
-constexpr size_t FieldOverhead = 4;
-/// nghttp2 sends no head that it estimates to be larger. It counts 12 bytes for
-/// each field besides its name and value, three times as many as
-/// `FieldOverhead`.
-constexpr size_t MaxEstimatedHeadBytes = 4 * MaxHeadBytes;
-/// Streams that the peer may have open at once.
-constexpr uint32_t MaxStreams = 4096;
 constexpr std::chrono::milliseconds LivenessCheckPeriod{200};
 /// While a message arrives, the peer is told of received bytes after this many
 /// bytes or this time, well before its PING times out on a slow link.
@@ -68,14 +56,6 @@
 /// much the peer takes at once.
 constexpr size_t MaxBodyBeforeSettings = 4 << 10;
 
-peer_connection &self(void *User) {
-  return *static_cast<peer_connection *>(User);
-}
-
-std::string toString(const uint8_t *Data, size_t Size) {
-  return {reinterpret_cast<const char *>(Data), Size};
-}
-
 } // namespace
 
 peer_connection::peer_connection(socket Socket, peer_role Role,
@@ -85,80 +65,15 @@
     : Socket(std::move(Socket)), LivenessTimer(this->Socket.get_executor()),
       Role(Role), MaxBodyBytes(MaxBodyBytes), BodyMemory(BodyMemory),
       Handler(std::move(Handler)), Options(Options), Silence(Clock.now()) {
-  setUpSession();
+  SessionOwner = makePeerSession(Role, initialWindow(), *this);
+  Session = SessionOwner.get();
 }
 
 peer_connection::~peer_connection() {
   if (Open && Options.Monitor)
     Options.Monitor->remove(*this);
-  nghttp2_session_del(Session);
-}
-
-nghttp2_session_callbacks *peer_connection::makeCallbacks() {
-  nghttp2_session_callbacks *Callbacks = nullptr;
-  nghttp2_session_callbacks_new(&Callbacks);
-  nghttp2_session_callbacks_set_on_begin_headers_callback(
-      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
-        if (Frame->headers.cat == NGHTTP2_HCAT_REQUEST)
-          self(User).openStream(Frame->hd.stream_id);
-        return 0;
-      });
-  nghttp2_session_callbacks_set_on_header_callback(
-      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame,
-                    const uint8_t *Name, size_t NameSize, const uint8_t *Value,
-                    size_t ValueSize, uint8_t, void *User) {
-        self(User).onHeader(Frame->hd.stream_id, toString(Name, NameSize),
-                            toString(Value, ValueSize));
-        return 0;
-      });
-  nghttp2_session_callbacks_set_on_data_chunk_recv_callback(
-      Callbacks, [](nghttp2_session *, uint8_t, int32_t Id, const uint8_t *Data,
-                    size_t Size, void *User) {
-        self(User).onData(Id, Data, Size);
-        return 0;
-      });
-  nghttp2_session_callbacks_set_on_frame_recv_callback(
-      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
-        self(User).onFrameReceived(*Frame);
-        return 0;
-      });
-  nghttp2_session_callbacks_set_on_frame_send_callback(
-      Callbacks, [](nghttp2_session *, const nghttp2_frame *Frame, void *User) {
-        self(User).onFrameSent(*Frame);
-        return 0;
-      });
-  nghttp2_session_callbacks_set_on_stream_close_callback(
-      Callbacks,
-      [](nghttp2_session *, int32_t Id, uint32_t ErrorCode, void *User) {
-        self(User).onStreamClose(Id, ErrorCode);
-        return 0;
-      });
-  return Callbacks;
-}
-
-void peer_connection::setUpSession() {
-  nghttp2_session_callbacks *Callbacks = makeCallbacks();
-  nghttp2_option *Option = nullptr;
-  nghttp2_option_new(&Option);
-  // Turns off nghttp2's checks of messages: both ends are daemons, and the
-  // HTTP/1.1 server has validated the requests of callers.
-  nghttp2_option_set_no_http_messaging(Option, 1);
-  nghttp2_option_set_no_auto_window_update(Option, 1);
-  nghttp2_option_set_max_send_header_block_length(Option,
-                                                  MaxEstimatedHeadBytes);
-  if (Role == peer_role::Client)
-    nghttp2_session_client_new2(&Session, Callbacks, this, Option);
-  else
-    nghttp2_session_server_new2(&Session, Callbacks, this, Option);
-  nghttp2_option_del(Option);
-  nghttp2_session_callbacks_del(Callbacks);
-  const nghttp2_settings_entry Settings[] = {
-      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, MaxStreams},
-      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE,
-       static_cast<uint32_t>(initialWindow())}};
-  nghttp2_submit_settings(Session, NGHTTP2_FLAG_NONE, Settings, 2);
-  nghttp2_session_set_local_window_size(Session, NGHTTP2_FLAG_NONE, 0,
-                                        ConnectionWindow);
+  // While everything still exists that the session refers to.
+  SessionOwner.reset();
 }
 
 int32_t peer_connection::initialWindow() const {
@@ -224,7 +139,7 @@
       log_level::Warning, Message,
       {{"step", "peers"},
        {"role", Role == peer_role::Client ? "client" : "server"},
-       {"peer", dragonflyvane::toString(Peer)},
+       {"peer", toString(Peer)},
        {"reason", Reason},
        {"streams", Streams.size()},
        {"waiting", Waiting},
@@ -618,14 +533,16 @@
                                   uint8_t *Buffer, size_t Length,
                                   uint32_t *Flags, nghttp2_data_source *Source,
                                   void *User) {
+  auto &Connection =
+      static_cast<peer_connection &>(*static_cast<peer_session_events *>(User));
   auto &Body = *static_cast<outgoing_body *>(Source->ptr);
   const std::string &Bytes = Body.Body.text();
-  if (!self(User).HasPeerSettings && Bytes.size() > MaxBodyBeforeSettings)
+  if (!Connection.HasPeerSettings && Bytes.size() > MaxBodyBeforeSettings)
     return NGHTTP2_ERR_DEFERRED;
   size_t Size = std::min(Length, Bytes.size() - Body.Offset);
   if (Body.Transfer) {
     if (Body.SendableBytes == 0) {
-      self(User).awaitPiece(Id, Body);
+      Connection.awaitPiece(Id, Body);
       return NGHTTP2_ERR_DEFERRED;
     }
     Size = std::min(Size, Body.SendableBytes);
@@ -781,8 +698,8 @@
   if (Found == Streams.end() || Found->second.IsRejected)
     return;
   stream &Stream = Found->second;
-  Stream.HeadBytes += Name.size() + Value.size() + FieldOverhead;
-  if (Stream.HeadBytes > MaxHeadBytes || !reserveReceived(Stream, 0))
+  Stream.HeadBytes += Name.size() + Value.size() + PeerFieldOverhead;
+  if (Stream.HeadBytes > MaxPeerHeadBytes || !reserveReceived(Stream, 0))
     return rejectReceived(Id, Stream);
   Stream.BytesRead += Name.size() + Value.size();
   Stream.LastReadAt = Silence.lastReceived();
--- a/src/dragonflyvane/net/peer_connection.hpp
+++ b/src/dragonflyvane/net/peer_connection.hpp
@@ -14,6 +14,7 @@
 #include "dragonflyvane/net/http_exchange.hpp"
 #include "dragonflyvane/net/peer_fields.hpp"
 #include "dragonflyvane/net/peer_options.hpp"
+#include "dragonflyvane/net/peer_session.hpp"
 #include "dragonflyvane/net/peer_stream.hpp"
 #include "dragonflyvane/net/silence_policy.hpp"
 #include "dragonflyvane/net/stoppable_server.hpp"
@@ -33,14 +34,12 @@
 
 namespace dragonflyvane {
 
-/// The role of this process on a connection.
-enum class peer_role { Client, Server };
-
 /// A connection with its streams. While streams are open and nothing is
 /// received, it checks the peer with an HTTP/2 PING. If the peer then shows no
 /// sign of life, `silence_watch` decides whether it is closed or waits for
 /// longer. A client closes it when it takes no more calls and none is open.
 class peer_connection : public monitored_connection,
+                        private peer_session_events,
                         public std::enable_shared_from_this<peer_connection> {
 public:
   using socket = boost::asio::ip::tcp::socket;
@@ -122,9 +121,9 @@
   /// How far the peer knows that it must open no more streams.
   enum class shutdown_notice { None, Submitted, Confirmed };
 
-  void setUpSession();
-  void onFrameReceived(const nghttp2_frame &Frame);
-  void onFrameSent(const nghttp2_frame &Frame);
+  void onRequestBegin(stream_id Id) override { openStream(Id); }
+  void onFrameReceived(const nghttp2_frame &Frame) override;
+  void onFrameSent(const nghttp2_frame &Frame) override;
   void observeRoundTrip();
   void readMore();
   void readAvailable();
@@ -183,7 +182,7 @@
   stream &openStream(stream_id Id);
   void submit(stream_id Id, stream &Stream, const header_list &Pseudo,
               const header_list &Headers);
-  void onHeader(stream_id Id, std::string Name, std::string Value);
+  void onHeader(stream_id Id, std::string Name, std::string Value) override;
   /// Notes how late the head of a message is, if the peer told when it was
   /// sent.
   void noteArrival(stream &Stream);
@@ -191,7 +190,7 @@
   duration transitDelay(const stream &Stream) const;
   /// Reports a message that has arrived completely to the monitor.
   void reportArrival(const stream &Stream);
-  void onData(stream_id Id, const uint8_t *Data, size_t Size);
+  void onData(stream_id Id, const uint8_t *Data, size_t Size) override;
   /// Lets the peer send further bytes of a body, of which some were received.
   void returnCredit(stream_id Id, stream &Stream, size_t Size);
   std::unique_ptr<receive_credit> makeCredit(stream_id Id,
@@ -204,7 +203,7 @@
   void rejectReceived(stream_id Id, stream &Stream);
   void onMessageEnd(stream_id Id);
   void onPingAnswered(const uint8_t *Data);
-  void onStreamClose(stream_id Id, uint32_t ErrorCode);
+  void onStreamClose(stream_id Id, uint32_t ErrorCode) override;
   /// Resets a stream before its message has arrived, and frees its memory.
   void reject(stream_id Id, stream &Stream, uint32_t ErrorCode);
   /// Tells the monitor that the connection closes.
@@ -222,7 +221,6 @@
   static ssize_t readBody(nghttp2_session *, int32_t, uint8_t *Buffer,
                           size_t Length, uint32_t *Flags,
                           nghttp2_data_source *Source, void *);
-  static nghttp2_session_callbacks *makeCallbacks();
 
   socket Socket;
   boost::asio::steady_timer LivenessTimer;
@@ -232,6 +230,7 @@
   memory_budget &BodyMemory;
   http_handler Handler;
   peer_options Options;
+  peer_session SessionOwner;
   nghttp2_session *Session = nullptr;
   endpoint Peer;
   bool Open = true;
--- a/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_coordinator.cpp
@@ -221,10 +221,10 @@
   bool IsFirst = !Deps.Sync.view().map(Service);
   if (IsFirst && !isCandidateCountStable(Service, Candidates))
     return;
-  Deps.Sync.settleMap(Service, Leases);
+  Deps.Sync.maps().settle(Service, Leases);
   time_point Now = Deps.Clock.now();
   bool MayBalance = Now - LastBalance[Service] >= BalancePeriod;
-  Deps.Sync.updateMap(
+  Deps.Sync.maps().update(
       {Service, [this, Placement, MayBalance, Service](ownership_map &Map,
                                                        uint64_t Token) {
          const std::vector<candidate> &Candidates = Placement.Owners;
--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -1,7 +1,6 @@
 #include "dragonflyvane/node/cluster/cluster_sync.hpp"
 
 #include "dragonflyvane/core/cluster/era_row.hpp"
-#include "dragonflyvane/core/cluster/map_recovery.hpp"
 #include "dragonflyvane/core/cluster/store_relays.hpp"
 #include "dragonflyvane/core/error.hpp"
 #include "dragonflyvane/net/log.hpp"
@@ -50,23 +49,9 @@
 constexpr std::chrono::milliseconds MaxRenewalGap{3000};
 /// Maximum jitter of a renewal, as a fraction of the renewal period.
 constexpr double RenewalJitter = 0.15;
-/// An update is dropped when it still conflicts after this many retries; it is
-/// requested again on the next change or tick.
-constexpr int MaxConflictRetries = 5;
-/// Maximum delay of such a retry, for each conflict so far.
-constexpr std::chrono::milliseconds MaxConflictDelay{20};
 /// After a return of the store, operators write their rows again within this
 /// time.
 constexpr std::chrono::milliseconds SettlingTime{2000};
-/// Delay before a host writes a lost map again, for each host with a larger CPU
-/// share, so that few hosts write it.
-constexpr std::chrono::milliseconds MapRestoreDelayPerRank{40};
-constexpr size_t MaxMapRestoreRank = 8;
-/// The delay before a map is written again whose write has failed.
-constexpr std::chrono::milliseconds MapRestoreRetryDelay{250};
-/// Maximum further delay of hosts beyond that rank.
-constexpr std::chrono::milliseconds MapRestoreSpread{600};
-
 bool writesClusterRow(const store_transaction &Transaction) {
   return std::any_of(Transaction.Writes.begin(), Transaction.Writes.end(),
                      [](const row_write &Write) {
@@ -84,7 +69,16 @@
 
 cluster_sync::cluster_sync(dependencies Dependencies)
     : Deps(std::move(Dependencies)), RunId(randomRunId()),
-      Random(std::hash<std::string>{}(Deps.Host)) {}
+      Random(std::hash<std::string>{}(Deps.Host)),
+      Maps({Deps.Host, Deps.Loop, Deps.Clock, View, Eras, Random,
+            [this] { return ClusterSubscription.IsLoaded; },
+            [this] {
+              return row_condition{leaseRow(Deps.Host), LeaseVersion};
+            },
+            [this](const store_transaction &Transaction,
+                   store::transaction_callback OnDone) {
+              transact(Transaction, std::move(OnDone));
+            }}) {}
 
 void cluster_sync::start() { readAll(ClusterSubscription); }
 
@@ -185,67 +179,6 @@
   Lease.onLost();
 }
 
-void cluster_sync::scheduleMapRestore(duration MinDelay) {
-  bool IsNeeded =
-      std::any_of(View.maps().begin(), View.maps().end(),
-                  [this](const auto &M) { return Eras.mustRestore(M.second); });
-  if (!IsNeeded || std::exchange(IsMapRestoreScheduled, true))
-    return;
-  size_t Rank = hostRank(View, Deps.Host);
-  duration Delay =
-      MinDelay + MapRestoreDelayPerRank * std::min(Rank, MaxMapRestoreRank);
-  if (Rank >= MaxMapRestoreRank)
-    Delay += std::chrono::duration_cast<duration>(
-        MapRestoreSpread *
-        std::uniform_real_distribution<double>(0, 1)(Random));
-  MapRestoreTimer = Deps.Loop.after(Delay, [this] {
-    IsMapRestoreScheduled = false;
-    restoreMaps();
-  });
-}
-
-void cluster_sync::restoreMaps() {
-  for (const auto &[Service, Map] : View.maps()) {
-    if (!Eras.mustRestore(Map) || !ClusterSubscription.IsLoaded)
-      continue;
-    writeLog(log_level::Warning,
-             Map.isStoreBehind() ? "writing a map again that the store has lost"
-                                 : "confirming a map in a new era",
-             {{"step", "store"},
-              {"service", Service},
-              {"lineage", Map.Lineage},
-              {"stored", Map.StoredLineage}});
-    writeMap(Service, restoredMap(Map, Eras.current()));
-  }
-}
-
-void cluster_sync::settleMap(const std::string &Service,
-                             const lease_tracker &Leases) {
-  const known_map *Map = View.map(Service);
-  bool IsDue =
-      Map && !Eras.isSettled(*Map) && Eras.isQuarantineOver(Deps.Clock.now());
-  if (IsDue && ClusterSubscription.IsLoaded &&
-      Leases.wasObservedIn(Eras.current()))
-    writeMap(Service, settledMap(*Map, Eras.current(), Leases));
-}
-
-void cluster_sync::writeMap(const std::string &Service,
-                            const ownership_map &Map) {
-  if (!View.isReadable(mapRow(Service)) ||
-      std::exchange(UpdatesInFlight[Service], true))
-    return;
-  store_transaction Transaction;
-  Transaction.Conditions.push_back(
-      {mapRow(Service), View.map(Service)->Version});
-  Transaction.Writes.push_back({mapRow(Service), encodeMap(Map)});
-  transact(Transaction, [this, Service](const transaction_result &Result) {
-    UpdatesInFlight[Service] = false;
-    bool IsAnswered = Result.Outcome == transaction_outcome::Committed ||
-                      Result.Outcome == transaction_outcome::Conflict;
-    scheduleMapRestore(IsAnswered ? duration{0} : MapRestoreRetryDelay);
-  });
-}
-
 // Reads and watches.
 
 void cluster_sync::readAll(subscription &Subscription) {
@@ -286,7 +219,7 @@
     for (const stored_row &Row : Result.Batch.Rows)
       applyRow(Row);
   }
-  scheduleMapRestore();
+  Maps.scheduleRestore();
   Deps.OnChange();
   bool IsStarting = Stage == start_stage::ReadingCluster ||
                     Stage == start_stage::AwaitingRelay;
@@ -412,7 +345,7 @@
     Changed |= applyRow(Row);
   if (!Changed)
     return;
-  scheduleMapRestore();
+  Maps.scheduleRestore();
   Deps.OnChange();
   writeHostRow();
 }
@@ -663,69 +596,4 @@
         View.removeMissingRow(Condition);
 }
 
-void cluster_sync::updateMap(const map_update &Update) {
-  // A map that cannot be read may hold changes that this host does not know.
-  if (UpdatesInFlight[Update.Service] || !ClusterSubscription.IsLoaded ||
-      !View.isReadable(mapRow(Update.Service)))
-    return;
-  tryMapUpdate(Update, 0);
-}
-
-void cluster_sync::tryMapUpdate(const map_update &Update, int Attempt) {
-  const known_map *Current = View.map(Update.Service);
-  bool MayChange = Current ? Eras.isSettled(*Current)
-                           : Eras.isQuarantineOver(Deps.Clock.now());
-  if (!MayChange)
-    return;
-  known_map Map = Current ? *Current : known_map{};
-  if (!Update.Edit(Map.Content, nextTokenIn(Eras.current(), Map)))
-    return;
-  Map.Content.Era = Eras.current();
-  UpdatesInFlight[Update.Service] = true;
-  store_transaction Transaction =
-      Update.ExtraOperations ? Update.ExtraOperations() : store_transaction{};
-  Transaction.Conditions.push_back({mapRow(Update.Service), Map.Version});
-  if (Update.RequiresLease)
-    Transaction.Conditions.push_back({leaseRow(Deps.Host), LeaseVersion});
-  Transaction.Writes.push_back(
-      {mapRow(Update.Service), encodeMap(Map.Content)});
-  transact(Transaction, [this, Update, Attempt,
-                         Transaction](const transaction_result &Result) {
-    UpdatesInFlight[Update.Service] = false;
-    if (Update.OnResult)
-      Update.OnResult(Transaction, Result);
-    if (Result.Outcome == transaction_outcome::Conflict &&
-        Attempt < MaxConflictRetries && isLeaseVersionCurrent(Result))
-      retryMapUpdate(Update, Attempt + 1);
-  });
-}
-
-/// The first conflict may be due to an old view, which the conflict has mended.
-/// After further ones other hosts are writing the map, and a random delay keeps
-/// them apart.
-void cluster_sync::retryMapUpdate(const map_update &Update, int Attempt) {
-  if (Attempt <= 1)
-    return tryMapUpdate(Update, Attempt);
-  UpdatesInFlight[Update.Service] = true;
-  double Fraction = std::uniform_real_distribution<double>(0, 1)(Random);
-  auto Delay = std::chrono::duration_cast<duration>(MaxConflictDelay * Attempt *
-                                                    Fraction);
-  MapRetryTimers[Update.Service] =
-      Deps.Loop.after(Delay, [this, Update, Attempt] {
-        UpdatesInFlight[Update.Service] = false;
-        tryMapUpdate(Update, Attempt);
-      });
-}
-
-/// Whether the lease row still has the known version, as far as the rows of a
-/// conflict show. If not, a renewal is in flight or another run holds the
-/// lease; the next renewal result shows which.
-bool cluster_sync::isLeaseVersionCurrent(
-    const transaction_result &Result) const {
-  return std::none_of(
-      Result.Current.begin(), Result.Current.end(), [&](const stored_row &Row) {
-        return Row.Id == leaseRow(Deps.Host) && Row.Version != LeaseVersion;
-      });
-}
-
 } // namespace dragonflyvane
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -11,10 +11,9 @@
 #include "dragonflyvane/core/ownership/store_clock.hpp"
 #include "dragonflyvane/core/scheduler.hpp"
 #include "dragonflyvane/core/store.hpp"
+#include "dragonflyvane/node/cluster/map_writer.hpp"
 
 #include <functional>
-#include <map>
-#include <memory>
 #include <optional>
 #include <random>
 #include <string>
@@ -22,27 +21,6 @@
 
 namespace dragonflyvane {
 
-/// An update of an ownership map.
-struct map_update {
-  /// Service whose map is updated.
-  std::string Service;
-  /// Modifies a copy of the current map, using the given fencing token for new
-  /// owners, and returns whether there is anything to write. Called again after
-  /// a conflict.
-  std::function<bool(ownership_map &, uint64_t Token)> Edit;
-  /// Adds the condition that the lease row is unchanged since its last renewal
-  /// by this run of the daemon. Without it, a write that the store applies late
-  /// could take effect after the run has ended.
-  bool RequiresLease = false;
-  /// Returns further conditions and writes of the same transaction. Called
-  /// after `Edit`, if set.
-  std::function<store_transaction()> ExtraOperations = {};
-  /// Called with the transaction and each result, before a conflict is retried,
-  /// if set.
-  std::function<void(const store_transaction &, const transaction_result &)>
-      OnResult = {};
-};
-
 /// Reads and writes the rows for one host. Not thread-safe; used on the
 /// scheduler's thread.
 class cluster_sync {
@@ -95,13 +73,8 @@
   /// is written only if there is no row of this host, and no host yet that
   /// relays for its failure domain.
   void publishProvisionalHostInfo(const host_info &Info);
-  /// Starts an update of a map. Drops it while the map is not settled, and
-  /// while another update of the same map is in flight or all cluster rows are
-  /// being read; the caller requests it again on the next change or tick.
-  void updateMap(const map_update &Update);
-  /// Settles the map of a service after a return of the store, if it needs that
-  /// and the quarantine is over; until then it must not be changed.
-  void settleMap(const std::string &Service, const lease_tracker &Leases);
+  /// Returns the writer of the ownership maps.
+  map_writer &maps() { return Maps; }
   /// Sends a transaction. `OnDone` gets the result after the view has been
   /// updated with it.
   void transact(const store_transaction &Transaction,
@@ -167,10 +140,6 @@
   void onReturn(row_version Version);
   /// Treats the lease as lost, so that a renewal claims it anew.
   void dropClaim();
-  /// Writes maps again that the store has lost, after `MinDelay` or later.
-  void scheduleMapRestore(duration MinDelay = duration{0});
-  void restoreMaps();
-  void writeMap(const std::string &Service, const ownership_map &Map);
 
   void readAll(subscription &Subscription);
   void onReadResult(subscription &Subscription, time_point SentAt,
@@ -196,10 +165,7 @@
   /// Removes the rows from the view that a conflict has shown to be missing.
   void removeMissingRows(const store_transaction &Transaction,
                          const transaction_result &Result);
-  void tryMapUpdate(const map_update &Update, int Attempt);
-  void retryMapUpdate(const map_update &Update, int Attempt);
   duration jittered(duration Mean);
-  bool isLeaseVersionCurrent(const transaction_result &Result) const;
   void writeHostRow();
   bool hasRelay() const;
   void recordWatchedVersions(const row_batch &Batch);
@@ -245,12 +211,7 @@
   bool IsRenewalOverdue = false;
   era_tracker Eras;
   timer SettlingTimer;
-  timer MapRestoreTimer;
-  bool IsMapRestoreScheduled = false;
-  /// For each service, whether an update of its map is in flight.
-  std::map<std::string, bool> UpdatesInFlight;
-  /// Delays of updates that conflicted, by service.
-  std::map<std::string, timer> MapRetryTimers;
+  map_writer Maps;
   std::optional<host_info> DesiredHostInfo;
   bool IsHostInfoProvisional = false;
   bool IsHostWriteInFlight = false;
--- a/src/dragonflyvane/node/cluster/host_takeover.cpp
+++ b/src/dragonflyvane/node/cluster/host_takeover.cpp
@@ -72,7 +72,7 @@
     if (!Watch.expired())
       onPartResult(Service, Part, Transaction, Result);
   };
-  Deps.Sync.updateMap(Update);
+  Deps.Sync.maps().update(Update);
 }
 
 std::set<std::string> host_takeover::expiredHosts() const {
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -262,11 +262,11 @@
   Server.updateOwnership(Context);
   if (!Sync.holdsLease() || Server.releasableRanges(Context).empty())
     return;
-  Sync.updateMap({Server.service(),
-                  [this](ownership_map &Map, uint64_t Token) {
-                    return applyReleases(Map, Token);
-                  },
-                  true});
+  Sync.maps().update({Server.service(),
+                      [this](ownership_map &Map, uint64_t Token) {
+                        return applyReleases(Map, Token);
+                      },
+                      true});
 }
 
 /// Transfers all releasable ranges in `Map`. Returns whether there were any.
