--- a/src/dragonflyvane/core/cluster/circuit_breaker.hpp
+++ b/src/dragonflyvane/core/cluster/circuit_breaker.hpp
@@ -30,10 +30,9 @@
   void onSent(time_point Now);
   /// To be called when a call has succeeded.
   void onSuccess(time_point Now);
-  /// To be called when a call has failed that was sent at `SentAt`. Calls that
-  /// were sent before the breaker opened do not count again.
-  /// Neither do those since which the path has had a success, which may have
-  /// been slow or lost alone.
+  /// To be called when a call has failed that was sent at `SentAt`. Does not
+  /// count a call that was sent before the breaker opened, nor one since whose
+  /// sending another has succeeded: it may have been slow or lost alone.
   void onFailure(time_point SentAt, time_point Now);
   /// To be called when the store has refused a call that was sent at `SentAt`.
   /// A store that is overloaded refuses calls on all paths, so only refusals
--- a/src/dragonflyvane/node/cluster/map_writer.cpp
+++ b/src/dragonflyvane/node/cluster/map_writer.cpp
@@ -20,10 +20,10 @@
 /// share, so that few hosts write it.
 constexpr std::chrono::milliseconds MapRestoreDelayPerRank{40};
 constexpr size_t MaxMapRestoreRank = 8;
-/// The delay before a map is written again whose write has failed.
-constexpr std::chrono::milliseconds MapRestoreRetryDelay{250};
 /// Maximum further delay of hosts beyond that rank.
 constexpr std::chrono::milliseconds MapRestoreSpread{600};
+/// The delay before a map is written again whose write has failed.
+constexpr std::chrono::milliseconds MapRestoreRetryDelay{250};
 
 } // namespace
 
