--- a/src/dragonflyvane/node/cluster/large_cluster_test.cpp
+++ b/src/dragonflyvane/node/cluster/large_cluster_test.cpp
@@ -111,8 +111,6 @@
     large_cluster Cluster(1);
     int CallsBefore = Cluster.Simulation.fakeStore().calls();
     int Lost = lostLeasesBesideSlowStore(Cluster, Slowdown);
-    // A store that is slower cannot take the renewals of all hosts in the time
-    // of a lease, with some 45 of them in a transaction.
     if (Slowdown == 25)
       CHECK(Lost == 0);
     CHECK(Cluster.Simulation.leaseCount() == HostCount);
@@ -132,3 +130,14 @@
   CHECK(Cluster.Simulation.leaseCount() == HostCount);
   CHECK(Cluster.Simulation.ownedFractionWithin(seconds(1)) == 1.0);
 }
+
+// Guards against leases that end although the store works, if slowly.
+TEST_CASE("a large cluster keeps all leases beside a store that is 50 or 80 "
+          "times slower" *
+          doctest::may_fail()) {
+  for (int Slowdown : {50, 80}) {
+    CAPTURE(Slowdown);
+    large_cluster Cluster(1);
+    CHECK(lostLeasesBesideSlowStore(Cluster, Slowdown) == 0);
+  }
+}
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -565,13 +565,12 @@
   CHECK(Simulation.ownedFraction() == 1.0);
 }
 
-// Guards against keys that stay without an owner after the loss of more hosts
-// at once than one transaction can take over, the coordinator among them.
-TEST_CASE("the keys of most hosts of a cluster, lost at once, have owners "
-          "again") {
-  constexpr int HostCount = 54;
+namespace {
+
+/// Loses most hosts of a cluster at once, the coordinator among them, and lets
+/// half of them come back while they are taken over or just after.
+void loseMostHosts(ownership_simulation &Simulation, int HostCount) {
   constexpr int Survivors = 4;
-  ownership_simulation Simulation(7, HostCount);
   Simulation.fakeStore().setWriteTime(std::chrono::milliseconds(5));
   Simulation.runFor(StartupTime);
   REQUIRE(Simulation.ownedFraction() == 1.0);
@@ -581,18 +580,37 @@
   Simulation.runFor(std::chrono::seconds(12));
   CHECK(Simulation.ownedFraction() == 1.0);
   CHECK(Simulation.report().DualOwners == 0);
-  // The lost hosts come back while they are taken over or just after.
   for (int I = 0; I < HostCount - Survivors; I += 2)
     Simulation.isolate(I, false);
   Simulation.runFor(std::chrono::seconds(10));
-  // Ranges move to the hosts that are back. A point that is moving has no owner
-  // for a moment.
+}
+
+} // namespace
+
+// Guards against keys that stay without an owner after the loss of more hosts
+// at once than one transaction can take over, the coordinator among them.
+TEST_CASE("the keys of most hosts of a cluster, lost at once, have owners "
+          "again") {
+  constexpr int HostCount = 54;
+  ownership_simulation Simulation(7, HostCount);
+  loseMostHosts(Simulation, HostCount);
   CHECK(Simulation.ownedFractionWithin(std::chrono::seconds(1)) == 1.0);
   CHECK(Simulation.report().DualOwners == 0);
   CHECK(Simulation.report().NonIncreasingTokens == 0);
   CHECK(Simulation.fakeStore().refusedForSize() == 0);
 }
 
+// Guards against keys without an owner even for a moment, once the hosts that
+// came back have been there for 10 s.
+TEST_CASE("the keys of most hosts, lost at once, all have owners 10 s after "
+          "half of the hosts are back" *
+          doctest::may_fail()) {
+  constexpr int HostCount = 54;
+  ownership_simulation Simulation(7, HostCount);
+  loseMostHosts(Simulation, HostCount);
+  CHECK(Simulation.ownedFraction() == 1.0);
+}
+
 // Guards against two owners, and against keys without any, when hosts come back
 // at any moment of a takeover that has several parts.
 TEST_CASE("hosts that come back in the middle of a takeover cause no two "
