A response whose connection breaks off beside an upload is not complete

What callers saw: a backend server answered a long upload with a 200 without a length, sent a part of the body and reset the connection while the upload was still being written. Callers got that part as a complete response.

Cause: the kernel reports a reset once, to the next operation in either direction. While a request is being written that is the write, whose error http_client dropped; the read after it sees an ordinary end of the stream, which completes a response without a length.

Change: the request is written without an asynchronous operation, so that the error of a write is known from its system call on, before any later read. An end of the stream completes a response only if no write has failed, or if writes failed with EPIPE: then the end of the response had arrived before the reset, and with it each of its bytes. So a server that answers early, ends its side and closes with the upload unread is still heard, whichever of both the loop finds first. The connection of a failed write is not used again.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -4,10 +4,10 @@
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/body_memory.hpp"
 #include "dragonflyvane/net/http_wire.hpp"
+#include "dragonflyvane/net/stream_end.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
@@ -75,6 +75,8 @@
     bool Sent = false;
     /// Whether a part of the request is still to be written.
     bool IsWriting = false;
+    /// The error of the first write that failed.
+    boost::system::error_code WriteError;
     bool Closed = false;
     int MismatchedResponses = 0;
     /// Whether a response has arrived on the connection.
@@ -85,9 +87,10 @@
     std::optional<std::chrono::seconds> KeepAliveTimeout;
     /// The time at which `Timer` ends the call.
     time_point Deadline{};
-    /// The request. Changes only while `IsWriting` is false.
+    /// The request, and how much of it the socket has taken.
     std::string OutHead;
     message_body OutBody;
+    size_t WrittenBytes = 0;
     boost::beast::flat_buffer Buffer;
     std::optional<response_parser> Parser;
     /// What the parser has taken of the response, and the size of the interim
@@ -113,6 +116,8 @@
   void onConnected(const connection_pointer &C,
                    const boost::system::error_code &Error);
   void write(const connection_pointer &C);
+  void writeSome(const connection_pointer &C);
+  void awaitWritable(const connection_pointer &C);
   void readMore(const connection_pointer &C);
   void onRead(const connection_pointer &C,
               const boost::system::error_code &Error, size_t Size);
@@ -252,14 +257,36 @@
     return failLater(C, "request may no longer be sent");
   C->Sent = true;
   C->IsWriting = true;
+  C->WrittenBytes = 0;
+  writeSome(C);
+}
+
+/// Writes what the socket takes at once, and the rest when it takes more. An
+/// error does not end the call: the server may have responded before it closed
+/// the connection.
+void http_client::implementation::writeSome(const connection_pointer &C) {
+  size_t HeadBytes = std::min(C->WrittenBytes, C->OutHead.size());
   std::array<boost::asio::const_buffer, 2> Buffers = {
-      boost::asio::buffer(C->OutHead), boost::asio::buffer(C->OutBody.text())};
-  // The pending read reports a failed write as well, and may still deliver a
-  // response that the server sent before it closed the connection.
-  boost::asio::async_write(C->Socket, Buffers, [C](auto, size_t) {
-    C->IsWriting = false;
-    C->OutBody = {};
-  });
+      boost::asio::buffer(C->OutHead) + HeadBytes,
+      boost::asio::buffer(C->OutBody.text()) + (C->WrittenBytes - HeadBytes)};
+  boost::system::error_code Error;
+  C->WrittenBytes += C->Socket.write_some(Buffers, Error);
+  if (Error && Error != boost::asio::error::would_block)
+    C->WriteError = Error;
+  bool IsWhole = C->WrittenBytes == C->OutHead.size() + C->OutBody.size();
+  if (!IsWhole && !C->WriteError)
+    return awaitWritable(C);
+  C->IsWriting = false;
+  C->OutBody = {};
+}
+
+void http_client::implementation::awaitWritable(const connection_pointer &C) {
+  C->Socket.async_wait(tcp::socket::wait_write,
+                       [Weak = weak_from_this(), C](auto) {
+                         auto Self = Weak.lock();
+                         if (Self && !C->Closed)
+                           Self->writeSome(C);
+                       });
 }
 
 void http_client::implementation::failLater(const connection_pointer &C,
@@ -349,7 +376,7 @@
   // Bytes after the response would be taken for the next response. A server
   // that responds before it has read the request would take the next request
   // for the rest of it.
-  if (!KeepAlive || C->Buffer.size() > 0 || C->IsWriting)
+  if (!KeepAlive || C->Buffer.size() > 0 || C->IsWriting || C->WriteError)
     close(*C);
   finish(C, std::move(Result));
 }
@@ -386,16 +413,17 @@
     close(*C);
     return removeIdle(C);
   }
-  // A response without a length ends when its connection closes.
-  if (Error == boost::asio::error::eof && C->Parser->got_some() &&
+  // A response without a length ends when the server ends its stream.
+  if (isOrderlyEnd(Error, C->WriteError) && C->Parser->got_some() &&
       C->Parser->is_header_done()) {
     boost::system::error_code ParseError;
     C->Parser->put_eof(ParseError);
     if (!ParseError && C->Parser->is_done())
       return onResponse(C);
   }
+  const auto &Cause = C->WriteError ? C->WriteError : Error;
   fail(C, C->Sent ? call_outcome::ConnectionLost : call_outcome::NotSent,
-       Error.message());
+       Cause.message());
 }
 
 void http_client::implementation::fail(const connection_pointer &C,
@@ -425,6 +453,7 @@
   C.Socket.close(Ignored);
   C.Timer.cancel();
   // Pending operations keep the connection; the memory is free at once.
+  C.OutBody = {};
   C.Parser.reset();
   C.BodyShare = {};
 }
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -47,6 +47,8 @@
   return true;
 }
 
+void scripted_connection::endSending() const { ::shutdown(Socket, SHUT_WR); }
+
 void scripted_connection::resetOnClose() const {
   linger Reset{1, 0};
   setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
--- a/tests/scripted_server.hpp
+++ b/tests/scripted_server.hpp
@@ -30,6 +30,8 @@
   std::string readRest();
   /// Returns whether all bytes were sent.
   bool send(std::string_view Bytes) const;
+  /// Closes the connection for writing: the client sees an orderly end.
+  void endSending() const;
   /// Lets the connection end with a reset instead of a close.
   void resetOnClose() const;
 
