Test malformed field names and statuses in responses

Reported of other systems: a status of 000, and a field whose name holds a blank or a control byte, reached callers. Here both were lost as they should be; no test said so of field names. The product is unchanged.

--- a/tests/process/broken_response_test.cpp
+++ b/tests/process/broken_response_test.cpp
@@ -46,9 +46,14 @@
 /// The responses, by the part of the path that asks for them.
 const std::map<std::string, broken_response> &brokenResponses() {
   const std::string Ok = "HTTP/1.1 200 OK";
+  const std::string Length = "Content-Length: 4\r\n";
   static const std::map<std::string, broken_response> All = {
       {"reset", {Ok, "", connection_end::Reset}},
       {"closed", {Ok, "", connection_end::ClosedWithUnreadBytes}},
+      {"status", {"HTTP/1.1 000 Odd", Length}},
+      {"blank-in-name", {Ok, Length + "X Odd: 1\r\n"}},
+      {"blank-after-name", {Ok, Length + "X-Odd : 1\r\n"}},
+      {"control-in-name", {Ok, Length + "X\x01Odd: 1\r\n"}},
   };
   return All;
 }
