A response that switches protocols ends the call

What callers could see: a server answers 101 although no request asks for another protocol; the response was skipped as an interim one, and whatever followed on the connection was taken for the response.

Cause: every status below 200 was skipped.

Change: a 101 is no response; the connection is closed and the call ends as lost. The checks of a head that the parser leaves to its user have a module of their own, and run once for each head.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -4,6 +4,7 @@
 #include "dragonflyvane/net/asio_context.hpp"
 #include "dragonflyvane/net/body_memory.hpp"
 #include "dragonflyvane/net/http_wire.hpp"
+#include "dragonflyvane/net/response_head.hpp"
 #include "dragonflyvane/net/stream_end.hpp"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -335,6 +336,7 @@
 
 void http_client::implementation::parse(const connection_pointer &C) {
   while (C->CallId != 0 && C->Buffer.size() > 0 && !C->Closed) {
+    bool HadHead = C->Parser->is_header_done();
     boost::system::error_code Error;
     size_t Consumed = C->Parser->put(C->Buffer.data(), Error);
     C->Buffer.consume(Consumed);
@@ -345,10 +347,12 @@
     if (Error && Error != http::error::need_more)
       return fail(C, call_outcome::ConnectionLost,
                   "invalid response: " + Error.message());
-    int Status = static_cast<int>(C->Parser->get().result_int());
-    if (C->Parser->is_header_done() && !isResponseStatus(Status))
+    std::optional<std::string> Fault;
+    if (!HadHead && C->Parser->is_header_done())
+      Fault = describeFault(C->Parser->get());
+    if (Fault)
       return fail(C, call_outcome::ConnectionLost,
-                  "invalid response: status " + std::to_string(Status));
+                  "invalid response: " + *Fault);
     if (!reserveBody(*C->Parser, C->BodyShare))
       return fail(C, call_outcome::ConnectionLost,
                   "no memory for the body of the response");
--- a/src/dragonflyvane/net/malformed_head_test.cpp
+++ b/src/dragonflyvane/net/malformed_head_test.cpp
@@ -114,3 +114,11 @@
     checkLost({"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 ", Status, " Odd\r\n",
                Length, "\r\nok"});
 }
+
+// Guards against a change of protocol that nobody asked for: what follows is no
+// response in HTTP.
+TEST_CASE("a response that switches protocols ends the call") {
+  checkLost({"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n", Sound});
+  checkLost({"HTTP/1.1 100 Continue\r\n\r\n",
+             "HTTP/1.1 101 Switching Protocols\r\n\r\n", Sound});
+}
