A response in an unknown transfer coding ends the call

What callers could see: a response with `Transfer-Encoding: gzip` (or another coding that the parser does not decode) was passed on with the coded bytes as its body and without the field: a body that is not the server's. Found by a test, not seen with users.

Cause: the parser decodes `chunked` where it comes last, and takes the bytes of other codings for the body; the client did not look at the field.

Change: the field may occur once and only as `chunked`; no request announces that another coding is understood (RFC 9112, 6.1).

--- a/src/dragonflyvane/net/malformed_head_test.cpp
+++ b/src/dragonflyvane/net/malformed_head_test.cpp
@@ -18,11 +18,17 @@
 const std::string Length = "Content-Length: 2\r\n";
 const std::string Sound = StatusLine + Length + "\r\nok";
 
+/// What the server does after its response.
+enum class after_response { KeepsConnection, EndsStream };
+
 /// Sends a request, to which the server responds with `Response`.
-call_result callFor(const std::string &Response) {
+call_result callFor(const std::string &Response,
+                    after_response After = after_response::KeepsConnection) {
   scripted_server Server([&](scripted_connection &Connection) {
     Connection.readRequest();
     Connection.send(Response);
+    if (After == after_response::EndsStream)
+      Connection.endSending();
     Connection.readRest();
   });
   event_loop Loop;
@@ -40,12 +46,13 @@
 }
 
 /// Checks that the response that consists of these parts is none.
-void checkLost(std::initializer_list<std::string_view> Parts) {
+void checkLost(std::initializer_list<std::string_view> Parts,
+               after_response After = after_response::KeepsConnection) {
   std::string Response;
   for (std::string_view Part : Parts)
     Response.append(Part);
   CAPTURE(Response);
-  call_result Result = callFor(Response);
+  call_result Result = callFor(Response, After);
   CHECK(Result.Outcome == call_outcome::ConnectionLost);
   CHECK(Result.Response.Headers.all().empty());
   CHECK(Result.Response.Body.empty());
@@ -122,3 +129,21 @@
   checkLost({"HTTP/1.1 100 Continue\r\n\r\n",
              "HTTP/1.1 101 Switching Protocols\r\n\r\n", Sound});
 }
+
+// Guards against a body that is passed on as the server's, although it is still
+// in a coding that this client does not know.
+TEST_CASE("a response in an unknown transfer coding ends the call") {
+  const std::string Chunk = "\r\n2\r\nok\r\n0\r\n\r\n";
+  for (const char *Coding :
+       {"gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked", "x",
+        "identity", "", "gzip\r\nTransfer-Encoding: chunked",
+        "chunked\r\nTransfer-Encoding: gzip"})
+    checkLost({StatusLine, "Transfer-Encoding: ", Coding, "\r\n", Chunk},
+              after_response::EndsStream);
+  for (const char *Coding : {"chunked", "Chunked"}) {
+    CAPTURE(Coding);
+    std::string Response = StatusLine + "Transfer-Encoding: ";
+    Response.append(Coding).append("\r\n").append(Chunk);
+    CHECK(callFor(Response).Response.Body == "ok");
+  }
+}
--- a/src/dragonflyvane/net/response_head.cpp
+++ b/src/dragonflyvane/net/response_head.cpp
@@ -2,12 +2,26 @@
 
 #include "dragonflyvane/core/http_message.hpp"
 
+#include <boost/beast/core/string.hpp>
+
+#include <iterator>
+
 namespace dragonflyvane {
 
 namespace {
 
 namespace http = boost::beast::http;
 
+/// Whether the body is in no transfer coding, or in the one that the parser
+/// decodes. It takes the bytes of any other coding for the body.
+bool hasKnownCoding(const response_head &Head) {
+  auto [First, End] = Head.equal_range(http::field::transfer_encoding);
+  if (First == End)
+    return true;
+  bool IsOnly = std::next(First) == End;
+  return IsOnly && boost::beast::iequals(First->value(), "chunked");
+}
+
 } // namespace
 
 std::optional<std::string> describeFault(const response_head &Head) {
@@ -17,6 +31,8 @@
   // No request asks for another protocol, in which the rest would be.
   if (Head.result() == http::status::switching_protocols)
     return "switches protocols";
+  if (!hasKnownCoding(Head))
+    return "unknown transfer coding";
   return std::nullopt;
 }
 
