A response with a folded line in its head ends the call

What callers could see: a line of a head that begins with a blank or a tab was passed on as the end of the value before it: `A: b`, then ` X-B: c`, as `A: b X-B: c`. Found by a test; a field whose name begins with a blank, as reported of other systems, looks the same.

Cause: Boost.Beast's parser still takes obsolete line folding.

Change: such a response is rejected, which RFC 9112, 5.2 leaves to gateways besides replacing the fold by blanks. Weighed: to replace it, which cannot be told from passing on a malformed field; no sound server folds lines. The parser does not say where it found a fold, so the bytes of the head are looked through; a test shows that a body that begins with a blank is not affected.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -16,6 +16,7 @@
 #include <array>
 #include <map>
 #include <optional>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -123,6 +124,10 @@
   void onRead(const connection_pointer &C,
               const boost::system::error_code &Error, size_t Size);
   void parse(const connection_pointer &C);
+  /// Lets the parser take bytes of the buffer. Returns why they are no response
+  /// that can be used; nothing if they may be one. `Error` is the parser's.
+  std::optional<std::string> parseSome(connection &C,
+                                       boost::system::error_code &Error);
   void resetParser(connection &C);
   void onResponse(const connection_pointer &C);
   /// Whether the response belongs to the call in progress.
@@ -336,26 +341,10 @@
 
 void http_client::implementation::parse(const connection_pointer &C) {
   while (C->CallId != 0 && C->Buffer.size() > 0 && !C->Closed) {
-    bool HadHead = C->Parser->is_header_done();
     boost::system::error_code Error;
-    size_t Consumed = C->Parser->put(C->Buffer.data(), Error);
-    C->Buffer.consume(Consumed);
-    C->ParsedBytes += Consumed;
-    if (Error == http::error::need_more && C->Buffer.size() > MaxUnparsedBytes)
-      return fail(C, call_outcome::ConnectionLost,
-                  "a line of the response is too long");
-    if (Error && Error != http::error::need_more)
-      return fail(C, call_outcome::ConnectionLost,
-                  "invalid response: " + Error.message());
-    std::optional<std::string> Fault;
-    if (!HadHead && C->Parser->is_header_done())
-      Fault = describeFault(C->Parser->get());
+    auto Fault = parseSome(*C, Error);
     if (Fault)
-      return fail(C, call_outcome::ConnectionLost,
-                  "invalid response: " + *Fault);
-    if (!reserveBody(*C->Parser, C->BodyShare))
-      return fail(C, call_outcome::ConnectionLost,
-                  "no memory for the body of the response");
+      return fail(C, call_outcome::ConnectionLost, *Fault);
     if (C->Parser->is_done())
       onResponse(C);
     else if (Error == http::error::need_more)
@@ -363,6 +352,29 @@
   }
 }
 
+std::optional<std::string>
+http_client::implementation::parseSome(connection &C,
+                                       boost::system::error_code &Error) {
+  bool HadHead = C.Parser->is_header_done();
+  boost::asio::const_buffer Bytes = C.Buffer.data();
+  size_t Consumed = C.Parser->put(Bytes, Error);
+  C.Buffer.consume(Consumed);
+  C.ParsedBytes += Consumed;
+  if (Error == http::error::need_more && C.Buffer.size() > MaxUnparsedBytes)
+    return "a line of the response is too long";
+  if (Error && Error != http::error::need_more)
+    return "invalid response: " + Error.message();
+  if (!HadHead && C.Parser->is_header_done()) {
+    std::string_view Head(static_cast<const char *>(Bytes.data()), Consumed);
+    auto Fault = describeFault(C.Parser->get(), Head);
+    if (Fault)
+      return "invalid response: " + *Fault;
+  }
+  if (!reserveBody(*C.Parser, C.BodyShare))
+    return "no memory for the body of the response";
+  return std::nullopt;
+}
+
 void http_client::implementation::onResponse(const connection_pointer &C) {
   auto &Message = C->Parser->get();
   call_result Result;
--- a/src/dragonflyvane/net/malformed_head_test.cpp
+++ b/src/dragonflyvane/net/malformed_head_test.cpp
@@ -147,3 +147,15 @@
     CHECK(callFor(Response).Response.Body == "ok");
   }
 }
+
+// Guards against a line that is passed on as a part of the value before it. It
+// may as well be a field whose name begins with a blank.
+TEST_CASE("a line of a head that begins with a blank ends the call") {
+  for (const char *Blank : {" ", "\t", "  \t"}) {
+    checkLost({StatusLine, Length, "A: b\r\n", Blank, "X-B: c\r\n\r\nok"});
+    checkLost({StatusLine, Length, "A:\r\n", Blank, "c\r\n\r\nok"});
+    checkLost({"HTTP/1.1 103 Early Hints\r\nA: b\r\n", Blank, "X-B: c\r\n\r\n",
+               Sound});
+  }
+  CHECK(callFor(StatusLine + Length + "\r\n o").Response.Body == " o");
+}
--- a/src/dragonflyvane/net/response_head.hpp
+++ b/src/dragonflyvane/net/response_head.hpp
@@ -9,6 +9,7 @@
 
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace dragonflyvane {
 
@@ -16,7 +17,9 @@
 using response_head = boost::beast::http::response_header<>;
 
 /// Returns why a response with this head cannot be used; nothing if it can.
-std::optional<std::string> describeFault(const response_head &Head);
+/// `Bytes` are those from which the head was read.
+std::optional<std::string> describeFault(const response_head &Head,
+                                         std::string_view Bytes);
 
 } // namespace dragonflyvane
 
