Fields of a trailer are no header fields of a response

What callers could see: fields that a server sends after a body in chunks were passed on among the header fields, folded lines too, and could say whose response it is or that the request was not run.

Cause: Boost.Beast adds the fields of a trailer to those of the head.

--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -95,6 +95,9 @@
     size_t WrittenBytes = 0;
     boost::beast::flat_buffer Buffer;
     std::optional<response_parser> Parser;
+    /// The fields of the response's head. The parser adds those of a trailer to
+    /// its own.
+    header_list Headers;
     /// What the parser has taken of the response, and the size of the interim
     /// responses before it.
     size_t ParsedBytes = 0;
@@ -335,6 +338,7 @@
   C.Parser->header_limit(MaxHeaderBytes);
   C.Parser->body_limit(MaxBodyBytes);
   C.Parser->skip(C.IsHeadRequest);
+  C.Headers = {};
   C.ParsedBytes = 0;
   C.BodyShare = memory_share(Loop.bodyMemory());
 }
@@ -369,6 +373,7 @@
     auto Fault = describeFault(C.Parser->get(), Head);
     if (Fault)
       return "invalid response: " + *Fault;
+    C.Headers = toHeaders(C.Parser->get());
   }
   if (!reserveBody(*C.Parser, C.BodyShare))
     return "no memory for the body of the response";
@@ -380,7 +385,7 @@
   call_result Result;
   Result.Outcome = call_outcome::Completed;
   Result.Response.Status = static_cast<int>(Message.result_int());
-  Result.Response.Headers = toHeaders(Message);
+  Result.Response.Headers = std::move(C->Headers);
   Result.Response.Body = {std::move(Message.body()), std::move(C->BodyShare)};
   bool KeepAlive = Message.keep_alive();
   if (Result.Response.Status < 200)
@@ -471,6 +476,7 @@
   // Pending operations keep the connection; the memory is free at once.
   C.OutBody = {};
   C.Parser.reset();
+  C.Headers = {};
   C.BodyShare = {};
 }
 
--- a/src/dragonflyvane/net/malformed_head_test.cpp
+++ b/src/dragonflyvane/net/malformed_head_test.cpp
@@ -159,3 +159,21 @@
   }
   CHECK(callFor(StatusLine + Length + "\r\n o").Response.Body == " o");
 }
+
+// Guards against a field after the body that is taken for one of the head, such
+// as one that says whose response it is, or that the request was not run.
+TEST_CASE("fields of a trailer are no header fields") {
+  for (const char *Trailer : {"X-Late: 1\r\n", "A: b\r\n X-Late: 1\r\n"}) {
+    CAPTURE(Trailer);
+    std::string Response = StatusLine;
+    Response.append("Transfer-Encoding: chunked\r\nX-Early: 1\r\n")
+        .append("\r\n2\r\nok\r\n0\r\n")
+        .append(Trailer)
+        .append("\r\n");
+    call_result Result = callFor(Response);
+    CHECK(Result.Outcome == call_outcome::Completed);
+    CHECK(Result.Response.Body == "ok");
+    CHECK(Result.Response.Headers.find("X-Early") == "1");
+    CHECK(Result.Response.Headers.all().size() == 2);
+  }
+}
