A malformed field of a peer's message ends the stream

What callers could see: a field whose name holds a blank or a control byte, or whose value holds the end of a line, was passed on when a peer sent it, and written to the caller in HTTP/1.1, where it may begin another line.

Cause: nghttp2's checks of messages are turned off between daemons, and with them those of names and values.

Change: each field is checked by nghttp2's own functions; a message with a malformed one is reset, so that a call ends as lost and a request is not served.

--- a/src/dragonflyvane/net/peer_connection.cpp
+++ b/src/dragonflyvane/net/peer_connection.cpp
@@ -698,6 +698,8 @@
   if (Found == Streams.end() || Found->second.IsRejected)
     return;
   stream &Stream = Found->second;
+  if (!isWellFormed(Name, Value))
+    return reject(Id, Stream, NGHTTP2_PROTOCOL_ERROR);
   Stream.HeadBytes += Name.size() + Value.size() + PeerFieldOverhead;
   if (Stream.HeadBytes > MaxPeerHeadBytes || !reserveReceived(Stream, 0))
     return rejectReceived(Id, Stream);
--- a/src/dragonflyvane/net/peer_fields.cpp
+++ b/src/dragonflyvane/net/peer_fields.cpp
@@ -112,6 +112,14 @@
   return Pairs;
 }
 
+bool isWellFormed(const std::string &Name, const std::string &Value) {
+  auto Bytes = [](const std::string &Text) {
+    return reinterpret_cast<const uint8_t *>(Text.data());
+  };
+  return nghttp2_check_header_name(Bytes(Name), Name.size()) != 0 &&
+         nghttp2_check_header_value(Bytes(Value), Value.size()) != 0;
+}
+
 bool readFact(const std::string &Name, const std::string &Value,
               message_facts &Facts) {
   if (Name == SentAtField) {
--- a/src/dragonflyvane/net/peer_fields.hpp
+++ b/src/dragonflyvane/net/peer_fields.hpp
@@ -38,6 +38,9 @@
 header_list makeResponseFields(const http_response &Response, time_point Now);
 /// Returns the fields as nghttp2 takes them. `Fields` must outlive the result.
 std::vector<nghttp2_nv> toNameValuePairs(header_list &Fields);
+/// Whether the name and the value are those of a field in HTTP/2 (RFC 9113,
+/// 8.2.1). In HTTP/1.1, others could end a line or a head.
+bool isWellFormed(const std::string &Name, const std::string &Value);
 /// Reads a field that only connections see. Returns false, and changes nothing,
 /// if it is another one. Values that cannot be read are ignored.
 bool readFact(const std::string &Name, const std::string &Value,
--- a/src/dragonflyvane/net/peer_head_limit_test.cpp
+++ b/src/dragonflyvane/net/peer_head_limit_test.cpp
@@ -1,4 +1,4 @@
-// Heads of messages between daemons that exceed what a sound peer sends.
+// Heads of messages between daemons that no sound peer sends.
 #include "dragonflyvane/net/peer_transport.hpp"
 #include "http2_frames.hpp"
 #include "raw_connection.hpp"
@@ -28,6 +28,17 @@
   return Result;
 }
 
+/// A peer that responds with this encoded head, and with no body.
+scripted_server::script respondWithHead(const std::string &Head) {
+  return [Head](scripted_connection &Connection) {
+    Connection.send(encodeFrame(frame_type::Settings, 0, 0, ""));
+    Connection.readRequest();
+    Connection.send(encodeFrame(frame_type::Headers,
+                                EndHeadersFlag | EndStreamFlag, 1, Head));
+    Connection.readRest();
+  };
+}
+
 } // namespace
 
 // Guards against a response whose small encoded head takes the memory of the
@@ -77,3 +88,38 @@
   CHECK(Result.Outcome == call_outcome::Completed);
   CHECK(Result.Response.Headers.all().size() == 10'000);
 }
+
+// Guards against a field that is passed on although its name is none, or its
+// value would begin another line.
+TEST_CASE("a call to a peer ends when a field of its response is malformed") {
+  struct field {
+    std::string Name;
+    std::string Value;
+    bool IsWellFormed = false;
+  };
+  const field Fields[] = {
+      {"x odd", "1"},
+      {" x-odd", "1"},
+      {"x-odd\t", "1"},
+      {"x\x01odd", "1"},
+      {"x\rodd", "1"},
+      {"x-odd:", "1"},
+      {"", "1"},
+      {"x-odd", "1\r\nx-further: 2"},
+      {"x-odd", "1\x01"},
+      {"x-dragonflyvane-body-bytes ", "1"},
+      {"x-odd", "1", true},
+      {"x!#$%&'*+-.^_`|~9", "\t \xe4", true},
+  };
+  for (const field &Field : Fields) {
+    CAPTURE(Field.Name);
+    CAPTURE(Field.Value);
+    scripted_server Server(
+        respondWithHead(EncodedOk + encodedField(Field.Name, Field.Value)));
+    call_result Result = callPeer(Server.port(), {});
+    CHECK(Result.Outcome == (Field.IsWellFormed
+                                 ? call_outcome::Completed
+                                 : call_outcome::ConnectionLost));
+    CHECK(Result.Response.Headers.all().size() == (Field.IsWellFormed ? 1 : 0));
+  }
+}
--- a/src/dragonflyvane/net/peer_session.cpp
+++ b/src/dragonflyvane/net/peer_session.cpp
@@ -75,8 +75,8 @@
 nghttp2_option *makeOptions() {
   nghttp2_option *Option = nullptr;
   nghttp2_option_new(&Option);
-  // Turns off nghttp2's checks of messages: both ends are daemons, and the
-  // HTTP/1.1 server has validated the requests of callers.
+  // Turns off nghttp2's checks of messages: both ends are daemons. Names and
+  // values of fields are checked one by one.
   nghttp2_option_set_no_http_messaging(Option, 1);
   nghttp2_option_set_no_auto_window_update(Option, 1);
   nghttp2_option_set_max_send_header_block_length(Option,
--- a/tests/http2_frames.cpp
+++ b/tests/http2_frames.cpp
@@ -28,6 +28,13 @@
   return Start + std::string(100, '#');
 }
 
+std::string encodedField(const std::string &Name, const std::string &Value) {
+  std::string Field = {0, static_cast<char>(Name.size())};
+  Field += Name;
+  Field += static_cast<char>(Value.size());
+  return Field + Value;
+}
+
 std::string repeat(const std::string &Text, size_t Size) {
   std::string All;
   while (All.size() < Size)
--- a/tests/http2_frames.hpp
+++ b/tests/http2_frames.hpp
@@ -37,6 +37,9 @@
 std::string encodedEntry();
 /// Returns a field of 101 bytes that does not enter the dynamic table.
 std::string encodedField();
+/// Returns a field that does not enter the dynamic table. `Name` and `Value`
+/// must be shorter than 127 bytes.
+std::string encodedField(const std::string &Name, const std::string &Value);
 
 /// Returns the text as often as it takes to have at least this size.
 std::string repeat(const std::string &Text, size_t Size);
