--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -11,6 +12,17 @@
 namespace {
 
 constexpr std::string_view EndOfHead = "\r\n\r\n";
+constexpr int SmallSegment = 1'400;
+constexpr int SmallReceiveBuffer = 16 << 10;
+
+/// Accepted connections inherit this. The client's send buffer follows the size
+/// of the segments.
+void makeSmall(int Listener) {
+  ::setsockopt(Listener, IPPROTO_TCP, TCP_MAXSEG, &SmallSegment,
+               sizeof(SmallSegment));
+  ::setsockopt(Listener, SOL_SOCKET, SO_RCVBUF, &SmallReceiveBuffer,
+               sizeof(SmallReceiveBuffer));
+}
 
 } // namespace
 
@@ -54,20 +66,23 @@
   setsockopt(Socket, SOL_SOCKET, SO_LINGER, &Reset, sizeof(Reset));
 }
 
-scripted_server::scripted_server(script Script, const endpoint &Listen)
+scripted_server::scripted_server(script Script, const endpoint &Listen,
+                                 connection_size Size)
     : Script(std::move(Script)),
       Listener(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
   int One = 1;
   ::setsockopt(Listener, SOL_SOCKET, SO_REUSEADDR, &One, sizeof(One));
+  if (Size == connection_size::Small)
+    makeSmall(Listener);
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_port = htons(Listen.Port);
   ::inet_pton(AF_INET, Listen.Address.c_str(), &Address.sin_addr);
-  socklen_t Size = sizeof(Address);
+  socklen_t AddressSize = sizeof(Address);
   auto *Name = reinterpret_cast<sockaddr *>(&Address);
-  if (::bind(Listener, Name, Size) != 0 || ::listen(Listener, 16) != 0)
+  if (::bind(Listener, Name, AddressSize) != 0 || ::listen(Listener, 16) != 0)
     throw std::runtime_error("cannot listen on " + toString(Listen));
-  ::getsockname(Listener, Name, &Size);
+  ::getsockname(Listener, Name, &AddressSize);
   Port = ntohs(Address.sin_port);
   Acceptor = std::thread([this] { accept(); });
 }
--- a/tests/scripted_server.hpp
+++ b/tests/scripted_server.hpp
@@ -41,6 +41,14 @@
   std::string Buffer;
 };
 
+/// How much of what a client sends its connection holds while it is not read.
+enum class connection_size {
+  /// Some megabytes on loopback.
+  Default,
+  /// Some tens of kilobytes, as on a network with small segments.
+  Small,
+};
+
 /// Accepts connections, by default on a free port of 127.0.0.1, and runs a
 /// script for each, on a thread of its own.
 class scripted_server {
@@ -48,7 +56,8 @@
   using script = std::function<void(scripted_connection &)>;
 
   explicit scripted_server(script Script,
-                           const endpoint &Listen = {"127.0.0.1", 0});
+                           const endpoint &Listen = {"127.0.0.1", 0},
+                           connection_size Size = connection_size::Default);
   /// Waits until all scripts have returned; the clients must have closed their
   /// connections.
   ~scripted_server();
