Readers in tests take no reset for an ordinary end

Three readers of the tests had the fault that the http_client had, and so could hide it: the slow link passed a reset on as an ordinary end when its write to the server had got the error, raw_connection dropped the error of a send, and soak_caller took every end of a connection, also a reset or its deadline, for the end of a response without a length.

The link asks as the http_client does; raw_connection remembers a reset that a send has met; soak_caller takes no response without a length for whole, which daemons never send. Looked at and sound: response_reader, upload_callers and caller_connection (an end never completes a response), the load program and steady_callers (by the http_client).

--- a/tests/process/slow_link_test.cpp
+++ b/tests/process/slow_link_test.cpp
@@ -133,6 +133,26 @@
   CHECK(timeSince(Start) >= milliseconds(40));
 }
 
+// Guards against the same when the link or the caller learns of the reset by
+// what it writes, since bytes are still on their way to the server.
+TEST_CASE("a slow link passes on a reset beside an upload") {
+  constexpr int Rounds = 10;
+  for (int Round = 0; Round < Rounds; ++Round) {
+    CAPTURE(Round);
+    scripted_server Server([](scripted_connection &Connection) {
+      Connection.readRequest();
+      Connection.send("part");
+      std::this_thread::sleep_for(milliseconds(20));
+      Connection.resetOnClose();
+    });
+    slow_link Link(endpointOf(Server), {}, {});
+    raw_connection Caller(Link.localEndpoint().Port);
+    Caller.send("POST / HTTP/1.1\r\n\r\n" + std::string(16 << 20, 'x'));
+    CHECK(Caller.readAll() == "part");
+    CHECK(Caller.wasReset());
+  }
+}
+
 // Guards against a link that keeps a connection open which its target refused.
 TEST_CASE("a slow link resets a connection that its target refuses") {
   slow_link Link({"127.0.0.1", freePort()}, {milliseconds(200)}, {});
--- a/tests/process/soak_caller.cpp
+++ b/tests/process/soak_caller.cpp
@@ -113,6 +113,8 @@
 }
 
 /// Keeps the connection only after a whole request and a whole response.
+/// Daemons state the length of each response, so that none ends with its
+/// connection.
 void soak_caller::readAnswer(const soak_request &Request, time_point Deadline,
                              soak_call &Call) {
   response_parser Parser;
@@ -122,11 +124,8 @@
   std::string Bytes;
   while (!Parser.is_done() && !Error) {
     std::string More = Connection->receive(Request.ReadBytes, Deadline);
-    if (More.empty()) {
-      if (Parser.got_some())
-        Parser.put_eof(Error);
+    if (More.empty())
       break;
-    }
     Bytes += More;
     Bytes.erase(0, Parser.put(boost::asio::buffer(Bytes), Error));
     if (Error == http::error::need_more)
--- a/tests/raw_connection.cpp
+++ b/tests/raw_connection.cpp
@@ -55,9 +55,10 @@
   return ntohs(Address.sin_port);
 }
 
-void raw_connection::send(std::string_view Bytes) const {
+void raw_connection::send(std::string_view Bytes) {
   while (!Bytes.empty()) {
     ssize_t Sent = ::send(Socket, Bytes.data(), Bytes.size(), MSG_NOSIGNAL);
+    Reset = Reset || (Sent < 0 && errno == ECONNRESET);
     if (Sent <= 0)
       return;
     Bytes.remove_prefix(static_cast<size_t>(Sent));
@@ -87,7 +88,7 @@
 std::string raw_connection::readSome() {
   char Buffer[4096];
   ssize_t Size = ::recv(Socket, Buffer, sizeof(Buffer), 0);
-  Reset = Size < 0 && errno == ECONNRESET;
+  Reset = Reset || (Size < 0 && errno == ECONNRESET);
   return {Buffer, static_cast<size_t>(std::max<ssize_t>(Size, 0))};
 }
 
--- a/tests/raw_connection.hpp
+++ b/tests/raw_connection.hpp
@@ -26,7 +26,7 @@
 
   /// Sends all bytes, unless the other side closes the connection or sending
   /// fails.
-  void send(std::string_view Bytes) const;
+  void send(std::string_view Bytes);
   /// Returns whether bytes or the end of the connection arrive in time.
   bool awaitInput(std::chrono::milliseconds Timeout) const;
   /// Waits for bytes; empty if the other side closes the connection or sends
@@ -40,7 +40,8 @@
   std::string readUntil(std::string_view End);
   /// Closes the connection for writing.
   void endSending() const;
-  /// Whether reading ended with a reset.
+  /// Whether sending or reading ended with a reset. The kernel reports it once,
+  /// so that reading after a send that failed so sees an ordinary end.
   bool wasReset() const { return Reset; }
   uint16_t localPort() const;
   void close();
--- a/tests/slow_link.cpp
+++ b/tests/slow_link.cpp
@@ -1,12 +1,13 @@
 #include "slow_link.hpp"
 
+#include "dragonflyvane/net/stream_end.hpp"
+
 #include <utility> // Must precede the headers of Boost.Asio 1.74.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/asio/write.hpp>
 
 #include <algorithm>
 #include <array>
@@ -25,7 +26,6 @@
 using tcp = boost::asio::ip::tcp;
 using boost::system::error_code;
 using std::chrono::steady_clock;
-using socket_pointer = std::shared_ptr<tcp::socket>;
 
 /// Bytes arrive in segments of at most this size, as on a real link.
 constexpr size_t SegmentSize = 1460;
@@ -39,6 +39,17 @@
   steady_clock::time_point ArrivesAt;
 };
 
+/// A socket whose bytes one direction reads, and to which the other one writes.
+struct link_socket {
+  explicit link_socket(tcp::socket Socket) : Socket(std::move(Socket)) {}
+
+  tcp::socket Socket;
+  /// The error of the first write that failed.
+  error_code WriteError;
+};
+
+using socket_pointer = std::shared_ptr<link_socket>;
+
 /// Processes that a test starts must not hold the connections open.
 void closeOnExec(int Socket) { fcntl(Socket, F_SETFD, FD_CLOEXEC); }
 
@@ -81,10 +92,10 @@
 public:
   one_way(socket_pointer From, socket_pointer To, queue_pointer Queue)
       : From(std::move(From)), To(std::move(To)), Queue(std::move(Queue)),
-        Timer(this->From->get_executor()) {}
+        Timer(this->From->Socket.get_executor()) {}
 
   void read() {
-    From->async_read_some(
+    From->Socket.async_read_some(
         boost::asio::buffer(Buffer),
         [Self = shared_from_this()](const error_code &Error, size_t Size) {
           Self->onRead(Error, Size);
@@ -95,7 +106,7 @@
   void onRead(const error_code &Error, size_t Size) {
     if (Error == boost::asio::error::operation_aborted)
       return;
-    if (Error == boost::asio::error::eof)
+    if (isOrderlyEnd(Error, From->WriteError))
       return send(segment_kind::End, "");
     if (Error)
       return send(segment_kind::Reset, "");
@@ -122,23 +133,33 @@
     case segment_kind::Bytes:
       return write();
     case segment_kind::End:
-      To->shutdown(tcp::socket::shutdown_send, Ignored);
+      To->Socket.shutdown(tcp::socket::shutdown_send, Ignored);
       return;
     case segment_kind::Reset:
-      return reset(*To);
+      return reset(To->Socket);
     }
   }
 
   /// A failed write means that the receiver is gone. The other direction passes
   /// that on, so the bytes are dropped here.
   void write() {
-    boost::asio::async_write(
-        *To, boost::asio::buffer(Segments.front().Bytes),
-        [Self = shared_from_this()](const error_code &, size_t) {
-          Self->Segments.pop_front();
-          if (!Self->Segments.empty())
-            Self->awaitArrival();
-        });
+    std::string &Bytes = Segments.front().Bytes;
+    error_code Error;
+    Bytes.erase(0, To->Socket.write_some(boost::asio::buffer(Bytes), Error));
+    bool HasFailed = Error && Error != boost::asio::error::would_block;
+    if (HasFailed && !To->WriteError)
+      To->WriteError = Error;
+    if (!Bytes.empty() && !HasFailed)
+      return awaitWritable();
+    Segments.pop_front();
+    if (!Segments.empty())
+      awaitArrival();
+  }
+
+  void awaitWritable() {
+    To->Socket.async_wait(
+        tcp::socket::wait_write,
+        [Self = shared_from_this()](const error_code &) { Self->write(); });
   }
 
   socket_pointer From;
@@ -201,22 +222,23 @@
     Entry->Acceptor.async_accept(
         [this, Entry](const error_code &Error, tcp::socket Socket) {
           if (!Error)
-            connect(std::make_shared<tcp::socket>(std::move(Socket)),
+            connect(std::make_shared<link_socket>(std::move(Socket)),
                     Entry->Target);
           accept(Entry);
         });
   }
 
   void connect(const socket_pointer &Caller, const tcp::endpoint &Target) {
-    auto Server = std::make_shared<tcp::socket>(Io, Target.protocol());
-    closeOnExec(Caller->native_handle());
-    closeOnExec(Server->native_handle());
-    Server->async_connect(Target,
-                          [this, Caller, Server](const error_code &Error) {
-                            if (Error)
-                              return refuse(*Caller);
-                            carry(Caller, Server);
-                          });
+    auto Server =
+        std::make_shared<link_socket>(tcp::socket(Io, Target.protocol()));
+    closeOnExec(Caller->Socket.native_handle());
+    closeOnExec(Server->Socket.native_handle());
+    Server->Socket.async_connect(
+        Target, [this, Caller, Server](const error_code &Error) {
+          if (Error)
+            return refuse(Caller->Socket);
+          carry(Caller, Server);
+        });
   }
 
   void refuse(tcp::socket &Caller) {
@@ -231,9 +253,11 @@
 
   void carry(const socket_pointer &Caller, const socket_pointer &Server) {
     ++ConnectionCount;
-    error_code Ignored;
-    Caller->set_option(tcp::no_delay(true), Ignored);
-    Server->set_option(tcp::no_delay(true), Ignored);
+    for (const socket_pointer &Side : {Caller, Server}) {
+      error_code Ignored;
+      Side->Socket.set_option(tcp::no_delay(true), Ignored);
+      Side->Socket.non_blocking(true, Ignored);
+    }
     bool IsShared = Sharing == link_sharing::AllConnections;
     auto To = IsShared ? ToTargets : std::make_shared<link_queue>(ToTarget);
     auto From =
