A request in an unknown transfer coding is refused

What callers saw: a request with `Transfer-Encoding: gzip` or `chunked, gzip` was served with an empty body, and the bytes of its body were read as the next request; one with `gzip, chunked` was served with the coded bytes as its body. The server behind got another body than the caller sent.

--- a/src/dragonflyvane/net/http_server_connection.cpp
+++ b/src/dragonflyvane/net/http_server_connection.cpp
@@ -279,6 +279,9 @@
     BytesRead += Consumed;
     if (Error && Error != http::error::need_more)
       return reject(statusForParseError(Error));
+    if (!HadHeader && Parser->is_header_done() &&
+        !hasKnownCoding(Parser->get()))
+      return reject(400);
     if (!reserveBody(*Parser, BodyShare))
       return reject(503);
     if (HadHeader)
--- a/src/dragonflyvane/net/http_server_test.cpp
+++ b/src/dragonflyvane/net/http_server_test.cpp
@@ -184,6 +184,21 @@
   CHECK(contains(Server.exchange("nonsense\r\n\r\n"), "HTTP/1.1 400"));
 }
 
+// Guards against a request that is served without its body or with another one,
+// and against bytes of the body that are taken for the next request.
+TEST_CASE("a request in an unknown transfer coding is refused") {
+  echo_server Server;
+  for (const char *Coding : {"gzip", "gzip, chunked", "chunked, gzip"}) {
+    CAPTURE(Coding);
+    std::string Request = "POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: ";
+    Request.append(Coding).append("\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    Request.append("GET /inside HTTP/1.1\r\nHost: x\r\n\r\n");
+    std::string Response = Server.exchange(Request);
+    CHECK(contains(Response, "HTTP/1.1 400"));
+    CHECK(count(Response, "HTTP/1.1 ") == 1);
+  }
+}
+
 TEST_CASE("a response with Connection: close closes its connection") {
   echo_server Server({}, [](const exchange_pointer &Exchange) {
     http_response Response;
--- a/src/dragonflyvane/net/http_wire.cpp
+++ b/src/dragonflyvane/net/http_wire.cpp
@@ -1,10 +1,12 @@
 #include "dragonflyvane/net/http_wire.hpp"
 
+#include <boost/beast/core/string.hpp>
 #include <boost/beast/http/status.hpp>
 
 #include <algorithm>
 #include <charconv>
 #include <cstdint>
+#include <iterator>
 #include <string_view>
 
 namespace dragonflyvane {
@@ -96,6 +98,15 @@
   return std::nullopt;
 }
 
+bool hasKnownCoding(const boost::beast::http::fields &Fields) {
+  auto [First, End] =
+      Fields.equal_range(boost::beast::http::field::transfer_encoding);
+  if (First == End)
+    return true;
+  bool IsOnly = std::next(First) == End;
+  return IsOnly && boost::beast::iequals(First->value(), "chunked");
+}
+
 header_list toHeaders(const boost::beast::http::fields &Fields) {
   header_list Headers;
   for (const auto &Field : Fields) {
--- a/src/dragonflyvane/net/http_wire.hpp
+++ b/src/dragonflyvane/net/http_wire.hpp
@@ -27,6 +27,10 @@
 std::string encodeHead(const http_request &Request);
 /// Copies the header fields of a parsed message.
 header_list toHeaders(const boost::beast::http::fields &Fields);
+/// Whether the body of a message is in no transfer coding, or in the one that
+/// Boost.Beast's parser decodes. With others, the parser finds a body that is
+/// not the sender's.
+bool hasKnownCoding(const boost::beast::http::fields &Fields);
 /// Returns the parameter `timeout` of `Keep-Alive`: the time for which the
 /// sender keeps the connection open while it is idle. Returns nothing if the
 /// parameter is missing or malformed.
--- a/src/dragonflyvane/net/response_head.cpp
+++ b/src/dragonflyvane/net/response_head.cpp
@@ -1,10 +1,7 @@
 #include "dragonflyvane/net/response_head.hpp"
 
 #include "dragonflyvane/core/http_message.hpp"
-
-#include <boost/beast/core/string.hpp>
-
-#include <iterator>
+#include "dragonflyvane/net/http_wire.hpp"
 
 namespace dragonflyvane {
 
@@ -12,16 +9,6 @@
 
 namespace http = boost::beast::http;
 
-/// Whether the body is in no transfer coding, or in the one that the parser
-/// decodes. It takes the bytes of any other coding for the body.
-bool hasKnownCoding(const response_head &Head) {
-  auto [First, End] = Head.equal_range(http::field::transfer_encoding);
-  if (First == End)
-    return true;
-  bool IsOnly = std::next(First) == End;
-  return IsOnly && boost::beast::iequals(First->value(), "chunked");
-}
-
 /// Whether a line begins with a blank. The parser takes it for a part of the
 /// field before it, although it may be a field with a malformed name; RFC 9112,
 /// 5.2, has gateways reject such a response, or replace the line.
