--- a/src/dragonflyvane/net/http_client.cpp
+++ b/src/dragonflyvane/net/http_client.cpp
@@ -89,9 +89,10 @@
     std::optional<std::chrono::seconds> KeepAliveTimeout;
     /// The time at which `Timer` ends the call.
     time_point Deadline{};
-    /// The request, and how much of it the socket has taken.
+    /// The request. Changes only while `IsWriting` is false.
     std::string OutHead;
     message_body OutBody;
+    /// How much of the request the socket has taken.
     size_t WrittenBytes = 0;
     boost::beast::flat_buffer Buffer;
     std::optional<response_parser> Parser;
