--- a/tests/process/broken_response_test.cpp
+++ b/tests/process/broken_response_test.cpp
@@ -103,6 +103,7 @@
       std::lock_guard Lock(Mutex);
       ++Arrivals[Id];
     }
+    // The second part of the path.
     size_t Begin = Head.find('/', Head.find('/') + 1) + 1;
     std::string Kind = Head.substr(Begin, Head.find(' ', Begin) - Begin);
     const broken_response &Response = brokenResponses().at(Kind);
