Tests share the response of a sound server

endless_response_test and broken_response_test wrote it each for themselves, since fieldOf compared names with regard to case. It no longer does. Statuses of two and four digits are tried too; they ended the call before as well.

--- a/src/dragonflyvane/net/malformed_head_test.cpp
+++ b/src/dragonflyvane/net/malformed_head_test.cpp
@@ -117,7 +117,7 @@
 // of an interim response.
 TEST_CASE("a status that does not exist after an interim response ends the "
           "call") {
-  for (const char *Status : {"000", "099", "600"})
+  for (const char *Status : {"000", "099", "600", "20", "2000"})
     checkLost({"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 ", Status, " Odd\r\n",
                Length, "\r\nok"});
 }
--- a/tests/process/broken_response_test.cpp
+++ b/tests/process/broken_response_test.cpp
@@ -2,13 +2,13 @@
 // the fields of a sound one, so that only its end or its head tells.
 #include "platform/header_names.hpp"
 #include "process/local_cluster.hpp"
+#include "process/raw_http.hpp"
 #include "scripted_server.hpp"
 
 #include "dragonflyvane/net/http_client.hpp"
 
 #include <doctest/doctest.h>
 
-#include <cctype>
 #include <map>
 #include <mutex>
 #include <string>
@@ -58,22 +58,6 @@
   return All;
 }
 
-/// Returns the fields by which a response proves that it is the server's.
-std::string ownFields(const std::string &Id) {
-  header_names Names = platform::headerNames();
-  return Names.Signature + ": scripted\r\n" + Names.RequestId + ": " + Id +
-         "\r\n";
-}
-
-/// Daemons write the names of fields in lower case to each other.
-std::string requestIdOf(const std::string &RequestHead) {
-  std::string Name = platform::headerNames().RequestId;
-  std::string Id = fieldOf(RequestHead, Name);
-  for (char &Letter : Name)
-    Letter = static_cast<char>(std::tolower(Letter));
-  return Id + fieldOf(RequestHead, Name);
-}
-
 /// A server that responds soundly to requests without a body, and with a broken
 /// response to others.
 class faulty_server {
@@ -92,23 +76,21 @@
          Head = Connection.readRequest()) {
       if (Head.starts_with("POST"))
         return respondBroken(Connection, Head);
-      Connection.send("HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
-                      ownFields(requestIdOf(Head)) + "\r\nsound");
+      Connection.send(makeSoundResponse(Head));
     }
   }
 
   void respondBroken(scripted_connection &Connection, const std::string &Head) {
-    std::string Id = requestIdOf(Head);
     {
       std::lock_guard Lock(Mutex);
-      ++Arrivals[Id];
+      ++Arrivals[fieldOf(Head, platform::headerNames().RequestId)];
     }
     // The second part of the path.
     size_t Begin = Head.find('/', Head.find('/') + 1) + 1;
     std::string Kind = Head.substr(Begin, Head.find(' ', Begin) - Begin);
     const broken_response &Response = brokenResponses().at(Kind);
     Connection.send(Response.StatusLine + "\r\n" + Response.Fields +
-                    ownFields(Id) + "\r\n" + PartOfBody);
+                    makeOwnFields(Head) + "\r\n" + PartOfBody);
     if (Response.End == connection_end::Reset)
       Connection.resetOnClose();
     if (Response.End == connection_end::Kept)
--- a/tests/process/endless_response_test.cpp
+++ b/tests/process/endless_response_test.cpp
@@ -1,9 +1,9 @@
 // Real daemons that receive bytes without an end where a message is due: from a
 // backend server, the store or a peer.
 #include "http2_frames.hpp"
-#include "platform/header_names.hpp"
 #include "process/caller_connection.hpp"
 #include "process/local_cluster.hpp"
+#include "process/raw_http.hpp"
 #include "process/steady_callers.hpp"
 #include "scripted_server.hpp"
 
@@ -104,22 +104,6 @@
     IsOpen = Connection.send(Bytes.Rest);
 }
 
-std::string toLower(std::string Text) {
-  for (char &Letter : Text)
-    Letter = static_cast<char>(std::tolower(Letter));
-  return Text;
-}
-
-/// Returns the response of a sound server to a request with this head.
-std::string soundResponse(const std::string &RequestHead) {
-  header_names Names = platform::headerNames();
-  // Daemons write the names of fields in lower case to each other.
-  std::string Id = fieldOf(RequestHead, Names.RequestId) +
-                   fieldOf(RequestHead, toLower(Names.RequestId));
-  return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" + Names.Signature +
-         ": scripted\r\n" + Names.RequestId + ": " + Id + "\r\n\r\nsound";
-}
-
 /// Responds soundly to requests whose path names no kind of endless bytes.
 void serve(scripted_connection &Connection) {
   for (std::string Head = Connection.readRequest(); !Head.empty();
@@ -130,7 +114,7 @@
       std::string Kind = Head.substr(Begin, Head.find(' ', Begin) - Begin);
       return sendEndlessly(Connection, endlessBytes().at(Kind));
     }
-    Connection.send(soundResponse(Head));
+    Connection.send(makeSoundResponse(Head));
   }
 }
 
--- a/tests/process/raw_http.cpp
+++ b/tests/process/raw_http.cpp
@@ -2,6 +2,7 @@
 
 #include "dragonflyvane/core/ownership/ownership_map.hpp"
 #include "platform/header_names.hpp"
+#include "scripted_server.hpp"
 
 #include <boost/asio/buffer.hpp>
 #include <boost/beast/http/parser.hpp>
@@ -37,6 +38,17 @@
   return Head.str();
 }
 
+std::string makeOwnFields(const std::string &RequestHead) {
+  header_names Names = platform::headerNames();
+  return Names.Signature + ": scripted\r\n" + Names.RequestId + ": " +
+         fieldOf(RequestHead, Names.RequestId) + "\r\n";
+}
+
+std::string makeSoundResponse(const std::string &RequestHead) {
+  return "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n" +
+         makeOwnFields(RequestHead) + "\r\nsound";
+}
+
 struct response_reader::parser : http::response_parser<http::string_body> {
   parser() { eager(true); }
 };
--- a/tests/process/raw_http.hpp
+++ b/tests/process/raw_http.hpp
@@ -16,6 +16,14 @@
                             std::chrono::milliseconds Timeout,
                             const std::string &Fields = "");
 
+/// Returns the fields by which a backend server proves that a response is its
+/// own and that of the request with this head.
+std::string makeOwnFields(const std::string &RequestHead);
+
+/// Returns the response of a sound server to a request with this head. Its body
+/// is `sound`.
+std::string makeSoundResponse(const std::string &RequestHead);
+
 /// Parses one response and the interim responses before it.
 class response_reader {
 public:
--- a/tests/scripted_server.cpp
+++ b/tests/scripted_server.cpp
@@ -1,8 +1,11 @@
 #include "scripted_server.hpp"
 
+#include "dragonflyvane/core/http_message.hpp"
+
 #include <arpa/inet.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sstream>
 #include <stdexcept>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -111,12 +114,16 @@
 }
 
 std::string fieldOf(const std::string &Head, const std::string &Name) {
-  std::string Prefix = "\r\n" + Name + ": ";
-  size_t Begin = Head.find(Prefix);
-  if (Begin == std::string::npos)
-    return "";
-  Begin += Prefix.size();
-  return Head.substr(Begin, Head.find("\r\n", Begin) - Begin);
+  constexpr std::string_view AfterName = ": ";
+  std::istringstream Lines(Head);
+  for (std::string Line; std::getline(Lines, Line);) {
+    size_t Colon = Line.find(AfterName);
+    if (Colon == std::string::npos || !equalNames(Line.substr(0, Colon), Name))
+      continue;
+    std::string Value = Line.substr(Colon + AfterName.size());
+    return Value.substr(0, Value.find('\r'));
+  }
+  return "";
 }
 
 } // namespace dragonflyvane
--- a/tests/scripted_server.hpp
+++ b/tests/scripted_server.hpp
@@ -83,8 +83,8 @@
   std::thread Acceptor;
 };
 
-/// Returns the value of a header field in the head of a request; empty if it
-/// does not have the field.
+/// Returns the value of a header field in the head of a request, by its name
+/// without regard to case; empty if it does not have the field.
 std::string fieldOf(const std::string &Head, const std::string &Name);
 
 } // namespace dragonflyvane
