A server that leaves at its first sign to a daemon has left earlier

Cause: a daemon took the first heartbeat or response that says so for the moment at which its server began to leave. To a daemon that has just started that is the first one it hears, so the drain timeout began anew with each restart.

Ruled out, by reading: that the row of the host says otherwise (a new run doesn't write it before its first heartbeat, so it says 'leaving', without a time); that callers forget (they are not restarted; their requests carry the true time, which is a fault of its own).

Change: if an incarnation says so in the first heartbeat or in the first response that a daemon gets from it, the drain timeout counts as over. Every acknowledgement and every response passes the daemon beside the server, so a run that has heard otherwise before is the first to know; any other run cannot tell since when. That needs neither the store nor peers, and holds after any number of restarts and however the earlier run ended. What it costs: a server that began to leave just before the restart gets no more requests. The log line 'backend server availability changed' has the field 'leaving_ms'.

--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -167,9 +167,7 @@
       Published->Incarnation.Instance != Server.incarnation().Instance ||
       Server.availability() == server_availability::Leaving)
     return;
-  // It is not known since when, so the drain timeout counts as over.
-  Server.onLeave(Published->Incarnation,
-                 Deps.Clock.now() - Deps.Settings.DrainTimeout);
+  Server.onEarlierLeave(Published->Incarnation);
 }
 
 void ownership_manager::onClusterChange() {
@@ -251,7 +249,8 @@
   writeLog(log_level::Info, "backend server availability changed",
            {{"step", "server"},
             {"instance", Info.Incarnation.Instance},
-            {"standing", formatAvailability(Info.Availability)}});
+            {"standing", formatAvailability(Info.Availability)},
+            {"leaving_ms", Server.leavingFor(Deps.Clock.now()).count()}});
   Sync.publishHostInfo(Info);
 }
 
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -686,3 +686,64 @@
         server_availability::Leaving);
   CHECK(!Simulation.ownership(1).server().acceptsRequests(Simulation.now()));
 }
+
+namespace {
+
+/// A server that leaves while its daemon is ended and started again.
+struct leaving_during_restarts {
+  /// The daemon is ended this long after it has acknowledged the leaving.
+  std::chrono::milliseconds Delay;
+  int Restarts = 1;
+  /// Whether the host loses the store from the acknowledgement on.
+  bool IsStoreLost = false;
+};
+
+/// Returns how long after the drain timeout, which begins with the
+/// acknowledgement, the daemon still passes requests on.
+duration lateAcceptance(const leaving_during_restarts &Plan) {
+  constexpr int Host = 1;
+  constexpr std::chrono::milliseconds Step{20};
+  ownership_simulation Simulation(1, 3);
+  Simulation.runFor(StartupTime);
+  Simulation.server(Host).drain();
+  auto IsLeaving = [&] {
+    return Simulation.ownership(Host).server().availability() ==
+           server_availability::Leaving;
+  };
+  while (!IsLeaving())
+    Simulation.runFor(Step);
+  time_point DrainEnd = Simulation.now() + settings{}.DrainTimeout;
+  Simulation.disconnectStore(Host, Plan.IsStoreLost);
+  for (int I = 0; I < Plan.Restarts; ++I) {
+    Simulation.runFor(Plan.Delay);
+    Simulation.killDaemon(Host);
+    Simulation.runFor(std::chrono::milliseconds(200));
+    Simulation.startDaemon(Host);
+  }
+  duration Late{0};
+  while (Simulation.now() < DrainEnd + std::chrono::seconds(4)) {
+    if (Simulation.ownership(Host).server().acceptsRequests(Simulation.now()))
+      Late = std::max(Late, Simulation.now() - DrainEnd);
+    Simulation.runFor(Step);
+  }
+  return Late;
+}
+
+} // namespace
+
+// Guards against: a daemon that is started again while its server leaves counts
+// the drain timeout anew, and passes requests on until the server has ended.
+TEST_CASE(
+    "restarts of a daemon do not extend the drain timeout of its server") {
+  using std::chrono::milliseconds;
+  leaving_during_restarts Plan{milliseconds(800)};
+  SUBCASE("right after the acknowledgement") { Plan = {milliseconds(0)}; }
+  SUBCASE("some time later") {}
+  SUBCASE("near the end of the drain timeout") { Plan = {milliseconds(1600)}; }
+  SUBCASE("two restarts") { Plan = {milliseconds(700), 2}; }
+  SUBCASE("without the store") { Plan = {milliseconds(300), 1, true}; }
+  SUBCASE("two restarts without the store") {
+    Plan = {milliseconds(700), 2, true};
+  }
+  CHECK(lateAcceptance(Plan).count() == 0);
+}
--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -127,7 +127,7 @@
   if (Availability == server_availability::Down)
     Availability = server_availability::Ready;
   if (Heartbeat.State == server_state::Draining)
-    onLeave(incarnation(), Now);
+    onLeaveHeard(Origin == heartbeat_origin::New);
   updateOwnership(Context);
   if (auto *Method = std::get_if<call_grants>(&Grants))
     Method->retryAtOnce();
@@ -197,9 +197,9 @@
 
 void local_server::onCondition(const server_condition &Latest) {
   Condition = Latest;
-  HasResponded = true;
+  bool IsFirst = !std::exchange(HasResponded, true);
   if (Condition.IsLeaving)
-    onLeave(incarnation(), Clock.now());
+    onLeaveHeard(IsFirst);
 }
 
 bool local_server::onReportedCondition(const condition_report &Report) {
@@ -216,14 +216,20 @@
   return IsLimitNew || IsLeavingNew;
 }
 
+std::chrono::milliseconds local_server::leavingFor(time_point Now) const {
+  if (Availability != server_availability::Leaving)
+    return std::chrono::milliseconds(0);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(Now -
+                                                               LeavingSince);
+}
+
 std::optional<condition_report>
 local_server::conditionReport(time_point Now) const {
   condition_report Report;
   Report.Incarnation = incarnation();
   Report.RateLimit = Condition.RateLimit;
   if (Availability == server_availability::Leaving)
-    Report.LeavingFor = std::chrono::duration_cast<std::chrono::milliseconds>(
-        Now - LeavingSince);
+    Report.LeavingFor = leavingFor(Now);
   if (!Report.RateLimit && !Report.LeavingFor)
     return std::nullopt;
   return Report;
@@ -241,6 +247,17 @@
   LeavingSince = Since;
 }
 
+void local_server::onEarlierLeave(const server_incarnation &Leaving) {
+  onLeave(Leaving, Clock.now() - DrainTimeout);
+}
+
+void local_server::onLeaveHeard(bool IsFirstSign) {
+  if (IsFirstSign)
+    onEarlierLeave(incarnation());
+  else
+    onLeave(incarnation(), Clock.now());
+}
+
 void local_server::applyEarlyLeave() {
   if (!EarlyLeave || !isSameLife(EarlyLeave->Incarnation, incarnation()))
     return;
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -65,6 +65,10 @@
   /// that has sent no heartbeat to this daemon yet counts from its first
   /// heartbeat on.
   void onLeave(const server_incarnation &Incarnation, time_point Since);
+  /// Called when it becomes known that the server leaves, but not since when.
+  /// An earlier run of the daemon may have known it for any time, so the drain
+  /// timeout counts as over.
+  void onEarlierLeave(const server_incarnation &Incarnation);
   /// Called when the server refused a connection. Marks a ready server as down
   /// and ends its grants if it has refused connections for more than a
   /// heartbeat interval without sending a heartbeat.
@@ -87,6 +91,9 @@
   /// The condition to report to peers; none if the server has neither a limit
   /// nor leaves.
   std::optional<condition_report> conditionReport(time_point Now) const;
+  /// How long the server has been leaving, as far as this daemon counts it; 0
+  /// if it does not leave.
+  std::chrono::milliseconds leavingFor(time_point Now) const;
   /// Where the server accepts requests.
   const endpoint &address() const { return Address; }
   /// Number of requests that the server runs at the same time.
@@ -126,6 +133,9 @@
   void requireOwnServer(const heartbeat &Heartbeat,
                         const grant_context &Context) const;
   void startIncarnation();
+  /// Called when a heartbeat or a response says that the server leaves. If it
+  /// is the first one of its incarnation, the server has left earlier.
+  void onLeaveHeard(bool IsFirstSign);
   /// Applies an announcement that arrived before the first heartbeat of the
   /// current incarnation.
   void applyEarlyLeave();
--- a/src/dragonflyvane/node/serving/local_server_test.cpp
+++ b/src/dragonflyvane/node/serving/local_server_test.cpp
@@ -126,6 +126,38 @@
   CHECK(!Fixture.Server.acceptsRequests(Fixture.Clock.now()));
 }
 
+// Guards against: a daemon that is started again while its server leaves counts
+// the drain timeout anew, and passes requests on until the server has ended.
+TEST_CASE_FIXTURE(local_server_fixture,
+                  "a server that leaves at its first sign to a daemon gets no "
+                  "requests") {
+  SUBCASE("in its first heartbeat") {
+    sendHeartbeat(1000, server_state::Draining);
+  }
+  SUBCASE("in its first response") {
+    sendHeartbeat();
+    Server.onCondition({std::nullopt, true});
+  }
+  SUBCASE("in the first heartbeat after a late one of an earlier incarnation") {
+    sendHeartbeat(900);
+    sendHeartbeat(1000, server_state::Draining);
+  }
+  CHECK(Server.availability() == server_availability::Leaving);
+  CHECK_FALSE(Server.acceptsRequests(Clock.now()));
+}
+
+// Guards against requests that are refused although the daemon has seen the
+// server begin to leave, and the drain timeout has just begun.
+TEST_CASE_FIXTURE(local_server_fixture,
+                  "a server that has begun to leave in a response still "
+                  "receives requests") {
+  sendHeartbeat();
+  Server.onCondition({});
+  Server.onCondition({std::nullopt, true});
+  CHECK(Server.availability() == server_availability::Leaving);
+  CHECK(Server.acceptsRequests(Clock.now()));
+}
+
 // Guards against: a daemon that has just started acknowledges that its server
 // leaves, forgets it, and takes the server for ready at its next heartbeat.
 TEST_CASE_FIXTURE(
