A daemon takes up an earlier time since when its server leaves

Cause: 'local_server::onReportedCondition' used that time only while the server did not count as leaving, and dropped it before the first heartbeat. The daemon's own time, which a restart sets anew, went first. That needs no first heartbeat that says 'leaving': a heartbeat from before the leaving that arrives late, or a server that gives notice and goes on to send heartbeats as a ready one, leaves a new run with a time of its own too.

Change: the earliest known time counts. A report before the first heartbeat is kept like a notice before it. Earlier times are stable: what a peer reports was told by this daemon, rounded down, so it is never earlier than the truth.

--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -203,16 +203,16 @@
 }
 
 bool local_server::onReportedCondition(const condition_report &Report) {
-  if (Report.Incarnation != incarnation())
+  bool IsBeforeFirstHeartbeat = incarnation() == server_incarnation{};
+  if (Report.Incarnation != incarnation() && !IsBeforeFirstHeartbeat)
     return false;
-  bool IsLimitNew = !HasResponded && Report.RateLimit &&
-                    Report.RateLimit != Condition.RateLimit;
-  bool IsLeavingNew =
-      Report.LeavingFor && Availability != server_availability::Leaving;
+  bool IsLimitNew = !IsBeforeFirstHeartbeat && !HasResponded &&
+                    Report.RateLimit && Report.RateLimit != Condition.RateLimit;
   if (IsLimitNew)
     Condition.RateLimit = Report.RateLimit;
-  if (IsLeavingNew)
-    onLeave(Report.Incarnation, Clock.now() - *Report.LeavingFor);
+  bool IsLeavingNew =
+      Report.LeavingFor &&
+      onLeave(Report.Incarnation, Clock.now() - *Report.LeavingFor);
   return IsLimitNew || IsLeavingNew;
 }
 
@@ -235,16 +235,18 @@
   return Report;
 }
 
-void local_server::onLeave(const server_incarnation &Leaving,
+bool local_server::onLeave(const server_incarnation &Leaving,
                            time_point Since) {
   if (!isSameLife(Leaving, incarnation())) {
     EarlyLeave = {Leaving, Since};
-    return;
+    return false;
   }
-  if (Availability == server_availability::Leaving)
-    return;
+  bool IsNew = Availability != server_availability::Leaving;
+  if (!IsNew && LeavingSince <= Since)
+    return false;
   Availability = server_availability::Leaving;
   LeavingSince = Since;
+  return true;
 }
 
 void local_server::onEarlierLeave(const server_incarnation &Leaving) {
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -57,14 +57,17 @@
   /// shows.
   void onCondition(const server_condition &Condition);
   /// Called with the condition that a peer knows. The limit counts only until
-  /// this daemon has seen a response of the incarnation itself. Returns whether
-  /// the report has changed what this daemon knows.
+  /// this daemon has seen a response of the incarnation itself. Of several
+  /// times since when the server leaves, the earliest counts: a run of the
+  /// daemon that has ended may have told the peer. Returns whether the report
+  /// has changed what this daemon knows of the current incarnation.
   bool onReportedCondition(const condition_report &Report);
   /// Called when the server announces that it leaves, or when it becomes known
   /// that it has been leaving since `Since`. An announcement of an incarnation
   /// that has sent no heartbeat to this daemon yet counts from its first
-  /// heartbeat on.
-  void onLeave(const server_incarnation &Incarnation, time_point Since);
+  /// heartbeat on. Returns whether this changes what is known of the current
+  /// incarnation; an earlier time does.
+  bool onLeave(const server_incarnation &Incarnation, time_point Since);
   /// Called when it becomes known that the server leaves, but not since when.
   /// An earlier run of the daemon may have known it for any time, so the drain
   /// timeout counts as over.
--- a/src/dragonflyvane/node/serving/local_server_test.cpp
+++ b/src/dragonflyvane/node/serving/local_server_test.cpp
@@ -158,6 +158,30 @@
   CHECK(Server.acceptsRequests(Clock.now()));
 }
 
+// Guards against: a daemon that has been restarted passes requests on to a
+// server for longer than the drain timeout, although its peers have told it how
+// long the server has been leaving.
+TEST_CASE_FIXTURE(local_server_fixture,
+                  "peers that know for longer that a server leaves are right") {
+  condition_report Known{{"i-1", 1000}, {}, milliseconds(1600)};
+  SUBCASE("while the server counts as leaving") {
+    sendHeartbeat();
+    sendHeartbeat(1000, server_state::Draining);
+    CHECK(Server.onReportedCondition(Known));
+  }
+  SUBCASE("before its first heartbeat") {
+    CHECK_FALSE(Server.onReportedCondition(Known));
+    sendHeartbeat();
+  }
+  CHECK(Server.availability() == server_availability::Leaving);
+  CHECK(Server.acceptsRequests(Clock.now()));
+  Known.LeavingFor = milliseconds(100);
+  CHECK_FALSE(Server.onReportedCondition(Known));
+  CHECK(Server.leavingFor(Clock.now()) == milliseconds(1600));
+  Clock.advance(milliseconds(400));
+  CHECK_FALSE(Server.acceptsRequests(Clock.now()));
+}
+
 // Guards against: a daemon that has just started acknowledges that its server
 // leaves, forgets it, and takes the server for ready at its next heartbeat.
 TEST_CASE_FIXTURE(
