Keys of a server that has left earlier are not granted again

Cause: 'grant_policy' grants outgoing ranges for a heartbeat interval (and 60 ms) from the moment at which this run of the daemon first finds them outgoing, so that their move can be planned first. Each restart began that time anew, also where the server gets no requests any more: the keys were held by a server that the daemon passes nothing to.

Change: the delay counts from the time since when the server leaves, or the failure domain is evacuated, if that is earlier. In a run that goes through without a restart both are the same. Ranges that come to the host later, by a plan from before, are not granted either.

Test, failing before (the range was granted): 'a server that has left earlier is granted no keys'.

--- a/src/dragonflyvane/core/ownership/call_grants_test.cpp
+++ b/src/dragonflyvane/core/ownership/call_grants_test.cpp
@@ -25,7 +25,7 @@
   }
 
   std::vector<key_call> takeCalls() {
-    Policy.observe(Map, ReleaseAll, Clock.now());
+    Policy.observe(Map, ReleaseAllSince, Clock.now());
     return Grants.takeDueCalls(Policy, Map, Clock.now() + Lease, Clock.now());
   }
 
@@ -42,7 +42,7 @@
   }
 
   size_t countReleasable() {
-    Policy.observe(Map, ReleaseAll, Clock.now());
+    Policy.observe(Map, ReleaseAllSince, Clock.now());
     return releasableRanges(Policy, Grants, Map, Clock.now()).size();
   }
 
@@ -53,7 +53,7 @@
       {"here", milliseconds(10'000), UnplannedReleaseDelay, {}}};
   call_grants Grants{MaxHold, Clock.now()};
   ownership_map Map;
-  bool ReleaseAll = false;
+  std::optional<time_point> ReleaseAllSince;
 };
 
 } // namespace
--- a/src/dragonflyvane/core/ownership/grant_policy.cpp
+++ b/src/dragonflyvane/core/ownership/grant_policy.cpp
@@ -11,17 +11,20 @@
 
 } // namespace
 
-void grant_policy::observe(const ownership_map &Map, bool ReleaseAll,
+void grant_policy::observe(const ownership_map &Map,
+                           std::optional<time_point> ReleaseAllSince,
                            time_point Now) {
   std::vector<outgoing_range> Updated;
   for (const owned_range &Range : Map.Ranges) {
     bool IsPlanned = !Range.NextOwner.empty();
-    if (!isOwn(Range) || (!IsPlanned && !ReleaseAll))
+    if (!isOwn(Range) || (!IsPlanned && !ReleaseAllSince))
       continue;
     const outgoing_range *Known = findOutgoing(Range);
     bool WasPlanned = Known && Known->PlannedSince != time_point{};
-    outgoing_range Outgoing{Range.First, Range.Last, Range.Token,
-                            Known ? Known->Since : Now, time_point{}};
+    time_point Since =
+        std::min(Known ? Known->Since : Now, ReleaseAllSince.value_or(Now));
+    outgoing_range Outgoing{Range.First, Range.Last, Range.Token, Since,
+                            time_point{}};
     if (IsPlanned)
       Outgoing.PlannedSince = WasPlanned ? Known->PlannedSince : Now;
     Updated.push_back(Outgoing);
--- a/src/dragonflyvane/core/ownership/grant_policy.hpp
+++ b/src/dragonflyvane/core/ownership/grant_policy.hpp
@@ -7,6 +7,7 @@
 #include "dragonflyvane/core/ownership/granted_keys.hpp"
 
 #include <concepts>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -55,9 +56,11 @@
   const server_incarnation &incarnation() const { return Incarnation; }
 
   /// Updates the outgoing ranges: the ranges of this host that are planned to
-  /// move or, with `ReleaseAll`, all of its ranges. To be called after each
-  /// change of the map and before the other functions.
-  void observe(const ownership_map &Map, bool ReleaseAll, time_point Now);
+  /// move or, if all ranges have had to be released since `ReleaseAllSince`,
+  /// all of them. That time may lie before the first call. To be called after
+  /// each change of the map and before the other functions.
+  void observe(const ownership_map &Map,
+               std::optional<time_point> ReleaseAllSince, time_point Now);
   /// Records that the daemon starts to write the range as unowned. The range is
   /// not granted again under its current token, even if the write fails.
   void relinquish(const owned_range &Range);
@@ -78,8 +81,8 @@
                                          time_point Until) const;
 
 private:
-  /// A range that this host is to release, and the time at which `observe`
-  /// first found it.
+  /// A range that this host is to release, and since when: the time at which
+  /// `observe` first found it, or the given one if that is earlier.
   struct outgoing_range {
     key_point First = 0;
     key_point Last = 0;
--- a/src/dragonflyvane/core/ownership/heartbeat_grants_test.cpp
+++ b/src/dragonflyvane/core/ownership/heartbeat_grants_test.cpp
@@ -20,13 +20,13 @@
   }
 
   std::optional<grant> sendHeartbeat(const held_keys &Keys = {}) {
-    Policy.observe(Map, ReleaseAll, Clock.now());
+    Policy.observe(Map, ReleaseAllSince, Clock.now());
     return Grants.onHeartbeat(Policy, Keys, Map,
                               Clock.now() + milliseconds(4000), Clock.now());
   }
 
   std::vector<releasable_range> releasable() {
-    Policy.observe(Map, ReleaseAll, Clock.now());
+    Policy.observe(Map, ReleaseAllSince, Clock.now());
     return releasableRanges(Policy, Grants, Map, Clock.now());
   }
   size_t countReleasable() { return releasable().size(); }
@@ -35,7 +35,7 @@
   grant_policy Policy{{"here", MaxHoldDuration, ReleaseDelay, ReleaseDelay}};
   heartbeat_grants Grants{longestHold(MaxHoldDuration), Clock.now()};
   ownership_map Map;
-  bool ReleaseAll = false;
+  std::optional<time_point> ReleaseAllSince;
 };
 
 const held_keys HoldsAll{{{0, LastPoint, 5}}, {}};
@@ -73,7 +73,7 @@
   // From now on only grants of this run of the daemon can be in force.
   Fixture.Clock.advance(longestHold(MaxHoldDuration));
   Fixture.sendHeartbeat(HoldsAll);
-  Fixture.ReleaseAll = true;
+  Fixture.ReleaseAllSince = Fixture.Clock.now();
   Fixture.countReleasable();
   Fixture.Clock.advance(milliseconds(3000));
   CHECK(Fixture.countReleasable() == 0);
@@ -84,7 +84,7 @@
 TEST_CASE(
     "grants of an earlier run of the daemon count until they have expired") {
   heartbeat_grants_fixture Fixture;
-  Fixture.ReleaseAll = true;
+  Fixture.ReleaseAllSince = Fixture.Clock.now();
   Fixture.countReleasable();
   Fixture.Clock.advance(milliseconds(5000));
   CHECK(Fixture.countReleasable() == 0);
--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -192,7 +192,15 @@
     EvacuatedSince = Now;
   selectGrantWay(Context);
   if (Context.Map)
-    Policy.observe(*Context.Map, mustReleaseAll(Context), Now);
+    Policy.observe(*Context.Map, releaseAllSince(), Now);
+}
+
+std::optional<time_point> local_server::releaseAllSince() const {
+  if (Availability == server_availability::Ready)
+    return EvacuatedSince;
+  bool IsLeaving = Availability == server_availability::Leaving;
+  time_point Since = IsLeaving ? LeavingSince : Clock.now();
+  return std::min(Since, EvacuatedSince.value_or(Since));
 }
 
 void local_server::onCondition(const server_condition &Latest) {
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -142,6 +142,8 @@
   /// Applies an announcement that arrived before the first heartbeat of the
   /// current incarnation.
   void applyEarlyLeave();
+  /// Since when all ranges must move to other hosts; nothing if they need not.
+  std::optional<time_point> releaseAllSince() const;
   /// Lets no repeated grant open a connection before the next heartbeat.
   void awaitHeartbeat();
   /// Uses the way of the service from now on.
--- a/src/dragonflyvane/node/serving/local_server_test.cpp
+++ b/src/dragonflyvane/node/serving/local_server_test.cpp
@@ -182,6 +182,27 @@
   CHECK_FALSE(Server.acceptsRequests(Clock.now()));
 }
 
+// Guards against: a daemon that is started again while its server leaves grants
+// the server its keys anew, and callers wait for them although the server gets
+// no requests any more.
+TEST_CASE_FIXTURE(local_server_fixture,
+                  "a server that has left earlier is granted no keys") {
+  Map.Ranges[0].Owner = "host-1";
+  Map.Ranges[0].Incarnation = {"i-1", 1000};
+  Map.Ranges[0].Token = 7;
+  heartbeat Heartbeat = makeHeartbeat(1000, server_state::Draining);
+  Heartbeat.Keys->Held.push_back({0, LastPoint, 7});
+  std::optional<grant> Grant = send(Heartbeat);
+  REQUIRE(Grant);
+  CHECK(Grant->Ranges.empty());
+  CHECK(Server.releasableRanges(context()).empty());
+  Heartbeat = makeHeartbeat(1000, server_state::Draining);
+  Heartbeat.Keys->Released.push_back({0, LastPoint, "handover"});
+  send(Heartbeat);
+  REQUIRE(Server.releasableRanges(context()).size() == 1);
+  CHECK(Server.releasableRanges(context())[0].Handover == "handover");
+}
+
 // Guards against: a daemon that has just started acknowledges that its server
 // leaves, forgets it, and takes the server for ready at its next heartbeat.
 TEST_CASE_FIXTURE(
