A row that says that the server leaves is not overwritten after a restart

A daemon that was killed within the 0.2 s until the next tick left a row without the leaving: its next run would pass requests on.

Cause: the first read of the rows makes the server count as leaving again ('recallLeaving'), but what the host publishes was set at the first heartbeat and is renewed only by a tick; the row is written in between.

Change: the host's description is renewed with each change of the cluster, before rows are written.

Test, failing before: 'a host row that says that the server leaves outlasts a restart without the store'.

--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -172,6 +172,9 @@
 
 void ownership_manager::onClusterChange() {
   recallLeaving();
+  // The row of this host may be written next, by what was known before it was
+  // read.
+  publishHostInfo();
   releaseRanges();
   makeDueCalls();
   Coordinator.onClusterChange();
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -747,3 +747,38 @@
   }
   CHECK(lateAcceptance(Plan).count() == 0);
 }
+
+namespace {
+
+/// Whether other hosts see the server of `Host` as ready at some step.
+bool isSeenReady(ownership_simulation &Simulation, int Host, duration Span) {
+  constexpr std::chrono::milliseconds Step{10};
+  time_point End = Simulation.now() + Span;
+  bool IsReady = false;
+  while (Simulation.now() < End) {
+    Simulation.runFor(Step);
+    IsReady |=
+        Simulation.observedAvailability(Host) == server_availability::Ready;
+  }
+  return IsReady;
+}
+
+} // namespace
+
+// Guards against: a daemon that starts while the store is away writes that its
+// server is ready over the row that says that it leaves. Peers use the server,
+// and a daemon that is killed then knows nothing of the leaving.
+TEST_CASE("a host row that says that the server leaves outlasts a restart "
+          "without the store") {
+  ownership_simulation Simulation(1, 3);
+  Simulation.runFor(StartupTime);
+  Simulation.ownership(1).onLeave({Simulation.server(1).incarnation(), ""});
+  Simulation.runFor(std::chrono::seconds(2));
+  Simulation.disconnectStore(1, true);
+  Simulation.startDaemon(1);
+  Simulation.runFor(std::chrono::seconds(2));
+  Simulation.disconnectStore(1, false);
+  CHECK_FALSE(isSeenReady(Simulation, 1, std::chrono::seconds(3)));
+  CHECK(Simulation.ownership(1).server().availability() ==
+        server_availability::Leaving);
+}
