The row of an earlier run counts also once the server is known to leave

Cause: 'recallLeaving' ignored the row as soon as the server counted as leaving, since it may then be the row that this run has written.

Change: the row is ignored only if this run has sent a write of it. A write is marked before it is sent, so that its watch or response cannot be taken for an earlier run's.

Tests: 'a host row of an earlier run shows that the server has left earlier', failing before; 'a host row of the same run does not end the drain timeout', which held before.

--- a/src/dragonflyvane/node/cluster/cluster_sync.cpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.cpp
@@ -551,6 +551,7 @@
   if (IsHostInfoProvisional && (Exists || hasRelay()))
     return;
   IsHostWriteInFlight = true;
+  HasSentHostRow = true;
   store_transaction Transaction;
   Transaction.Conditions.push_back(
       {hostRow(Deps.Host), View.hostVersion(Deps.Host)});
--- a/src/dragonflyvane/node/cluster/cluster_sync.hpp
+++ b/src/dragonflyvane/node/cluster/cluster_sync.hpp
@@ -73,6 +73,9 @@
   /// is written only if there is no row of this host, and no host yet that
   /// relays for its failure domain.
   void publishProvisionalHostInfo(const host_info &Info);
+  /// Whether this run of the daemon may have written the host's row. Until then
+  /// the row is that of an earlier run.
+  bool hasSentHostRow() const { return HasSentHostRow; }
   /// Returns the writer of the ownership maps.
   map_writer &maps() { return Maps; }
   /// Sends a transaction. `OnDone` gets the result after the view has been
@@ -215,6 +218,7 @@
   std::optional<host_info> DesiredHostInfo;
   bool IsHostInfoProvisional = false;
   bool IsHostWriteInFlight = false;
+  bool HasSentHostRow = false;
   timer HostRetryTimer;
   timer MapRetryTimer;
 };
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -164,8 +164,11 @@
 void ownership_manager::recallLeaving() {
   const host_info *Published = view().host(Deps.Settings.Host);
   if (!Published || Published->Availability != server_availability::Leaving ||
-      Published->Incarnation.Instance != Server.incarnation().Instance ||
-      Server.availability() == server_availability::Leaving)
+      Published->Incarnation.Instance != Server.incarnation().Instance)
+    return;
+  bool MayBeOfThisRun = Server.availability() == server_availability::Leaving &&
+                        Sync.hasSentHostRow();
+  if (MayBeOfThisRun)
     return;
   Server.onEarlierLeave(Published->Incarnation);
 }
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -782,3 +782,33 @@
   CHECK(Simulation.ownership(1).server().availability() ==
         server_availability::Leaving);
 }
+
+// Guards against: a daemon that learns of the leaving before it can read its
+// row counts the drain timeout from then on, though the row is of an earlier
+// run.
+TEST_CASE("a host row of an earlier run shows that the server has left "
+          "earlier") {
+  ownership_simulation Simulation(1, 3);
+  Simulation.runFor(StartupTime);
+  Simulation.ownership(1).onLeave({Simulation.server(1).incarnation(), ""});
+  Simulation.runFor(std::chrono::seconds(1));
+  Simulation.disconnectStore(1, true);
+  Simulation.startDaemon(1);
+  Simulation.runFor(std::chrono::seconds(2));
+  Simulation.ownership(1).onLeave({Simulation.server(1).incarnation(), ""});
+  Simulation.disconnectStore(1, false);
+  Simulation.runFor(std::chrono::seconds(1));
+  CHECK_FALSE(
+      Simulation.ownership(1).server().acceptsRequests(Simulation.now()));
+}
+
+// Guards against: a daemon takes the row that it has written itself for one of
+// an earlier run, and refuses requests at once.
+TEST_CASE("a host row of the same run does not end the drain timeout") {
+  ownership_simulation Simulation(1, 3);
+  Simulation.runFor(StartupTime);
+  Simulation.ownership(1).onLeave({Simulation.server(1).incarnation(), ""});
+  Simulation.runFor(std::chrono::seconds(1));
+  CHECK(Simulation.observedAvailability(1) == server_availability::Leaving);
+  CHECK(Simulation.ownership(1).server().acceptsRequests(Simulation.now()));
+}
