An evacuation that a daemon finds at its start has begun earlier

An evacuation has to end within five seconds of its acknowledgement.

Cause: 'local_server' counted from the moment at which this run of the daemon first saw that its failure domain is evacuated.

Change: 'operator_state' knows whether the row existed when the daemon first saw it or its absence, in a read, a conflict or the rows of a peer. An evacuation that was found so counts as over its drain timeout: no requests, and no grants of keys that are to move.

Not shown with processes.

--- a/src/dragonflyvane/core/configuration/operator_state.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state.cpp
@@ -9,6 +9,7 @@
   if (Row.Id.Kind != row_kind::Operator)
     return false;
   known_row &Known = KnownRows[Row.Id];
+  bool IsFirstSight = !std::exchange(Known.IsSeen, true);
   bool IsDeleted = !Row.Value;
   // A deletion may come without a version, which is then not known.
   bool HasVersion = Row.Version > 0 || !IsDeleted;
@@ -27,6 +28,7 @@
   if (IsDeleted) {
     if (Row.Id == ConfigRow)
       StoredConfigVersion = 0;
+    FoundEvacuated.erase(DomainOfRow[Row.Id]);
     DomainOfRow.erase(Row.Id);
     RolloutOfRow.erase(Row.Id);
     return updateOrders();
@@ -43,7 +45,7 @@
       AwaitsNewest = false;
   }
   if (!OperatorRow->EvacuatedFailureDomain.empty())
-    DomainOfRow[Row.Id] = OperatorRow->EvacuatedFailureDomain;
+    applyEvacuation(Row.Id, OperatorRow->EvacuatedFailureDomain, IsFirstSight);
   if (OperatorRow->Rollout) {
     rollout_order &Order = RolloutOfRow[Row.Id];
     Order = *OperatorRow->Rollout;
@@ -52,6 +54,14 @@
   return updateOrders() || Changed;
 }
 
+void operator_state::applyEvacuation(const row_id &Row,
+                                     const std::string &Domain,
+                                     bool IsFirstSight) {
+  DomainOfRow[Row] = Domain;
+  if (IsFirstSight)
+    FoundEvacuated.insert(Domain);
+}
+
 bool operator_state::applyConfiguration(
     const std::shared_ptr<const configuration> &Latest,
     const std::string &Value) {
--- a/src/dragonflyvane/core/configuration/operator_state.hpp
+++ b/src/dragonflyvane/core/configuration/operator_state.hpp
@@ -113,6 +113,11 @@
   bool isEvacuated(const std::string &Domain) const {
     return Evacuated.contains(Domain);
   }
+  /// Returns whether the failure domain was evacuated already when this daemon
+  /// first saw the row that evacuates it, so that it is not known since when.
+  bool wasFoundEvacuated(const std::string &Domain) const {
+    return FoundEvacuated.contains(Domain);
+  }
   /// Returns the rollout orders in force by service.
   const std::map<std::string, rollout_order> &rollouts() const {
     return Rollouts;
@@ -124,6 +129,9 @@
 private:
   std::vector<row_id> Rows;
   operator_row_decoder Decode;
+  /// Applies a row that evacuates a failure domain.
+  void applyEvacuation(const row_id &Row, const std::string &Domain,
+                       bool IsFirstSight);
   /// Brings the evacuations and rollout orders in force in line with the rows,
   /// unless settling. Returns whether they changed.
   bool updateOrders();
@@ -141,6 +149,8 @@
     /// The version of the newest known change, also of a deletion.
     row_version Version = 0;
     bool Exists = false;
+    /// Whether this daemon has seen the row or its absence.
+    bool IsSeen = false;
   };
 
   std::map<row_id, known_row> KnownRows;
@@ -166,6 +176,8 @@
   /// The version of the configuration that the store has; 0 if it has none.
   uint64_t StoredConfigVersion = 0;
   std::set<std::string> Evacuated;
+  /// The evacuated failure domains whose rows existed at first sight.
+  std::set<std::string> FoundEvacuated;
   std::map<std::string, rollout_order> Rollouts;
   time_point ConfirmedAt{};
 };
--- a/src/dragonflyvane/core/configuration/operator_state_test.cpp
+++ b/src/dragonflyvane/core/configuration/operator_state_test.cpp
@@ -47,6 +47,29 @@
   CHECK(!State.isEvacuated("east"));
 }
 
+// Guards against: a daemon that has just started takes an evacuation from long
+// before for one that has just begun.
+TEST_CASE("an evacuation counts as found if its row was there at first sight") {
+  operator_state State({Config, East}, &decode);
+  CHECK_FALSE(State.wasFoundEvacuated("east"));
+  SUBCASE("in a read") { State.applyAll({7, {}, {{East, 7, "{}"}}}); }
+  SUBCASE("in a conflict") { State.apply({East, 7, "{}"}); }
+  CHECK(State.wasFoundEvacuated("east"));
+  State.apply({East, 8, std::nullopt});
+  CHECK_FALSE(State.wasFoundEvacuated("east"));
+  State.apply({East, 9, "{}"});
+  CHECK(State.isEvacuated("east"));
+  CHECK_FALSE(State.wasFoundEvacuated("east"));
+}
+
+TEST_CASE("an evacuation after a read without its row has just begun") {
+  operator_state State({Config, East}, &decode);
+  State.applyAll({6, {}, {}});
+  State.apply({East, 7, "{}"});
+  CHECK(State.isEvacuated("east"));
+  CHECK_FALSE(State.wasFoundEvacuated("east"));
+}
+
 // Guards against results that arrive late, by another path than newer ones: an
 // evacuation would end, or one that was taken back would be in force again.
 TEST_CASE("late results neither delete a newer row nor bring back a deleted "
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -149,6 +149,8 @@
   Context.Map = Map ? &Map->Content : nullptr;
   Context.IsEvacuated =
       Deps.OperatorState.isEvacuated(Deps.Settings.FailureDomain);
+  Context.WasFoundEvacuated =
+      Deps.OperatorState.wasFoundEvacuated(Deps.Settings.FailureDomain);
   Context.LeaseEnd = Sync.grantDeadlineOf(Service);
   if (auto Config = Deps.OperatorState.config()) {
     auto Found = Config->Services.find(Service);
--- a/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_simulation_test.cpp
@@ -689,28 +689,34 @@
 
 namespace {
 
-/// A server that leaves while its daemon is ended and started again.
-struct leaving_during_restarts {
-  /// The daemon is ended this long after it has acknowledged the leaving.
+/// A server that has to get no more requests while its daemon is ended and
+/// started again.
+struct drain_during_restarts {
+  /// The daemon is ended this long after it knows of the drain.
   std::chrono::milliseconds Delay;
   int Restarts = 1;
-  /// Whether the host loses the store from the acknowledgement on.
+  /// Whether the host loses the store once the daemon knows of the drain.
   bool IsStoreLost = false;
+  /// Whether the failure domain is evacuated; otherwise the server leaves.
+  bool IsEvacuation = false;
 };
 
-/// Returns how long after the drain timeout, which begins with the
-/// acknowledgement, the daemon still passes requests on.
-duration lateAcceptance(const leaving_during_restarts &Plan) {
+/// Returns how long after the drain timeout, which begins when the daemon knows
+/// of the drain, the daemon still passes requests on.
+duration lateAcceptance(const drain_during_restarts &Plan) {
   constexpr int Host = 1;
   constexpr std::chrono::milliseconds Step{20};
   ownership_simulation Simulation(1, 3);
   Simulation.runFor(StartupTime);
-  Simulation.server(Host).drain();
   auto IsLeaving = [&] {
     return Simulation.ownership(Host).server().availability() ==
            server_availability::Leaving;
   };
-  while (!IsLeaving())
+  if (Plan.IsEvacuation)
+    Simulation.evacuateEast(true);
+  else
+    Simulation.server(Host).drain();
+  while (!Plan.IsEvacuation && !IsLeaving())
     Simulation.runFor(Step);
   time_point DrainEnd = Simulation.now() + settings{}.DrainTimeout;
   Simulation.disconnectStore(Host, Plan.IsStoreLost);
@@ -736,7 +742,7 @@
 TEST_CASE(
     "restarts of a daemon do not extend the drain timeout of its server") {
   using std::chrono::milliseconds;
-  leaving_during_restarts Plan{milliseconds(800)};
+  drain_during_restarts Plan{milliseconds(800)};
   SUBCASE("right after the acknowledgement") { Plan = {milliseconds(0)}; }
   SUBCASE("some time later") {}
   SUBCASE("near the end of the drain timeout") { Plan = {milliseconds(1600)}; }
@@ -748,6 +754,21 @@
   CHECK(lateAcceptance(Plan).count() == 0);
 }
 
+// Guards against: a daemon that is started again in an evacuated failure domain
+// counts the drain timeout anew, and passes requests on beyond the time that an
+// evacuation may take.
+TEST_CASE("restarts of a daemon do not extend the drain timeout of an "
+          "evacuation") {
+  using std::chrono::milliseconds;
+  drain_during_restarts Plan{milliseconds(1000), 1, false, true};
+  SUBCASE("one restart") {}
+  SUBCASE("near the end of the drain timeout") {
+    Plan.Delay = milliseconds(1600);
+  }
+  SUBCASE("two restarts") { Plan.Restarts = 2; }
+  CHECK(lateAcceptance(Plan).count() == 0);
+}
+
 namespace {
 
 /// Whether other hosts see the server of `Host` as ready at some step.
--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -189,7 +189,7 @@
   if (!Context.IsEvacuated)
     EvacuatedSince.reset();
   else if (!EvacuatedSince)
-    EvacuatedSince = Now;
+    EvacuatedSince = Context.WasFoundEvacuated ? Now - DrainTimeout : Now;
   selectGrantWay(Context);
   if (Context.Map)
     Policy.observe(*Context.Map, releaseAllSince(), Now);
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -31,6 +31,9 @@
   std::optional<grant_way> GrantWay;
   /// Whether the heartbeats of the service have to list the held ranges.
   bool ReportsKeys = false;
+  /// Whether the failure domain was evacuated already when this daemon first
+  /// learned of it.
+  bool WasFoundEvacuated = false;
 };
 
 /// Tracks the backend server of this host over all of its incarnations.
--- a/tests/ownership_simulation.cpp
+++ b/tests/ownership_simulation.cpp
@@ -511,9 +511,7 @@
   case 10:
     return Store.compactHistory();
   case 11:
-    if (Random() % 2)
-      return Store.put(EvacuationRow, "{}");
-    return Store.erase(EvacuationRow);
+    return evacuateEast(Random() % 2 > 0);
   case 12:
     // A leaving backend server refuses connections while it still runs
     // requests.
@@ -535,6 +533,13 @@
   }
 }
 
+void ownership_simulation::evacuateEast(bool Value) {
+  if (Value)
+    Store.put(EvacuationRow, "{}");
+  else
+    Store.erase(EvacuationRow);
+}
+
 void ownership_simulation::restartServer(int I) {
   fake_server &Server = *Hosts[I].Server;
   Server.crash();
@@ -548,7 +553,7 @@
   Store.setDown(false);
   Store.setLoss(0, false);
   Store.setLatency(std::chrono::milliseconds(5));
-  Store.erase(EvacuationRow);
+  evacuateEast(false);
   for (int I = 0; I < static_cast<int>(Hosts.size()); ++I) {
     isolate(I, false);
     stallWatches(I, false);
--- a/tests/ownership_simulation.hpp
+++ b/tests/ownership_simulation.hpp
@@ -94,6 +94,8 @@
   /// owner at some step.
   double ownedFractionWithin(duration Span);
 
+  /// Evacuates the failure domain `east`, that of host 1, or takes that back.
+  void evacuateEast(bool Value);
   /// Writes the next configuration.
   void changeConfiguration();
 
