A peer's report does not replace a leave notice before the first heartbeat

The report replaced the notice, and the server was taken for ready at its next heartbeat.

Change: before the first heartbeat a report is kept only if nothing else is.

Test, failing before: 'a peer's report does not replace a leave notice before the first heartbeat'.

--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -211,11 +211,12 @@
 }
 
 bool local_server::onReportedCondition(const condition_report &Report) {
-  bool IsBeforeFirstHeartbeat = incarnation() == server_incarnation{};
-  if (Report.Incarnation != incarnation() && !IsBeforeFirstHeartbeat)
+  if (incarnation() == server_incarnation{})
+    keepEarlyReport(Report);
+  if (Report.Incarnation != incarnation())
     return false;
-  bool IsLimitNew = !IsBeforeFirstHeartbeat && !HasResponded &&
-                    Report.RateLimit && Report.RateLimit != Condition.RateLimit;
+  bool IsLimitNew = !HasResponded && Report.RateLimit &&
+                    Report.RateLimit != Condition.RateLimit;
   if (IsLimitNew)
     Condition.RateLimit = Report.RateLimit;
   bool IsLeavingNew =
@@ -224,6 +225,13 @@
   return IsLimitNew || IsLeavingNew;
 }
 
+void local_server::keepEarlyReport(const condition_report &Report) {
+  // The report may be about an earlier incarnation, so an announcement that the
+  // server has made itself goes first.
+  if (Report.LeavingFor && !EarlyLeave)
+    EarlyLeave = {Report.Incarnation, Clock.now() - *Report.LeavingFor};
+}
+
 std::chrono::milliseconds local_server::leavingFor(time_point Now) const {
   if (Availability != server_availability::Leaving)
     return std::chrono::milliseconds(0);
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -140,8 +140,11 @@
                         const grant_context &Context) const;
   void startIncarnation();
   /// Called when a heartbeat or a response says that the server leaves. If it
-  /// is the first one of its incarnation, the server has left earlier.
+  /// is the first one of its incarnation that this daemon gets, the server may
+  /// have left at any earlier time.
   void onLeaveHeard(bool IsFirstSign);
+  /// Keeps that the server leaves, by a report before its first heartbeat.
+  void keepEarlyReport(const condition_report &Report);
   /// Applies an announcement that arrived before the first heartbeat of the
   /// current incarnation.
   void applyEarlyLeave();
--- a/src/dragonflyvane/node/serving/local_server_test.cpp
+++ b/src/dragonflyvane/node/serving/local_server_test.cpp
@@ -203,6 +203,17 @@
   CHECK(Server.releasableRanges(context())[0].Handover == "handover");
 }
 
+// Guards against: a peer that still knows of an earlier incarnation makes a
+// daemon that has just started forget the notice of the current one.
+TEST_CASE_FIXTURE(local_server_fixture,
+                  "a peer's report does not replace a leave notice before the "
+                  "first heartbeat") {
+  Server.onLeave({"i-1", 1000}, Clock.now());
+  Server.onReportedCondition({{"i-0", 500}, {}, milliseconds(9000)});
+  sendHeartbeat();
+  CHECK(Server.availability() == server_availability::Leaving);
+}
+
 // Guards against: a daemon that has just started acknowledges that its server
 // leaves, forgets it, and takes the server for ready at its next heartbeat.
 TEST_CASE_FIXTURE(
