One answer to whether all ranges of a host must move

'mustReleaseAll' and 'releaseAllSince' decided the same twice; the second one also tells since when. The callers apply the context first, as before.

--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -330,7 +330,7 @@
       },
       Grants);
   bool IsReplaced = Clock.now() - IncarnationSince < IncarnationRenewalTime;
-  if (IsReplaced && !mustReleaseAll(Context))
+  if (IsReplaced && !releaseAllSince())
     std::erase_if(Releasable, [this](const releasable_range &Entry) {
       return Entry.Range.Incarnation != incarnation() &&
              Entry.Range.NextOwner.empty();
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -117,10 +117,6 @@
     return std::visit(
         [&](const auto &Method) { return Method.holds(Point, Now); }, Grants);
   }
-  /// Whether all ranges of this host must move to other hosts.
-  bool mustReleaseAll(const grant_context &Context) const {
-    return Availability != server_availability::Ready || Context.IsEvacuated;
-  }
   /// Applies a change of the ownership map or of an evacuation.
   void updateOwnership(const grant_context &Context);
   /// Ranges of this host that must move or belong to an earlier incarnation,
