Name what is meant by a leave at an unknown time

'EarlyLeave' is what is known before the first heartbeat, 'onEarlierLeave' was a leave that began before this run. The second one says now that its time is unknown.

--- a/src/dragonflyvane/node/cluster/drain_restart_test.cpp
+++ b/src/dragonflyvane/node/cluster/drain_restart_test.cpp
@@ -4,6 +4,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+
 using namespace dragonflyvane;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
--- a/src/dragonflyvane/node/cluster/ownership_manager.cpp
+++ b/src/dragonflyvane/node/cluster/ownership_manager.cpp
@@ -172,7 +172,7 @@
                         Sync.hasSentHostRow();
   if (MayBeOfThisRun)
     return;
-  Server.onEarlierLeave(Published->Incarnation);
+  Server.onLeaveAtUnknownTime(Published->Incarnation);
 }
 
 void ownership_manager::onClusterChange() {
--- a/src/dragonflyvane/node/serving/local_server.cpp
+++ b/src/dragonflyvane/node/serving/local_server.cpp
@@ -127,7 +127,7 @@
   if (Availability == server_availability::Down)
     Availability = server_availability::Ready;
   if (Heartbeat.State == server_state::Draining)
-    onLeaveHeard(Origin == heartbeat_origin::New);
+    onLeaveAnnounced(Origin == heartbeat_origin::New);
   updateOwnership(Context);
   if (auto *Method = std::get_if<call_grants>(&Grants))
     Method->retryAtOnce();
@@ -189,6 +189,7 @@
   if (!Context.IsEvacuated)
     EvacuatedSince.reset();
   else if (!EvacuatedSince)
+    // Since when it has been evacuated is not known if it was found so.
     EvacuatedSince = Context.WasFoundEvacuated ? Now - DrainTimeout : Now;
   selectGrantWay(Context);
   if (Context.Map)
@@ -207,7 +208,7 @@
   Condition = Latest;
   bool IsFirst = !std::exchange(HasResponded, true);
   if (Condition.IsLeaving)
-    onLeaveHeard(IsFirst);
+    onLeaveAnnounced(IsFirst);
 }
 
 bool local_server::onReportedCondition(const condition_report &Report) {
@@ -265,13 +266,13 @@
   return true;
 }
 
-void local_server::onEarlierLeave(const server_incarnation &Leaving) {
+void local_server::onLeaveAtUnknownTime(const server_incarnation &Leaving) {
   onLeave(Leaving, Clock.now() - DrainTimeout);
 }
 
-void local_server::onLeaveHeard(bool IsFirstSign) {
+void local_server::onLeaveAnnounced(bool IsFirstSign) {
   if (IsFirstSign)
-    onEarlierLeave(incarnation());
+    onLeaveAtUnknownTime(incarnation());
   else
     onLeave(incarnation(), Clock.now());
 }
--- a/src/dragonflyvane/node/serving/local_server.hpp
+++ b/src/dragonflyvane/node/serving/local_server.hpp
@@ -74,7 +74,7 @@
   /// Called when it becomes known that the server leaves, but not since when.
   /// An earlier run of the daemon may have known it for any time, so the drain
   /// timeout counts as over.
-  void onEarlierLeave(const server_incarnation &Incarnation);
+  void onLeaveAtUnknownTime(const server_incarnation &Incarnation);
   /// Called when the server refused a connection. Marks a ready server as down
   /// and ends its grants if it has refused connections for more than a
   /// heartbeat interval without sending a heartbeat.
@@ -138,7 +138,7 @@
   /// Called when a heartbeat or a response says that the server leaves. If it
   /// is the first one of its incarnation that this daemon gets, the server may
   /// have left at any earlier time.
-  void onLeaveHeard(bool IsFirstSign);
+  void onLeaveAnnounced(bool IsFirstSign);
   /// Keeps that the server leaves, by a report before its first heartbeat.
   void keepEarlyReport(const condition_report &Report);
   /// Applies an announcement that arrived before the first heartbeat of the
