--- a/src/dragonflyvane/node/cluster/drain_restart_test.cpp
+++ b/src/dragonflyvane/node/cluster/drain_restart_test.cpp
@@ -179,3 +179,27 @@
   CHECK(Simulation.observedAvailability(Host) == server_availability::Leaving);
   CHECK(acceptsRequests());
 }
+
+// Guards against: a server that has left and is back under its name gets no
+// requests, because the row or an earlier run of its daemon says that it
+// leaves.
+TEST_CASE_FIXTURE(drain_restart_fixture,
+                  "a server that is back under its name after it left is "
+                  "served again") {
+  // The next start keeps the name.
+  Simulation.server(Host).crash();
+  Simulation.server(Host).start();
+  Simulation.runFor(seconds(3));
+  std::string Name = Simulation.server(Host).incarnation().Instance;
+  giveNotice();
+  Simulation.runFor(seconds(3));
+  REQUIRE_FALSE(acceptsRequests());
+  killAndStartDaemon();
+  Simulation.runFor(seconds(1));
+  Simulation.server(Host).crash();
+  Simulation.server(Host).start();
+  Simulation.runFor(seconds(9));
+  REQUIRE(Simulation.server(Host).incarnation().Instance == Name);
+  CHECK(acceptsRequests());
+  CHECK(Simulation.observedAvailability(Host) == server_availability::Ready);
+}
